Shared types: names, platform, engine, document and messages

The seams between the parts are settled first: typed names, the platform's object API as an interface, the engine's admin API, the environment's document and the CBOR messages between processes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+# make demo runs the whole path once; make test runs every test.
+
+GO ?= go
+
+.PHONY: build demo test lint
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build
+	./bin/laureltally demo
+
+test:
+	$(GO) test ./...
+
+lint:
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,20 @@
+package config
+
+import "github.com/laureltally/laureltally/ident"
+
+// Document describes one environment. Operators edit it, try it in trial and
+// promote the same bytes to production.
+type Document struct {
+	Environment ident.Environment `json:"environment"`
+	// Aim weighs tail cold-start time against idle accelerator hours.
+	Aim     Aim      `json:"aim"`
+	Regions []Region `json:"regions"`
+	// Priorities lists the names of work priorities, most urgent first.
+	Priorities []string        `json:"priorities"`
+	Upstreams  []UpstreamGroup `json:"upstreams"`
+	Models     []Model         `json:"models"`
+	Services   []Service       `json:"services"`
+	Callers    []Caller        `json:"callers"`
+	Store      WeightStore     `json:"weight_store"`
+	Limits     Limits          `json:"limits"`
+}
--- /dev/null
+++ b/config/limits.go
@@ -0,0 +1,12 @@
+package config
+
+// Limits bounds what callers of the environment may ask.
+type Limits struct {
+	RequestsPerSecond float64  `json:"requests_per_second"`
+	Burst             int      `json:"burst"`
+	DefaultDeadline   Duration `json:"default_deadline"`
+	MaxDeadline       Duration `json:"max_deadline"`
+	MaxBodyBytes      int64    `json:"max_body_bytes"`
+	// ClaimWindow is how long the answer to an idempotency key is kept.
+	ClaimWindow Duration `json:"claim_window"`
+}
--- /dev/null
+++ b/config/route.go
@@ -0,0 +1,12 @@
+package config
+
+// Route tells how calls of a service are treated. The first route that matches
+// applies; a call that matches none is non-idempotent unless its method is GET,
+// HEAD or OPTIONS.
+type Route struct {
+	// Methods lists HTTP methods; an empty list matches all.
+	Methods []string `json:"methods,omitempty"`
+	// PathPrefix is matched against the path below the service.
+	PathPrefix    string `json:"path_prefix"`
+	NonIdempotent bool   `json:"non_idempotent"`
+}
--- /dev/null
+++ b/config/service.go
@@ -0,0 +1,12 @@
+package config
+
+import "github.com/laureltally/laureltally/ident"
+
+// Service is a plain service that requests are routed to under
+// /services/{environment}/{service}/.
+type Service struct {
+	Name     ident.Service  `json:"name"`
+	Upstream ident.Upstream `json:"upstream"`
+	Priority string         `json:"priority"`
+	Routes   []Route        `json:"routes"`
+}
--- /dev/null
+++ b/engine/load_report.go
@@ -0,0 +1,11 @@
+package engine
+
+import "time"
+
+// LoadReport is the load of an engine as of some time ago.
+type LoadReport struct {
+	AsOf            time.Time `json:"as_of"`
+	Running         int       `json:"running"`
+	Waiting         int       `json:"waiting"`
+	TokensPerSecond float64   `json:"tokens_per_second"`
+}
--- /dev/null
+++ b/engine/problem_code.go
@@ -0,0 +1,13 @@
+package engine
+
+// ProblemCode tells why an engine refused an order.
+type ProblemCode string
+
+// The reasons for which an engine refuses an order.
+const (
+	ProblemStaleFence   ProblemCode = "stale_fence"
+	ProblemBusy         ProblemCode = "busy"
+	ProblemMemory       ProblemCode = "out_of_memory"
+	ProblemUnknownModel ProblemCode = "unknown_model"
+	ProblemMalformed    ProblemCode = "malformed"
+)
--- /dev/null
+++ b/ident/environment.go
@@ -0,0 +1,4 @@
+package ident
+
+// Environment names one product of an operator, for example "muotiennuste".
+type Environment string
--- /dev/null
+++ b/ident/model.go
@@ -0,0 +1,4 @@
+package ident
+
+// Model names a model of one environment.
+type Model string
--- /dev/null
+++ b/ident/region.go
@@ -0,0 +1,4 @@
+package ident
+
+// Region names a region of the platform.
+type Region string
--- /dev/null
+++ b/ident/service.go
@@ -0,0 +1,4 @@
+package ident
+
+// Service names a plain service that requests are routed to.
+type Service string
--- /dev/null
+++ b/ident/vm.go
@@ -0,0 +1,4 @@
+package ident
+
+// VM identifies one VM instance. It is never reused, unlike a VM's address.
+type VM string
--- /dev/null
+++ b/wire/code.go
@@ -0,0 +1,32 @@
+package wire
+
+// Code is the reason for which a request was refused or cut.
+type Code string
+
+// The reasons for refusals and cuts.
+const (
+	CodeOverloaded         Code = "overloaded"
+	CodeDeadline           Code = "deadline"
+	CodeNoReplica          Code = "no_replica"
+	CodeLoadFailed         Code = "load_failed"
+	CodeDraining           Code = "draining"
+	CodeWrongIncarnation   Code = "wrong_incarnation"
+	CodeTombstoned         Code = "tombstoned"
+	CodeDuplicateAttempt   Code = "duplicate_attempt"
+	CodeUnknownAttempt     Code = "unknown_attempt"
+	CodeUpstreamFailed     Code = "upstream_failed"
+	CodeUpstreamLost       Code = "upstream_lost"
+	CodePlatformDown       Code = "platform_unavailable"
+	CodeRateLimited        Code = "rate_limited"
+	CodeUnknownModel       Code = "unknown_model"
+	CodeUnknownEnvironment Code = "unknown_environment"
+	CodeUnknownService     Code = "unknown_service"
+	CodeUnauthorized       Code = "unauthorized"
+	CodeMalformed          Code = "malformed"
+	CodeBodyTooLarge       Code = "body_too_large"
+	CodeSlowBody           Code = "slow_body"
+	CodeKeyReused          Code = "key_reused"
+	CodeAnswerGone         Code = "answer_gone"
+	CodeCanceled           Code = "canceled"
+	CodeInternal           Code = "internal"
+)
--- /dev/null
+++ b/wire/codec.go
@@ -0,0 +1,100 @@
+package wire
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// headerBytes is the type byte and the length.
+const headerBytes = 5
+
+// Write sends one message in a single call of w.Write.
+func Write(w io.Writer, m Message) error {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return fmt.Errorf("encode message of kind %d: %w", m.Kind(), err)
+	}
+	if len(body) > MaxMessageBytes {
+		return &SizeError{Kind: m.Kind(), Bytes: len(body)}
+	}
+	frame := make([]byte, headerBytes+len(body))
+	frame[0] = byte(m.Kind())
+	binary.BigEndian.PutUint32(frame[1:headerBytes], uint32(len(body)))
+	copy(frame[headerBytes:], body)
+	_, err = w.Write(frame)
+	return err
+}
+
+// Read receives one message. It returns io.EOF only between messages, a
+// *SizeError for an oversized one and a *KindError for an unknown kind.
+func Read(r io.Reader) (Message, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	kind := Kind(header[0])
+	size := binary.BigEndian.Uint32(header[1:])
+	if size > MaxMessageBytes {
+		return nil, &SizeError{Kind: kind, Bytes: int(size)}
+	}
+	m, err := newMessage(kind)
+	if err != nil {
+		return nil, err
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, fmt.Errorf("read message of kind %d: %w", kind, err)
+	}
+	if err := cbor.Unmarshal(body, m); err != nil {
+		return nil, fmt.Errorf("decode message of kind %d: %w", kind, err)
+	}
+	return m, nil
+}
+
+func newMessage(kind Kind) (Message, error) {
+	switch kind {
+	case KindHello:
+		return new(Hello), nil
+	case KindDispatch:
+		return new(Dispatch), nil
+	case KindResume:
+		return new(Resume), nil
+	case KindHead:
+		return new(Head), nil
+	case KindChunk:
+		return new(Chunk), nil
+	case KindEnd:
+		return new(End), nil
+	case KindAbort:
+		return new(Abort), nil
+	case KindRefusal:
+		return new(Refusal), nil
+	case KindInquire:
+		return new(Inquire), nil
+	case KindVerdict:
+		return new(Verdict), nil
+	case KindPing:
+		return new(Ping), nil
+	case KindPong:
+		return new(Pong), nil
+	case KindSubscribe:
+		return new(Subscribe), nil
+	case KindReport:
+		return new(Report), nil
+	case KindDigestRequest:
+		return new(DigestRequest), nil
+	case KindDigestReply:
+		return new(DigestReply), nil
+	case KindCancel:
+		return new(Cancel), nil
+	case KindTicketRequest:
+		return new(TicketRequest), nil
+	case KindTicket:
+		return new(Ticket), nil
+	default:
+		return nil, &KindError{Kind: kind}
+	}
+}
--- /dev/null
+++ b/wire/head.go
@@ -0,0 +1,13 @@
+package wire
+
+import "github.com/laureltally/laureltally/ident"
+
+// Head starts an answer.
+type Head struct {
+	Attempt ident.Attempt       `cbor:"1,keyasint"`
+	Status  int                 `cbor:"2,keyasint"`
+	Header  map[string][]string `cbor:"3,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*Head) Kind() Kind { return KindHead }
--- /dev/null
+++ b/wire/model_report.go
@@ -0,0 +1,18 @@
+package wire
+
+import (
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+)
+
+// ModelReport is one model on one upstream VM.
+type ModelReport struct {
+	Model ident.Model  `cbor:"1,keyasint"`
+	Phase engine.Phase `cbor:"2,keyasint,omitempty"`
+	Tier  engine.Tier  `cbor:"3,keyasint,omitempty"`
+	// Fence is that of the held slot, or zero if the VM holds none.
+	Fence    ident.Fence     `cbor:"4,keyasint,omitempty"`
+	Running  int             `cbor:"5,keyasint,omitempty"`
+	Waiting  int             `cbor:"6,keyasint,omitempty"`
+	Adapters []ident.Adapter `cbor:"7,keyasint,omitempty"`
+}
--- /dev/null
+++ b/wire/protocol.go
@@ -0,0 +1,11 @@
+package wire
+
+// Protocol is the name that both ends of a connection agree on in TLS. Its
+// number changes only with the framing.
+const Protocol = "laureltally/1"
+
+// MaxMessageBytes bounds the CBOR body of one message, in bytes.
+const MaxMessageBytes = 16 << 20
+
+// ChunkBytes is the largest payload of one Chunk, in bytes.
+const ChunkBytes = 32 << 10
--- /dev/null
+++ b/wire/refusal.go
@@ -0,0 +1,19 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// Refusal is the final word on an attempt that gave no answer.
+type Refusal struct {
+	Attempt    ident.Attempt `cbor:"1,keyasint"`
+	Code       Code          `cbor:"2,keyasint"`
+	Run        Run           `cbor:"3,keyasint"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	Detail     string        `cbor:"5,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*Refusal) Kind() Kind { return KindRefusal }
--- /dev/null
+++ b/wire/report.go
@@ -0,0 +1,35 @@
+package wire
+
+import (
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// Report is what a process says of itself. Of two reports of the same
+// incarnation the one with the higher Seq is newer. Routers send reports too,
+// with the fields that concern them.
+type Report struct {
+	VM          ident.VM          `cbor:"1,keyasint"`
+	Incarnation ident.Incarnation `cbor:"2,keyasint"`
+	Seq         uint64            `cbor:"3,keyasint"`
+	Role        platform.Role     `cbor:"4,keyasint"`
+	Region      ident.Region      `cbor:"5,keyasint"`
+	Zone        ident.Zone        `cbor:"6,keyasint"`
+	Upstream    ident.Upstream    `cbor:"7,keyasint,omitempty"`
+	Address     string            `cbor:"8,keyasint"`
+	Draining    bool              `cbor:"9,keyasint,omitempty"`
+	// Configs gives the version of each environment's document in force.
+	Configs map[ident.Environment]platform.Version `cbor:"10,keyasint,omitempty"`
+	Models  []ModelReport                          `cbor:"11,keyasint,omitempty"`
+	// FreeMB is the accelerator memory that the ledger could still reserve.
+	FreeMB  int64 `cbor:"12,keyasint,omitempty"`
+	Running int   `cbor:"13,keyasint,omitempty"`
+	Waiting int   `cbor:"14,keyasint,omitempty"`
+	// Concurrency is how many requests the upstream takes at once now.
+	Concurrency int `cbor:"15,keyasint,omitempty"`
+	// PrefixHashes lists prompt prefixes that are probably cached, a hint.
+	PrefixHashes []uint64 `cbor:"16,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*Report) Kind() Kind { return KindReport }
--- /dev/null
+++ b/wire/resume.go
@@ -0,0 +1,13 @@
+package wire
+
+import "github.com/laureltally/laureltally/ident"
+
+// Resume asks for the rest of an attempt's answer from Offset on.
+type Resume struct {
+	Attempt     ident.Attempt     `cbor:"1,keyasint"`
+	Incarnation ident.Incarnation `cbor:"2,keyasint"`
+	Offset      int64             `cbor:"3,keyasint"`
+}
+
+// Kind implements Message.
+func (*Resume) Kind() Kind { return KindResume }
--- /dev/null
+++ b/wire/ticket_request.go
@@ -0,0 +1,21 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// TicketRequest asks the gate of the weight store for a place. The asker closes
+// the stream when the load has ended.
+type TicketRequest struct {
+	VM          ident.VM          `cbor:"1,keyasint"`
+	Environment ident.Environment `cbor:"2,keyasint"`
+	Model       ident.Model       `cbor:"3,keyasint"`
+	Adapter     ident.Adapter     `cbor:"4,keyasint,omitempty"`
+	Priority    ident.Priority    `cbor:"5,keyasint"`
+	Remaining   time.Duration     `cbor:"6,keyasint"`
+}
+
+// Kind implements Message.
+func (*TicketRequest) Kind() Kind { return KindTicketRequest }
