--- /dev/null
+++ b/config/router_settings.go
@@ -0,0 +1,23 @@
+package config
+
+import "github.com/laureltally/laureltally/ident"
+
+// RouterSettings are the settings of laureltally-router.
+type RouterSettings struct {
+	VM     ident.VM     `json:"vm"`
+	Region ident.Region `json:"region"`
+	Zone   ident.Zone   `json:"zone"`
+	// Listen is the IP address and TCP port for callers.
+	Listen string `json:"listen"`
+	// AdminListen serves metrics, health and status; IP address and TCP port.
+	AdminListen string `json:"admin_listen"`
+	// PeerListen is the IP address and UDP port for other processes.
+	PeerListen string `json:"peer_listen"`
+	// Platform is the base URL of the platform's object API.
+	Platform     string              `json:"platform"`
+	Environments []ident.Environment `json:"environments"`
+	TLS          TLSSettings         `json:"tls"`
+	Log          LogSettings         `json:"log"`
+	// ShutdownTimeout bounds a graceful shutdown.
+	ShutdownTimeout Duration `json:"shutdown_timeout"`
+}
