--- /dev/null
+++ b/grant/holder.go
@@ -0,0 +1,35 @@
+package grant
+
+import (
+	"slices"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// Revoke marks vm's slot as revoking, if it is held under fence.
+func Revoke(g Grant, vm ident.VM, fence ident.Fence) (Grant, bool) {
+	i := g.index(vm)
+	if i < 0 || g.Slots[i].Fence != fence || g.Slots[i].State != Held {
+		return g, false
+	}
+	g = g.clone()
+	g.Slots[i].State = Revoking
+	return g, true
+}
+
+// Release removes vm's slot, if it is revoking under fence. The caller's engine
+// must be confirmed to hold no replica and to run no order that could load one.
+//
+// A held slot is never removed: such a write could land late, after a new
+// incarnation of the holder has read the slot as held and loaded the model.
+// While the slot is revoking no incarnation loads, and a change back to held
+// makes a late write fail on its version.
+func Release(g Grant, vm ident.VM, fence ident.Fence) (Grant, bool) {
+	i := g.index(vm)
+	if i < 0 || g.Slots[i].Fence != fence || g.Slots[i].State != Revoking {
+		return g, false
+	}
+	g = g.clone()
+	g.Slots = slices.Delete(g.Slots, i, i+1)
+	return g, true
+}
--- /dev/null
+++ b/grant/slot.go
@@ -0,0 +1,10 @@
+package grant
+
+import "github.com/laureltally/laureltally/ident"
+
+// Slot is the right of one VM instance to hold one replica of a model.
+type Slot struct {
+	VM    ident.VM    `json:"vm"`
+	Fence ident.Fence `json:"fence"`
+	State SlotState   `json:"state"`
+}
--- /dev/null
+++ b/ledger/key.go
@@ -0,0 +1,9 @@
+package ledger
+
+import "github.com/laureltally/laureltally/ident"
+
+// Key names one reservation: a model with its KV cache, or one of its adapters.
+type Key struct {
+	Model   ident.Model
+	Adapter ident.Adapter
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,89 @@
+package ledger
+
+import "github.com/laureltally/laureltally/ident"
+
+// Ledger is the set of reservations of one engine. It is not safe for
+// concurrent use.
+type Ledger struct {
+	capacityMB int64
+	usedMB     int64
+	held       map[Key]int64
+}
+
+// New returns an empty ledger over capacityMB MiB.
+func New(capacityMB int64) *Ledger {
+	return &Ledger{capacityMB: capacityMB, held: make(map[Key]int64)}
+}
+
+// SetCapacity replaces the capacity. Reservations stay, so the ledger may be
+// over a lowered capacity; nothing more is reserved until it is not.
+func (l *Ledger) SetCapacity(capacityMB int64) { l.capacityMB = capacityMB }
+
+// Reserve sets mb MiB aside for k, or fails with *ShortError and changes
+// nothing. Reserving a held key again grows it to mb if mb is larger.
+func (l *Ledger) Reserve(k Key, mb int64) error {
+	more := mb - l.held[k]
+	if _, ok := l.held[k]; ok && more <= 0 {
+		return nil
+	}
+	if free := l.capacityMB - l.usedMB; mb < 0 || more > free {
+		return &ShortError{Key: k, NeedMB: mb, FreeMB: max(free, 0)}
+	}
+	l.set(k, mb)
+	return nil
+}
+
+// Adopt records memory that the engine is known to use already, whether or not
+// it fits.
+func (l *Ledger) Adopt(k Key, mb int64) { l.set(k, max(mb, l.held[k])) }
+
+// Free drops the reservation of k. The engine must have confirmed that k is
+// unloaded and that no order can still load it.
+func (l *Ledger) Free(k Key) {
+	l.usedMB -= l.held[k]
+	delete(l.held, k)
+}
+
+// Holds tells whether k is reserved.
+func (l *Ledger) Holds(k Key) bool {
+	_, ok := l.held[k]
+	return ok
+}
+
+// Keys returns the held keys of model m, in no particular order.
+func (l *Ledger) Keys(m ident.Model) []Key {
+	var keys []Key
+	for k := range l.held {
+		if k.Model == m {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+// Models returns the models of which anything is held, in no particular order.
+func (l *Ledger) Models() []ident.Model {
+	seen := make(map[ident.Model]bool)
+	var models []ident.Model
+	for k := range l.held {
+		if !seen[k.Model] {
+			seen[k.Model] = true
+			models = append(models, k.Model)
+		}
+	}
+	return models
+}
+
+// CapacityMB returns the capacity in MiB.
+func (l *Ledger) CapacityMB() int64 { return l.capacityMB }
+
+// UsedMB returns the sum of all reservations in MiB.
+func (l *Ledger) UsedMB() int64 { return l.usedMB }
+
+// FreeMB returns how much could still be reserved, in MiB; never negative.
+func (l *Ledger) FreeMB() int64 { return max(l.capacityMB-l.usedMB, 0) }
+
+func (l *Ledger) set(k Key, mb int64) {
+	l.usedMB += mb - l.held[k]
+	l.held[k] = mb
+}
--- /dev/null
+++ b/replica/need.go
@@ -0,0 +1,16 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// Need is what a request needs loaded before it can run.
+type Need struct {
+	Model    ident.Model
+	Adapter  ident.Adapter
+	Priority ident.Priority
+	// Deadline ends the wait; zero means that only the context does.
+	Deadline time.Time
+}
