replica: the manager and its state machine

The agent needs one place that turns rights and needs into orders. A version that the incarnation wrote itself proves that a listing is not older than the incarnation, also where listings come from copies that lag; trusting any listing was ruled out, since a listing that predates the release of a slot would bring it back.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -50,6 +50,9 @@
 	return ok
 }
 
+// HeldMB returns the reservation of k in MiB, zero if there is none.
+func (l *Ledger) HeldMB(k Key) int64 { return l.held[k] }
+
 // Keys returns the held keys of model m, in no particular order.
 func (l *Ledger) Keys(m ident.Model) []Key {
 	var keys []Key
--- a/orderbook/book.go
+++ b/orderbook/book.go
@@ -13,6 +13,7 @@
 	settle   time.Duration
 	started  time.Time
 	quiet    bool
+	foreign  bool
 	observed bool
 	instance string
 	open     *entry
@@ -36,9 +37,14 @@
 	return b.open.order, true
 }
 
-// Settled tells whether no order at all, of this incarnation or an earlier one,
-// can still change the engine.
-func (b *Book) Settled() bool { return b.Ready() }
+// ClearOf tells whether no order, of this incarnation or an earlier one, can
+// still load m.
+func (b *Book) ClearOf(m ident.Model) bool {
+	if !b.observed || b.foreign {
+		return false
+	}
+	return b.open == nil || b.open.order.Model != m
+}
 
 // Begin opens an order that is about to be submitted, or fails with *BusyError.
 func (b *Book) Begin(o engine.Order, now time.Time) error {
@@ -71,6 +77,7 @@
 // the outcome of the open order if the state settles it.
 func (b *Book) Observe(s engine.State, begun time.Time) (Outcome, bool) {
 	b.quiet = len(s.RunningOrders) == 0 && !transient(s)
+	b.foreign = slices.ContainsFunc(s.RunningOrders, func(id string) bool { return b.open == nil || id != b.open.order.ID })
 	b.instance = s.Instance
 	if !begun.Before(b.started.Add(b.settle)) {
 		b.observed = true
--- /dev/null
+++ b/replica/adapter_state.go
@@ -0,0 +1,9 @@
+package replica
+
+import "time"
+
+// adapterState is one loaded adapter.
+type adapterState struct {
+	running  int
+	lastUsed time.Time
+}
--- /dev/null
+++ b/replica/compare_keys.go
@@ -0,0 +1,12 @@
+package replica
+
+import (
+	"cmp"
+
+	"github.com/laureltally/laureltally/ledger"
+)
+
+// compareKeys orders reservations by name.
+func compareKeys(a, b ledger.Key) int {
+	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+}
--- /dev/null
+++ b/replica/machine_grants.go
@@ -0,0 +1,64 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/grant"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// barrierWritten records a version that this incarnation wrote. A listing or a
+// change at that version or above was made after the incarnation began, so no
+// earlier incarnation's release can be missing from it.
+func (m *machine) barrierWritten(v platform.Version) { m.barrier = v }
+
+// listing takes the VM's slots out of a listing of all grants at version v.
+// A listing that may be older than the incarnation, or than what is known
+// already, proves nothing and is dropped; listing then returns false.
+func (m *machine) listing(v platform.Version, slots map[ident.Model]grant.Slot, now time.Time) bool {
+	if !m.fresh(v) || v < m.listed {
+		return false
+	}
+	m.listed = v
+	m.grantsRead = true
+	for _, s := range m.models {
+		if _, ok := slots[s.name]; !ok {
+			m.setSlot(s, grant.Slot{}, v)
+		}
+	}
+	for name, slot := range slots {
+		m.setSlot(m.model(name), slot, v)
+	}
+	m.step(now)
+	return true
+}
+
+// changed takes the VM's slot of one model, zero if there is none, out of a
+// grant at version v.
+func (m *machine) changed(name ident.Model, slot grant.Slot, v platform.Version, now time.Time) {
+	if !m.fresh(v) {
+		return
+	}
+	m.listed = max(m.listed, v)
+	m.setSlot(m.model(name), slot, v)
+	m.step(now)
+}
+
+func (m *machine) fresh(v platform.Version) bool {
+	return m.o.flaws.staleRights || (m.barrier != 0 && v >= m.barrier)
+}
+
+func (m *machine) setSlot(s *modelState, slot grant.Slot, v platform.Version) {
+	if v < s.version {
+		return
+	}
+	s.version = v
+	s.slot = slot
+	if slot.State == grant.Revoking {
+		s.giveUp()
+	}
+	if m.o.flaws.reuseFence && slot.State == grant.Held {
+		s.gaveUp = 0
+	}
+}
--- /dev/null
+++ b/replica/machine_options.go
@@ -0,0 +1,25 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/ident"
+)
+
+// machineOptions configures a machine.
+type machineOptions struct {
+	vm          ident.VM
+	incarnation ident.Incarnation
+	spec        func(ident.Model) (config.Model, bool)
+	policy      Policy
+	memoryMB    int64
+	settle      time.Duration
+	memoryWait  time.Duration
+	loadRetry   time.Duration
+	writeRetry  time.Duration
+	retryAfter  time.Duration
+	gated       bool
+	// flaws switches protections off, for tests that show what each is for.
+	flaws flaws
+}
--- /dev/null
+++ b/replica/manager_grants.go
@@ -0,0 +1,164 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/laureltally/laureltally/grant"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// watchGrants keeps the machine's slots current. The platform may be away for
+// long; the slots that are known stay usable meanwhile.
+func (m *Manager) watchGrants(ctx context.Context) error {
+	b := backoff.NewExponentialBackOff()
+	var barrier platform.Version
+	for ctx.Err() == nil {
+		err := m.followOnce(ctx, &barrier, b)
+		if ctx.Err() == nil && err != nil {
+			m.o.Logger.WithError(err).Warn("watch of grants ended")
+		}
+		m.sleep(ctx, b.NextBackOff())
+	}
+	return context.Cause(ctx)
+}
+
+// followOnce lists the grants and watches them from there until the watch ends.
+func (m *Manager) followOnce(ctx context.Context, barrier *platform.Version, b *backoff.ExponentialBackOff) error {
+	if *barrier == 0 {
+		v, err := m.writeBarrier(ctx)
+		if err != nil {
+			return fmt.Errorf("barrier: %w", err)
+		}
+		*barrier = v
+		m.event(func(time.Time) { m.machine.barrierWritten(v) })
+	}
+	objects, version, err := m.o.Store.List(ctx, grant.Prefix(m.o.Environment))
+	if err != nil {
+		return fmt.Errorf("list grants: %w", err)
+	}
+	if !m.takeListing(objects, version) {
+		return &StaleListError{Version: version}
+	}
+	b.Reset()
+	ctx, cancel := context.WithTimeout(ctx, m.o.RelistEvery)
+	defer cancel()
+	if err := m.o.Store.Watch(ctx, grant.Prefix(m.o.Environment), version, m.takeEvent); err != nil {
+		return fmt.Errorf("watch grants: %w", err)
+	}
+	return nil
+}
+
+// writeBarrier writes an object of this incarnation alone and returns its
+// version. A listing at that version or above cannot be older than the
+// incarnation, even where listings are served from copies that lag.
+func (m *Manager) writeBarrier(ctx context.Context) (platform.Version, error) {
+	key := fmt.Sprintf("barriers/%s/%s/%x", m.o.Environment, m.o.VM, uint64(m.o.Incarnation))
+	v, err := m.o.Store.Put(ctx, key, []byte("{}"), 0)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) && conflict.Actual != 0 {
+		// An earlier try of this incarnation took effect.
+		v, err = conflict.Actual, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	if err := m.o.Store.Delete(ctx, key, v); err != nil {
+		m.o.Logger.WithError(err).Debug("barrier object left behind")
+	}
+	return v, nil
+}
+
+func (m *Manager) takeListing(objects []platform.Object, version platform.Version) bool {
+	slots := make(map[ident.Model]grant.Slot)
+	for _, o := range objects {
+		if name, slot, ok := m.slotOf(o); ok && slot.Fence != 0 {
+			slots[name] = slot
+		}
+	}
+	taken := false
+	m.event(func(now time.Time) { taken = m.machine.listing(version, slots, now) })
+	return taken
+}
+
+func (m *Manager) takeEvent(e platform.Event) {
+	o := e.Object
+	if e.Deleted {
+		// Grants are never deleted; a deletion by hand ends the right.
+		o.Value = []byte("{}")
+	}
+	if name, slot, ok := m.slotOf(o); ok {
+		m.event(func(now time.Time) { m.machine.changed(name, slot, o.Version, now) })
+	}
+}
+
+// slotOf reads the VM's slot out of a grant object. An object that cannot be
+// read gives no right.
+func (m *Manager) slotOf(o platform.Object) (ident.Model, grant.Slot, bool) {
+	name, ok := grant.ModelOf(m.o.Environment, o.Key)
+	if !ok {
+		return "", grant.Slot{}, false
+	}
+	g, err := grant.Decode(o.Key, o.Value)
+	if err != nil {
+		m.o.Logger.WithError(err).Error("grant unreadable")
+		return name, grant.Slot{}, true
+	}
+	slot, _ := g.Slot(m.o.VM)
+	return name, slot, true
+}
+
+// writeSlot marks or frees the VM's slot by one conditional update.
+func (m *Manager) writeSlot(ctx context.Context, a writeGrant) {
+	err := m.updateSlot(ctx, a)
+	if err != nil {
+		m.o.Metrics.Counter("slot_write_failures").Inc(1)
+		m.o.Logger.WithError(err).WithField("model", string(a.model)).Warn("slot not written")
+	}
+	m.event(func(now time.Time) { m.machine.wrote(a.model, now) })
+}
+
+func (m *Manager) updateSlot(ctx context.Context, a writeGrant) error {
+	key := grant.Key(m.o.Environment, a.model)
+	o, err := m.o.Store.Get(ctx, key)
+	if err != nil {
+		return fmt.Errorf("read grant: %w", err)
+	}
+	g, err := grant.Decode(key, o.Value)
+	if err != nil {
+		return err
+	}
+	next, ok := a.apply(g, m.o.VM)
+	if ok {
+		next.Writer = fmt.Sprintf("%s-%x", m.o.VM, uint64(m.o.Incarnation))
+		if o.Value, err = next.Encode(); err != nil {
+			return err
+		}
+		if o.Version, err = m.o.Store.Put(ctx, key, o.Value, o.Version); err != nil {
+			return fmt.Errorf("write grant: %w", err)
+		}
+	}
+	m.takeEvent(platform.Event{Object: o})
+	return nil
+}
+
+func (a writeGrant) apply(g grant.Grant, vm ident.VM) (grant.Grant, bool) {
+	if a.release {
+		return grant.Release(g, vm, a.fence)
+	}
+	return grant.Revoke(g, vm, a.fence)
+}
+
+func (m *Manager) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/replica/stale_list_error.go
@@ -0,0 +1,16 @@
+package replica
+
+import (
+	"fmt"
+
+	"github.com/laureltally/laureltally/platform"
+)
+
+// StaleListError reports a listing that may be older than this incarnation or
+// than what it knows already.
+type StaleListError struct{ Version platform.Version }
+
+// Error implements error.
+func (e *StaleListError) Error() string {
+	return fmt.Sprintf("listing at version %d is stale", e.Version)
+}
