--- /dev/null
+++ b/standin/vm_list.go
@@ -0,0 +1,61 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// VMList is a platform.VMLister whose changes are seen after a lag.
+type VMList struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	visible map[ident.VM]platform.VM
+	pending []pendingVMChange
+}
+
+var _ platform.VMLister = (*VMList)(nil)
+
+// NewVMList returns an empty list with the given lag.
+func NewVMList(lag time.Duration) *VMList {
+	return &VMList{lag: lag, visible: make(map[ident.VM]platform.VM)}
+}
+
+// Apply makes a change that is seen after the lag.
+func (l *VMList) Apply(c VMChange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = append(l.pending, pendingVMChange{change: c, at: time.Now().Add(l.lag)})
+}
+
+// ListVMs implements platform.VMLister.
+func (l *VMList) ListVMs(ctx context.Context) ([]platform.VM, error) {
+	if ctx.Err() != nil {
+		return nil, &platform.UnavailableError{Op: "vms", Err: ctx.Err()}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(time.Now())
+	return slices.SortedFunc(maps.Values(l.visible), func(a, b platform.VM) int {
+		return cmp.Compare(a.ID, b.ID)
+	}), nil
+}
+
+// settle makes the changes visible that are due. The caller holds mu.
+func (l *VMList) settle(now time.Time) {
+	for len(l.pending) > 0 && !l.pending[0].at.After(now) {
+		c := l.pending[0].change
+		l.pending = l.pending[1:]
+		if c.Put != nil {
+			l.visible[c.Put.ID] = *c.Put
+		}
+		delete(l.visible, c.Remove)
+	}
+}
