--- /dev/null
+++ b/router/header.go
@@ -0,0 +1,46 @@
+package router
+
+import (
+	"net/http"
+	"slices"
+)
+
+// Headers of the system towards callers.
+const (
+	// HeaderTimeout bounds the whole request: a duration such as "2.5s", or a
+	// number of seconds.
+	HeaderTimeout = "X-Laureltally-Timeout"
+	// HeaderRequestID carries the id of the request in every response.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderIdempotencyKey names a non-idempotent request so that it can be
+	// repeated safely.
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// privateHeaders speak about callers to this system alone.
+var privateHeaders = []string{"Authorization", "Cookie", "Host", HeaderTimeout, "X-Priority"}
+
+// forwardHeader returns the headers of a caller's request for an upstream.
+func forwardHeader(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range slices.Concat(hopHeaders, privateHeaders) {
+		out.Del(name)
+	}
+	return out
+}
+
+// copyHeader copies an upstream's headers into a response.
+func copyHeader(dst, src http.Header) {
+	for name, values := range src {
+		if slices.Contains(hopHeaders, http.CanonicalHeaderKey(name)) {
+			continue
+		}
+		dst[http.CanonicalHeaderKey(name)] = slices.Clone(values)
+	}
+}
--- /dev/null
+++ b/router/idempotency_key.go
@@ -0,0 +1,16 @@
+package router
+
+import (
+	"net/http"
+
+	"github.com/laureltally/laureltally/wire"
+)
+
+// idempotencyKey reads the caller's key, which may be absent.
+func idempotencyKey(r *http.Request) (string, *Failure) {
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if len(key) > maxKeyBytes {
+		return "", notRun(wire.CodeMalformed, "header %s is longer than %d bytes", HeaderIdempotencyKey, maxKeyBytes)
+	}
+	return key, nil
+}
--- /dev/null
+++ b/transport/conn.go
@@ -0,0 +1,152 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/wire"
+)
+
+const (
+	codeClosed   quic.ApplicationErrorCode = 0
+	codeSilent   quic.ApplicationErrorCode = 1
+	codeIdentity quic.ApplicationErrorCode = 2
+)
+
+// Conn is one connection to a peer that has proved who it is.
+type Conn struct {
+	raw  *quic.Conn
+	peer wire.Hello
+	rtt  atomic.Int64
+}
+
+// Peer returns what the peer says of itself.
+func (c *Conn) Peer() wire.Hello { return c.peer }
+
+// RTT returns the round-trip time of the latest ping, or zero before the first.
+func (c *Conn) RTT() time.Duration { return time.Duration(c.rtt.Load()) }
+
+// Context ends when the connection is lost.
+func (c *Conn) Context() context.Context { return c.raw.Context() }
+
+// Close closes the connection and cuts its streams.
+func (c *Conn) Close() { _ = c.raw.CloseWithError(codeClosed, "closed") }
+
+// Open opens a stream with its first message.
+func (c *Conn) Open(ctx context.Context, first wire.Message) (*Stream, error) {
+	raw, err := c.raw.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("open stream: %w", err)
+	}
+	s := newStream(raw)
+	if err := s.Send(first); err != nil {
+		s.Reset()
+		return nil, fmt.Errorf("send first message: %w", err)
+	}
+	return s, nil
+}
+
+// Call sends one message and returns the one reply.
+func (c *Conn) Call(ctx context.Context, m wire.Message) (wire.Message, error) {
+	s, err := c.Open(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Reset()
+	if d, ok := ctx.Deadline(); ok {
+		_ = s.SetDeadline(d)
+	}
+	stop := context.AfterFunc(ctx, s.Reset)
+	defer stop()
+	return s.Recv()
+}
+
+// ping measures the round trip once.
+func (c *Conn) ping(ctx context.Context, seq uint64, now func() time.Time) error {
+	start := now()
+	m, err := c.Call(ctx, &wire.Ping{Seq: seq})
+	if err != nil {
+		return err
+	}
+	if p, ok := m.(*wire.Pong); !ok || p.Seq != seq {
+		return &wire.KindError{Kind: m.Kind()}
+	}
+	c.rtt.Store(int64(now().Sub(start)))
+	return nil
+}
+
+// keepAlive pings until the connection ends, and closes it when it is silent.
+func (c *Conn) keepAlive(o Options) {
+	tick := time.NewTicker(o.PingInterval)
+	defer tick.Stop()
+	for seq := uint64(1); ; seq++ {
+		select {
+		case <-c.raw.Context().Done():
+			return
+		case <-tick.C:
+		}
+		ctx, cancel := context.WithTimeout(c.raw.Context(), o.PingTimeout)
+		err := c.ping(ctx, seq, time.Now)
+		cancel()
+		if err == nil {
+			continue
+		}
+		if c.raw.Context().Err() != nil {
+			return
+		}
+		silent := &SilentError{Address: c.raw.RemoteAddr().String(), Timeout: o.PingTimeout}
+		o.Logger.WithField("peer", c.peer.VM).WithError(err).Warn(silent.Error())
+		_ = c.raw.CloseWithError(codeSilent, "silent")
+		return
+	}
+}
+
+// checkIdentity compares the peer's word with its certificate.
+func checkIdentity(raw *quic.Conn, claimed ident.VM) error {
+	certs := raw.ConnectionState().TLS.PeerCertificates
+	if len(certs) == 0 {
+		return &IdentityError{Claimed: claimed}
+	}
+	proved := ident.VM(certs[0].Subject.CommonName)
+	if proved != claimed {
+		return &IdentityError{Claimed: claimed, Proved: proved}
+	}
+	return nil
+}
+
+// serve hands the peer's streams to h until the connection ends.
+func (c *Conn) serve(h Handler) {
+	ctx := c.raw.Context()
+	for {
+		raw, err := c.raw.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		go c.serveStream(ctx, h, newStream(raw))
+	}
+}
+
+func (c *Conn) serveStream(ctx context.Context, h Handler, s *Stream) {
+	first, err := s.Recv()
+	if err != nil {
+		s.Reset()
+		return
+	}
+	if p, ok := first.(*wire.Ping); ok {
+		_ = s.Send(&wire.Pong{Seq: p.Seq})
+		_ = s.CloseSend()
+		return
+	}
+	if h == nil {
+		s.Reset()
+		return
+	}
+	h.HandleStream(ctx, c.peer, first, s)
+	_ = s.CloseSend()
+	s.raw.CancelRead(codeStreamReset)
+}
--- /dev/null
+++ b/transport/doc.go
@@ -0,0 +1,7 @@
+// Package transport connects the system's own processes by QUIC with mutual
+// TLS. It carries the messages of package wire, one stream for each exchange.
+//
+// A dialed connection has a UDP socket of its own. When something between two
+// ends loses track of a connection, a new one from another port still works, so
+// a connection that stops answering application pings is closed and replaced.
+package transport
--- /dev/null
+++ b/transport/handshake.go
@@ -0,0 +1,63 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/laureltally/laureltally/wire"
+)
+
+// greet is the dialer's side of the exchange of Hellos on the first stream.
+func greet(ctx context.Context, raw *quic.Conn, own wire.Hello) (wire.Hello, error) {
+	rs, err := raw.OpenStreamSync(ctx)
+	if err != nil {
+		return wire.Hello{}, fmt.Errorf("open first stream: %w", err)
+	}
+	s := newStream(rs)
+	defer s.Reset()
+	if d, ok := ctx.Deadline(); ok {
+		_ = s.SetDeadline(d)
+	}
+	if err := s.Send(&own); err != nil {
+		return wire.Hello{}, fmt.Errorf("send hello: %w", err)
+	}
+	return readHello(raw, s)
+}
+
+// welcome is the listener's side.
+func welcome(ctx context.Context, raw *quic.Conn, own wire.Hello) (wire.Hello, error) {
+	rs, err := raw.AcceptStream(ctx)
+	if err != nil {
+		return wire.Hello{}, fmt.Errorf("accept first stream: %w", err)
+	}
+	s := newStream(rs)
+	if d, ok := ctx.Deadline(); ok {
+		_ = s.SetDeadline(d)
+	}
+	peer, err := readHello(raw, s)
+	if err != nil {
+		s.Reset()
+		return wire.Hello{}, err
+	}
+	if err := s.Send(&own); err != nil {
+		return wire.Hello{}, fmt.Errorf("send hello: %w", err)
+	}
+	return peer, s.CloseSend()
+}
+
+func readHello(raw *quic.Conn, s *Stream) (wire.Hello, error) {
+	m, err := s.Recv()
+	if err != nil {
+		return wire.Hello{}, fmt.Errorf("read hello: %w", err)
+	}
+	h, ok := m.(*wire.Hello)
+	if !ok {
+		return wire.Hello{}, &wire.KindError{Kind: m.Kind()}
+	}
+	if err := checkIdentity(raw, h.VM); err != nil {
+		return wire.Hello{}, err
+	}
+	return *h, nil
+}
--- /dev/null
+++ b/transport/listener.go
@@ -0,0 +1,107 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Listener accepts connections from peers and serves their streams.
+type Listener struct {
+	o  Options
+	ln *quic.Listener
+	wg sync.WaitGroup
+
+	mu     sync.Mutex
+	conns  map[*Conn]struct{}
+	closed bool
+}
+
+// Listen listens on the UDP address.
+func Listen(address string, o Options) (*Listener, error) {
+	o = o.withDefaults()
+	tc, err := o.Credentials.ServerConfig()
+	if err != nil {
+		return nil, fmt.Errorf("server credentials: %w", err)
+	}
+	base := withProtocol(tc)
+	base.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		renewed, err := o.Credentials.ServerConfig()
+		if err != nil {
+			return nil, fmt.Errorf("server credentials: %w", err)
+		}
+		return withProtocol(renewed), nil
+	}
+	ln, err := quic.ListenAddr(address, base, quicConfig(o))
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	l := &Listener{o: o, ln: ln, conns: make(map[*Conn]struct{})}
+	l.wg.Go(l.acceptLoop)
+	return l, nil
+}
+
+// Addr returns the address listened on.
+func (l *Listener) Addr() net.Addr { return l.ln.Addr() }
+
+// Close stops listening, closes every connection and waits for the accepting
+// goroutines.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	for c := range l.conns {
+		c.Close()
+	}
+	l.mu.Unlock()
+	err := l.ln.Close()
+	l.wg.Wait()
+	return err
+}
+
+func (l *Listener) acceptLoop() {
+	for {
+		raw, err := l.ln.Accept(context.Background())
+		if err != nil {
+			return
+		}
+		l.wg.Go(func() { l.serveConn(raw) })
+	}
+}
+
+func (l *Listener) serveConn(raw *quic.Conn) {
+	ctx, cancel := context.WithTimeout(raw.Context(), l.o.HandshakeTimeout)
+	peer, err := welcome(ctx, raw, l.o.Hello)
+	cancel()
+	if err != nil {
+		l.o.Logger.WithError(err).Warn("peer refused")
+		_ = raw.CloseWithError(codeIdentity, "hello refused")
+		return
+	}
+	c := &Conn{raw: raw, peer: peer}
+	if !l.add(c) {
+		c.Close()
+		return
+	}
+	defer l.remove(c)
+	c.serve(l.o.Handler)
+}
+
+func (l *Listener) add(c *Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	l.conns[c] = struct{}{}
+	return true
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
--- /dev/null
+++ b/transport/pool.go
@@ -0,0 +1,134 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// Pool keeps one connection to each peer that is dialed through it.
+type Pool struct {
+	o Options
+
+	mu      sync.Mutex
+	closed  bool
+	entries map[string]*poolEntry
+}
+
+// poolEntry is a connection or an attempt to make one. done is closed when conn
+// or err is set.
+type poolEntry struct {
+	done chan struct{}
+	conn *Conn
+	err  error
+}
+
+// NewPool returns an empty pool.
+func NewPool(o Options) *Pool {
+	return &Pool{o: o.withDefaults(), entries: make(map[string]*poolEntry)}
+}
+
+// Get returns a live connection to the VM at address and dials if there is
+// none. Concurrent calls share one dial. Failures are *DialError.
+func (p *Pool) Get(ctx context.Context, vm ident.VM, address string) (*Conn, error) {
+	e, err := p.entry(vm, address)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-e.done:
+	case <-ctx.Done():
+		return nil, &DialError{Address: address, Err: ctx.Err()}
+	}
+	if e.err != nil {
+		return nil, e.err
+	}
+	return e.conn, nil
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	entries := p.entries
+	p.entries = nil
+	p.mu.Unlock()
+	for _, e := range entries {
+		<-e.done
+		if e.conn != nil {
+			e.conn.Close()
+		}
+	}
+}
+
+func (p *Pool) entry(vm ident.VM, address string) (*poolEntry, error) {
+	key := string(vm) + "@" + address
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, &ClosedError{}
+	}
+	if e, ok := p.entries[key]; ok && !e.dead() {
+		return e, nil
+	}
+	e := &poolEntry{done: make(chan struct{})}
+	p.entries[key] = e
+	go p.dial(e, key, vm, address)
+	return e, nil
+}
+
+// dead tells whether the attempt failed or the connection has ended.
+func (e *poolEntry) dead() bool {
+	select {
+	case <-e.done:
+	default:
+		return false
+	}
+	return e.err != nil || e.conn.Context().Err() != nil
+}
+
+func (p *Pool) dial(e *poolEntry, key string, vm ident.VM, address string) {
+	defer close(e.done)
+	c, err := p.connect(vm, address)
+	if err != nil {
+		e.err = &DialError{Address: address, Err: err}
+		return
+	}
+	e.conn = c
+	go c.serve(p.o.Handler)
+	go p.watch(e, key)
+}
+
+// watch pings the connection until it ends and then forgets it.
+func (p *Pool) watch(e *poolEntry, key string) {
+	e.conn.keepAlive(p.o)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.entries[key] == e {
+		delete(p.entries, key)
+	}
+}
+
+func (p *Pool) connect(vm ident.VM, address string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), p.o.HandshakeTimeout)
+	defer cancel()
+	tc, err := p.o.Credentials.ClientConfig()
+	if err != nil {
+		return nil, fmt.Errorf("client credentials: %w", err)
+	}
+	raw, err := dialOwnSocket(ctx, address, p.o, tc)
+	if err != nil {
+		return nil, err
+	}
+	peer, err := greet(ctx, raw, p.o.Hello)
+	if err == nil && peer.VM != vm {
+		err = &IdentityError{Claimed: vm, Proved: peer.VM}
+	}
+	if err != nil {
+		_ = raw.CloseWithError(codeIdentity, "hello refused")
+		return nil, err
+	}
+	return &Conn{raw: raw, peer: peer}, nil
+}
--- /dev/null
+++ b/transport/quic_config.go
@@ -0,0 +1,37 @@
+package transport
+
+import (
+	"crypto/tls"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/laureltally/laureltally/wire"
+)
+
+const (
+	// maxIncomingStreams bounds the exchanges that a peer has open at once.
+	maxIncomingStreams = 4096
+	// streamWindowBytes and connWindowBytes bound what a peer may send ahead.
+	streamWindowBytes = 1 << 20
+	connWindowBytes   = 8 << 20
+)
+
+func quicConfig(o Options) *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           o.HandshakeTimeout,
+		MaxIdleTimeout:                 o.IdleTimeout,
+		MaxIncomingStreams:             maxIncomingStreams,
+		MaxIncomingUniStreams:          -1,
+		MaxStreamReceiveWindow:         streamWindowBytes,
+		MaxConnectionReceiveWindow:     connWindowBytes,
+		InitialStreamReceiveWindow:     streamWindowBytes / 2,
+		InitialConnectionReceiveWindow: streamWindowBytes,
+	}
+}
+
+func withProtocol(c *tls.Config) *tls.Config {
+	c = c.Clone()
+	c.NextProtos = []string{wire.Protocol}
+	c.MinVersion = tls.VersionTLS13
+	return c
+}
--- a/wire/dispatch.go
+++ b/wire/dispatch.go
@@ -29,6 +29,11 @@
 	// Key is the idempotency key when the attempt is claimed.
 	Key    string       `cbor:"15,keyasint,omitempty"`
 	Region ident.Region `cbor:"16,keyasint"`
+	// Stream asks for server-sent events. The deadline then is that of the
+	// first part of the answer.
+	Stream bool `cbor:"17,keyasint,omitempty"`
+	// MaxDuration bounds the whole answer, counted from the dispatch.
+	MaxDuration time.Duration `cbor:"18,keyasint"`
 }
 
 // Kind implements Message.
