--- a/grant/holder.go
+++ b/grant/holder.go
@@ -6,7 +6,8 @@
 	"github.com/laureltally/laureltally/ident"
 )
 
-// Revoke marks vm's slot as revoking, if it is held under fence.
+// Revoke marks vm's slot as revoking by its holder's will, if it is held under
+// fence.
 func Revoke(g Grant, vm ident.VM, fence ident.Fence) (Grant, bool) {
 	i := g.index(vm)
 	if i < 0 || g.Slots[i].Fence != fence || g.Slots[i].State != Held {
@@ -14,6 +15,7 @@
 	}
 	g = g.clone()
 	g.Slots[i].State = Revoking
+	g.Slots[i].Returned = true
 	return g, true
 }
 
