replica: the machine under the specification's events, with each protection off

Random runs of two planners, three VMs with engines of both kinds, stale reads, lost and late writes, orders that land late, dying and draining agents and replaced VMs check that every loaded model has a slot, that no write raises the slots over the limit, that no engine holds more than its memory and that no unload is ordered under a running request.

--- a/replica/flaws.go
+++ b/replica/flaws.go
@@ -9,8 +9,11 @@
 	ignorePending bool
 	// staleRights takes grants that may be older than the incarnation.
 	staleRights bool
-	// reuseFence loads under a fence that the incarnation has given up.
+	// reuseFence takes grants in any order and loads under a fence that the
+	// incarnation has given up.
 	reuseFence bool
 	// loadFirst submits a load without reserving its memory.
 	loadFirst bool
+	// cutRequests evicts and unloads models whose requests are running.
+	cutRequests bool
 }
--- a/replica/machine_grants.go
+++ b/replica/machine_grants.go
@@ -50,7 +50,7 @@
 }
 
 func (m *machine) setSlot(s *modelState, slot grant.Slot, v platform.Version) {
-	if v < s.version {
+	if v < s.version && !m.o.flaws.reuseFence {
 		return
 	}
 	s.version = v
--- a/replica/machine_orders.go
+++ b/replica/machine_orders.go
@@ -22,13 +22,18 @@
 	m.unloadIdle(now)
 }
 
+// idle tells whether no request runs on the model.
+func (m *machine) idle(s *modelState) bool {
+	return s.running == 0 || m.o.flaws.cutRequests
+}
+
 // unloadRightless unloads an idle model that may not stay.
 func (m *machine) unloadRightless(now time.Time) bool {
 	if !m.grantsRead {
 		return false
 	}
 	for _, s := range m.sorted() {
-		if s.loaded() && s.running == 0 && s.right() == 0 && !m.failing(ledger.Key{Model: s.name}, now) {
+		if s.loaded() && m.idle(s) && s.right() == 0 && !m.failing(ledger.Key{Model: s.name}, now) {
 			m.submitUnload(s, now)
 			return true
 		}
@@ -186,7 +191,7 @@
 func (m *machine) evictableModels(except ident.Model, p ident.Priority, now time.Time) []*modelState {
 	var idle []ident.Model
 	for _, s := range m.sorted() {
-		if s.name != except && s.loaded() && s.running == 0 && !m.wanted(s.name, p) {
+		if s.name != except && s.loaded() && m.idle(s) && !m.wanted(s.name, p) {
 			idle = append(idle, s.name)
 		}
 	}
@@ -202,7 +207,7 @@
 func (m *machine) evictableAdapters(p ident.Priority) []ledger.Key {
 	var keys []ledger.Key
 	for _, s := range m.sorted() {
-		if !s.loaded() || (s.running == 0 && !m.wanted(s.name, p)) {
+		if !s.loaded() || (m.idle(s) && !m.wanted(s.name, p)) {
 			continue
 		}
 		for name, a := range s.adapters {
@@ -259,7 +264,7 @@
 // unloadIdle unloads a model whose keep-alive has ended.
 func (m *machine) unloadIdle(now time.Time) {
 	for _, s := range m.sorted() {
-		if !s.loaded() || s.running > 0 || m.failing(ledger.Key{Model: s.name}, now) || m.wantedByAny(s.name) {
+		if !s.loaded() || !m.idle(s) || m.failing(ledger.Key{Model: s.name}, now) || m.wantedByAny(s.name) {
 			continue
 		}
 		if !now.Before(m.o.policy.KeepUntil(s.name, s.lastUsed)) {
--- /dev/null
+++ b/replica/sim_actions_test.go
@@ -0,0 +1,235 @@
+package replica
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/laureltally/laureltally/grant"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/ledger"
+	"github.com/laureltally/laureltally/orderbook"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// actions are the events of spec/grants.pml, and those of memory and time.
+var actions = map[string]func(*world){
+	"plan":         (*world).plan,
+	"land":         (*world).land,
+	"limit":        (*world).changeLimit,
+	"barrier":      (*world).barrier,
+	"list":         (*world).listGrants,
+	"watch":        (*world).watchEvent,
+	"read engine":  (*world).readEngine,
+	"need":         (*world).need,
+	"release":      (*world).releaseLease,
+	"order lands":  (*world).orderLands,
+	"order ends":   (*world).orderEnds,
+	"answer":       (*world).answer,
+	"answer lost":  (*world).answerLost,
+	"agent dies":   (*world).agentDies,
+	"drain":        (*world).drain,
+	"VM replaced":  (*world).replaceVM,
+	"time":         (*world).passTime,
+	"all read":     (*world).allRead,
+	"engine works": (*world).engineWorks,
+}
+
+func (w *world) plan() {
+	w.planModel(w.anyModel())
+}
+
+func (w *world) planModel(m ident.Model) {
+	r := w.routers[w.pick(len(w.routers))]
+	r.list += w.pick(len(w.lists) - r.list)
+	r.document += w.pick(len(w.documents) - r.document)
+	r.roster.Update(w.lists[r.list], w.now)
+	read := w.store.at(m, w.staleVersion())
+	next, changed := grant.Plan(read.grant, grant.Input{
+		Model: m, Document: platform.Version(r.document + 1), Limit: w.documents[r.document][m],
+		Upstream: "u", VMs: r.roster.VMs(), Gone: r.roster.Gone,
+	})
+	if w.simFlaws.freeOnTimeout {
+		before := len(next.Slots)
+		next.Slots = slices.DeleteFunc(slices.Clone(next.Slots), func(s grant.Slot) bool { return s.State == grant.Revoking })
+		changed = changed || len(next.Slots) != before
+	}
+	if changed {
+		w.put(simWrite{model: m, grant: next, expect: read.version})
+	}
+}
+
+func (w *world) land() {
+	if len(w.store.late) == 0 {
+		return
+	}
+	i := w.pick(len(w.store.late))
+	u := w.store.late[i]
+	w.store.late = slices.Delete(w.store.late, i, i+1)
+	w.store.put(u, w.simFlaws.blindWrite)
+}
+
+func (w *world) changeLimit() {
+	d := maps.Clone(w.documents[len(w.documents)-1])
+	d[w.anyModel()] = w.pick(simVMs + 1)
+	w.documents = append(w.documents, d)
+}
+
+func (w *world) barrier() { w.writeBarrier(w.anyVM()) }
+
+func (w *world) writeBarrier(v *simVM) {
+	if v.machine.barrier == 0 {
+		w.store.version++
+		v.machine.barrierWritten(w.store.version)
+	}
+}
+
+func (w *world) listGrants() { w.listAt(w.anyVM(), w.staleVersion()) }
+
+func (w *world) listAt(v *simVM, at platform.Version) {
+	slots := make(map[ident.Model]grant.Slot)
+	for _, m := range simModels {
+		if s := w.slot(v, w.store.at(m, at).grant); s.Fence != 0 {
+			slots[m] = s
+		}
+	}
+	v.machine.listing(at, slots, w.now)
+	w.settle(v)
+}
+
+func (w *world) watchEvent() {
+	v, m := w.anyVM(), w.anyModel()
+	if g := w.store.at(m, w.staleVersion()); g.version != 0 {
+		v.machine.changed(m, w.slot(v, g.grant), g.version, w.now)
+		w.settle(v)
+	}
+}
+
+func (w *world) readEngine() { w.readState(w.anyVM()) }
+
+func (w *world) readState(v *simVM) {
+	if v.awaiting == "" {
+		v.machine.observed(v.engine.state(), w.now, w.now)
+		w.settle(v)
+	}
+}
+
+func (w *world) need() {
+	v := w.anyVM()
+	n := Need{Model: w.anyModel(), Adapter: []ident.Adapter{"", "x", "y"}[w.pick(3)], Priority: ident.Priority(w.pick(2))}
+	v.needs[v.machine.acquire(n, w.now)] = ledger.Key{Model: n.Model, Adapter: n.Adapter}
+	w.settle(v)
+}
+
+func (w *world) releaseLease() {
+	v := w.anyVM()
+	if len(v.leases) == 0 {
+		return
+	}
+	k := v.leases[0]
+	v.leases = v.leases[1:]
+	v.machine.released(k, w.now)
+	w.settle(v)
+}
+
+func (w *world) orderLands() {
+	if v := w.anyVM(); len(v.transit) > 0 {
+		w.deliver(v, w.pick(len(v.transit)))
+	}
+}
+
+func (w *world) orderEnds() {
+	if v := w.anyVM(); v.engine.running != nil {
+		v.engine.finish(w.pick(4) > 0)
+	}
+}
+
+func (w *world) answer() {
+	if v := w.anyVM(); v.answer != 0 {
+		w.tell(v, v.answer)
+	}
+}
+
+func (w *world) answerLost() {
+	if v := w.anyVM(); v.awaiting != "" {
+		w.tell(v, orderbook.AnswerLost)
+	}
+}
+
+func (w *world) tell(v *simVM, a orderbook.Answer) {
+	id := v.awaiting
+	v.awaiting, v.answer = "", 0
+	v.machine.answered(id, a, nil, w.now)
+	w.settle(v)
+}
+
+func (w *world) agentDies() { w.boot(w.anyVM()) }
+
+func (w *world) drain() {
+	v := w.anyVM()
+	v.machine.drain(w.now)
+	w.settle(v)
+}
+
+func (w *world) replaceVM() {
+	w.vms[w.pick(len(w.vms))] = w.newVM()
+	w.list()
+}
+
+// passTime moves the clock. An order reaches its engine within the settle time
+// or never.
+func (w *world) passTime() {
+	steps := []time.Duration{time.Millisecond, time.Second, simSettle, 4 * time.Second}
+	next := w.now.Add(steps[w.pick(len(steps))])
+	for _, v := range w.vms {
+		for i := len(v.transit) - 1; i >= 0; i-- {
+			if v.transit[i].sent.Add(simSettle).After(next) {
+				continue
+			}
+			if w.pick(2) == 0 {
+				w.deliver(v, i)
+			} else {
+				v.transit = slices.Delete(v.transit, i, i+1)
+			}
+		}
+	}
+	w.now = next
+	for _, v := range w.vms {
+		v.machine.step(w.now)
+		w.settle(v)
+	}
+}
+
+// allRead lets every agent catch up with the store and its engine.
+func (w *world) allRead() {
+	for _, v := range w.vms {
+		w.writeBarrier(v)
+		w.listAt(v, w.store.version)
+		w.readState(v)
+	}
+}
+
+// engineWorks carries the open order of one agent to its good end.
+func (w *world) engineWorks() {
+	v := w.anyVM()
+	if len(v.transit) > 0 {
+		w.deliver(v, 0)
+	}
+	if v.answer != 0 {
+		w.tell(v, v.answer)
+	}
+	if v.engine.running != nil {
+		v.engine.finish(true)
+	}
+	w.readState(v)
+}
+
+// warm brings a new world to where every agent knows its slots and its engine.
+func (w *world) warm() {
+	w.now = w.now.Add(simSettle)
+	w.pick = func(int) int { return 0 }
+	for _, m := range simModels {
+		w.planModel(m)
+	}
+	w.allRead()
+}
--- /dev/null
+++ b/replica/sim_engine_test.go
@@ -0,0 +1,80 @@
+package replica
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/orderbook"
+)
+
+// simEngine is an engine that runs one order at a time and never refuses for
+// lack of memory, so that overcommitting shows.
+type simEngine struct {
+	checksFences bool
+	models       map[ident.Model]*engine.ModelState
+	adapterMB    int64
+	fences       map[ident.Model]ident.Fence
+	running      *engine.Order
+}
+
+func (e *simEngine) deliver(o engine.Order) orderbook.Answer {
+	if e.running != nil || (e.checksFences && o.Fence < e.fences[o.Model]) {
+		return orderbook.AnswerRefused
+	}
+	st := e.models[o.Model]
+	switch {
+	case o.Kind == engine.OrderLoad && st == nil:
+		e.models[o.Model] = &engine.ModelState{Model: o.Model, Phase: engine.PhaseLoading, Fence: o.Fence, MemoryMB: o.MemoryMB}
+	case o.Kind == engine.OrderUnload && st != nil:
+		st.Phase = engine.PhaseUnloading
+	case st == nil:
+		return orderbook.AnswerRefused
+	}
+	e.fences[o.Model] = max(e.fences[o.Model], o.Fence)
+	e.running = &o
+	return orderbook.AnswerAccepted
+}
+
+func (e *simEngine) finish(ok bool) {
+	o := e.running
+	e.running = nil
+	st := e.models[o.Model]
+	switch {
+	case o.Kind == engine.OrderLoad && ok:
+		st.Phase = engine.PhaseLoaded
+	case o.Kind == engine.OrderLoad || (o.Kind == engine.OrderUnload && ok):
+		delete(e.models, o.Model)
+	case o.Kind == engine.OrderUnload:
+		st.Phase = engine.PhaseLoaded
+	case o.Kind == engine.OrderLoadAdapter && ok && !slices.Contains(st.Adapters, o.Adapter):
+		st.Adapters = append(st.Adapters, o.Adapter)
+	case o.Kind == engine.OrderUnloadAdapter && ok:
+		st.Adapters = slices.DeleteFunc(st.Adapters, func(a ident.Adapter) bool { return a == o.Adapter })
+	}
+}
+
+func (e *simEngine) usedMB() int64 {
+	var sum int64
+	for _, m := range e.models {
+		sum += m.MemoryMB + int64(len(m.Adapters))*e.adapterMB
+	}
+	if e.running != nil && e.running.Kind == engine.OrderLoadAdapter {
+		sum += e.adapterMB
+	}
+	return sum
+}
+
+func (e *simEngine) state() engine.State {
+	s := engine.State{Instance: "one", UsedMB: e.usedMB()}
+	for _, m := range slices.Sorted(maps.Keys(e.models)) {
+		st := *e.models[m]
+		st.Adapters = slices.Clone(st.Adapters)
+		s.Models = append(s.Models, st)
+	}
+	if e.running != nil {
+		s.RunningOrders = []string{e.running.ID}
+	}
+	return s
+}
--- /dev/null
+++ b/replica/sim_vm_test.go
@@ -0,0 +1,30 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/ledger"
+	"github.com/laureltally/laureltally/orderbook"
+)
+
+// simOrder is an order on its way to an engine.
+type simOrder struct {
+	order engine.Order
+	sent  time.Time
+}
+
+// simVM is a VM with an engine and the present incarnation of its agent.
+type simVM struct {
+	id      ident.VM
+	engine  *simEngine
+	machine *machine
+	transit []simOrder
+	// awaiting is the order whose answer the agent waits for, and answer what
+	// the engine said to it, zero as long as it has not arrived.
+	awaiting string
+	answer   orderbook.Answer
+	needs    map[uint64]ledger.Key
+	leases   []ledger.Key
+}
