--- /dev/null
+++ b/agent/dispatch.go
@@ -0,0 +1,90 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/laureltally/laureltally/answer"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/transport"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// handleDispatch accepts or refuses an attempt and passes its answer on. The
+// work goes on when the stream is lost: the router resumes on another.
+func (a *Agent) handleDispatch(ctx context.Context, peer wire.Hello, d *wire.Dispatch, s *transport.Stream) {
+	refusal := a.accept(d)
+	if refusal != nil {
+		a.logRefusal(peer, d, refusal)
+		_ = s.Send(refusal)
+		return
+	}
+	a.relay(ctx, d.Attempt, 0, s)
+}
+
+// accept starts an attempt unless it must be refused.
+func (a *Agent) accept(d *wire.Dispatch) *wire.Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.o.Now()
+	decision := a.table.Dispatch(now, d.Attempt, d.Incarnation)
+	if !decision.Accepted {
+		return &decision.Refusal
+	}
+	if a.draining.Load() {
+		return a.withdrawLocked(now, d.Attempt, wire.CodeDraining, "the upstream is leaving")
+	}
+	w, err := a.begin(d)
+	if err != nil {
+		return a.withdrawLocked(now, d.Attempt, wire.CodeInternal, err.Error())
+	}
+	runCtx, cancel := context.WithCancel(a.stopping)
+	a.cancels[d.Attempt] = cancel
+	a.running.Go(func() {
+		defer a.forget(d.Attempt, cancel)
+		a.run(runCtx, d, w, now)
+	})
+	return nil
+}
+
+func (a *Agent) withdrawLocked(now time.Time, id ident.Attempt, code wire.Code, detail string) *wire.Refusal {
+	a.table.Withdraw(now, id)
+	return &wire.Refusal{Attempt: id, Code: code, Run: wire.RunNot, RetryAfter: defaultRetryAfter, Detail: detail}
+}
+
+// begin opens the answer. That of a claimed or non-idempotent attempt is kept
+// for those who repeat the request.
+func (a *Agent) begin(d *wire.Dispatch) (*answer.Writer, error) {
+	if d.Key == "" && !d.NonIdempotent {
+		return a.answers.Begin(d.Attempt)
+	}
+	return a.answers.BeginKept(d.Attempt, a.claimWindow())
+}
+
+// defaultClaimWindow applies until a document is in force.
+const defaultClaimWindow = time.Hour
+
+func (a *Agent) claimWindow() time.Duration {
+	c := a.catalog.Load()
+	if c == nil {
+		return defaultClaimWindow
+	}
+	return time.Duration(c.Document().Limits.ClaimWindow)
+}
+
+func (a *Agent) forget(id ident.Attempt, cancel context.CancelFunc) {
+	cancel()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.cancels, id)
+}
+
+func (a *Agent) logRefusal(peer wire.Hello, d *wire.Dispatch, r *wire.Refusal) {
+	a.o.Metrics.Tagged(map[string]string{"code": string(r.Code)}).Counter("refused").Inc(1)
+	a.o.Logger.WithField("request", d.Request).
+		WithField("attempt", d.Attempt).
+		WithField("router", peer.VM).
+		WithField("code", r.Code).
+		WithField("run", r.Run).
+		Info("attempt refused")
+}
--- /dev/null
+++ b/agent/hello.go
@@ -0,0 +1,16 @@
+package agent
+
+import (
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/wire"
+)
+
+func (a *Agent) hello() wire.Hello {
+	return wire.Hello{
+		VM:          a.o.Settings.VM,
+		Incarnation: a.o.Incarnation,
+		Role:        platform.RoleAgent,
+		Region:      a.o.Settings.Region,
+		Zone:        a.o.Settings.Zone,
+	}
+}
--- /dev/null
+++ b/agent/lane.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/laureltally/laureltally/admission"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/replica"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// initialLoadEstimate is how long a load is expected to take before one of the
+// model was seen.
+const initialLoadEstimate = 5 * time.Second
+
+// lane is the queue in front of one model, or of the plain service when model is
+// empty.
+type lane struct {
+	*admitter
+	model ident.Model
+
+	mu       sync.Mutex
+	loading  bool
+	loadTime time.Duration
+}
+
+// beginLoad tells whether the caller is the one to start a load, and how long
+// the load is expected to take.
+func (l *lane) beginLoad() (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.loading {
+		return 0, false
+	}
+	l.loading = true
+	return l.loadTime, true
+}
+
+// endLoad records how long a load took; zero means that it failed.
+func (l *lane) endLoad(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loading = false
+	if took > 0 {
+		l.loadTime = (l.loadTime + took) / 2
+	}
+}
+
+// lane returns the queue of a model and makes it at the first request.
+func (a *Agent) lane(m ident.Model) (*lane, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if l, ok := a.lanes[m]; ok {
+		return l, nil
+	}
+	q, err := admission.New(admission.Options{
+		Region:      a.o.Settings.Region,
+		Concurrency: a.concurrency(m),
+		Rand:        a.splitRand(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	l := &lane{admitter: newAdmitter(q, a.o.Now), model: m, loadTime: initialLoadEstimate}
+	a.lanes[m] = l
+	return l, nil
+}
+
+// concurrency is how many requests the upstream takes at once for the model.
+func (a *Agent) concurrency(m ident.Model) int {
+	if m == "" {
+		return a.o.Settings.Concurrency
+	}
+	spec, ok := a.spec(m)
+	if !ok {
+		return 1
+	}
+	return max(spec.Concurrency, 1)
+}
+
+// ensureLoaded starts to load the lane's model unless it is loaded or being
+// loaded. Requests wait in the lane meanwhile.
+func (a *Agent) ensureLoaded(l *lane, d *wire.Dispatch) {
+	if a.replicas == nil || a.isLoaded(l.model) {
+		return
+	}
+	estimate, first := l.beginLoad()
+	if !first {
+		return
+	}
+	l.do(func(now time.Time) []admission.Action { return l.queue.Hold(now, now.Add(estimate)) })
+	a.background.Go(func() { a.load(l, d.Priority) })
+}
+
+// load loads the model of a lane and then opens the lane or refuses all that
+// waits in it. The load outlives the request that asked for it: others wait for
+// the same one.
+func (a *Agent) load(l *lane, p ident.Priority) {
+	start := a.o.Now()
+	ctx, cancel := context.WithTimeout(a.stopping, maxLoadTime)
+	defer cancel()
+	lease, err := a.replicas.Acquire(ctx, replica.Need{Model: l.model, Priority: p})
+	if err != nil {
+		a.o.Logger.WithError(err).WithField("model", l.model).Warn("load failed")
+		l.endLoad(0)
+		r := refusalFor("", err)
+		l.do(func(now time.Time) []admission.Action {
+			refused := l.queue.RefuseAll(now, r.Code)
+			return append(refused, l.queue.Resume(now)...)
+		})
+		return
+	}
+	l.endLoad(a.o.Now().Sub(start))
+	l.do(func(now time.Time) []admission.Action { return l.queue.Resume(now) })
+	a.holdUntilUsed(l, lease)
+}
+
+const (
+	// maxLoadTime bounds one load.
+	maxLoadTime = 10 * time.Minute
+	// firstUseGrace keeps a model loaded until those who waited have their own
+	// lease.
+	firstUseGrace = time.Second
+)
+
+func (a *Agent) holdUntilUsed(_ *lane, lease *replica.Lease) {
+	defer lease.Release()
+	select {
+	case <-time.After(firstUseGrace):
+	case <-a.stopping.Done():
+	}
+}
+
+func (a *Agent) isLoaded(m ident.Model) bool {
+	for _, r := range a.replicas.Models() {
+		if r.Model == m {
+			return r.Phase == phaseLoaded
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/agent/options.go
@@ -0,0 +1,74 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/transport"
+)
+
+// Options configures an Agent.
+type Options struct {
+	Settings    config.AgentSettings
+	Store       platform.Store
+	Credentials transport.Credentials
+	// Engine is the admin API of a model engine; nil beside a plain service.
+	Engine engine.Client
+	// HTTP sends requests to the upstream.
+	HTTP        *http.Client
+	Incarnation ident.Incarnation
+	Logger      log.Interface
+	Metrics     tally.Scope
+	Now         func() time.Time
+	Rand        *rand.Rand
+}
+
+func (o Options) withDefaults() Options {
+	if o.HTTP == nil {
+		o.HTTP = newHTTPClient()
+	}
+	if o.Logger == nil {
+		o.Logger = log.Log
+	}
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	for o.Incarnation == 0 {
+		o.Incarnation = ident.Incarnation(rand.Uint64())
+	}
+	return o
+}
+
+const (
+	// upstreamIdleConns is how many idle connections to the upstream are kept.
+	upstreamIdleConns = 64
+	// upstreamIdleTimeout closes idle connections to the upstream.
+	upstreamIdleTimeout = 30 * time.Second
+)
+
+// newHTTPClient returns a client that neither follows redirects nor repeats a
+// request by itself: a repetition could run a request twice.
+func newHTTPClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: upstreamIdleConns,
+			IdleConnTimeout:     upstreamIdleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
--- /dev/null
+++ b/agent/refusal.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/replica"
+	"github.com/laureltally/laureltally/wire"
+)
+
+const phaseLoaded = engine.PhaseLoaded
+
+// defaultRetryAfter is told to callers when the cause says nothing better.
+const defaultRetryAfter = time.Second
+
+// refusalFor turns an error of package replica into a refusal. All of them mean
+// that the request has not run.
+func refusalFor(id ident.Attempt, err error) *wire.Refusal {
+	code, after := classify(err)
+	if after <= 0 {
+		after = defaultRetryAfter
+	}
+	return &wire.Refusal{Attempt: id, Code: code, Run: wire.RunNot, RetryAfter: after, Detail: err.Error()}
+}
+
+func classify(err error) (wire.Code, time.Duration) {
+	var (
+		noRight  *replica.NoRightError
+		noMemory *replica.NoMemoryError
+		failed   *replica.LoadFailedError
+		draining *replica.DrainingError
+		deadline *replica.DeadlineError
+		unknown  *replica.UnknownModelError
+	)
+	switch {
+	case errors.As(err, &noRight):
+		return wire.CodeNoReplica, noRight.RetryAfter
+	case errors.As(err, &noMemory):
+		return wire.CodeOverloaded, noMemory.RetryAfter
+	case errors.As(err, &failed):
+		return wire.CodeLoadFailed, failed.RetryAfter
+	case errors.As(err, &draining):
+		return wire.CodeDraining, 0
+	case errors.As(err, &deadline):
+		return wire.CodeDeadline, deadline.RetryAfter
+	case errors.As(err, &unknown):
+		return wire.CodeUnknownModel, 0
+	case errors.Is(err, context.DeadlineExceeded):
+		return wire.CodeDeadline, 0
+	case errors.Is(err, context.Canceled):
+		return wire.CodeCanceled, 0
+	default:
+		return wire.CodeInternal, 0
+	}
+}
--- /dev/null
+++ b/agent/reporter.go
@@ -0,0 +1,180 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/transport"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// defaultReportInterval is how often the agent looks for changes to report.
+const defaultReportInterval = 500 * time.Millisecond
+
+// heartbeatReports is after how many intervals without a change a report is
+// sent all the same.
+const heartbeatReports = 10
+
+// reporter makes the agent's reports and passes them to the routers that
+// subscribed.
+type reporter struct {
+	a    *Agent
+	kick chan struct{}
+
+	mu          sync.Mutex
+	latest      *wire.Report
+	unchanged   int
+	changed     chan struct{}
+	subscribers int
+}
+
+func newReporter(a *Agent) *reporter {
+	return &reporter{a: a, kick: make(chan struct{}, 1), changed: make(chan struct{})}
+}
+
+// now asks for a report at once, for example because the agent is draining.
+func (r *reporter) now() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run makes reports until ctx ends.
+func (r *reporter) run(ctx context.Context) {
+	interval := time.Duration(r.a.o.Settings.ReportInterval)
+	if interval <= 0 {
+		interval = defaultReportInterval
+	}
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		r.update()
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-r.kick:
+		}
+	}
+}
+
+// update makes a report and publishes it if it says anything new or is due.
+func (r *reporter) update() {
+	next := r.a.report()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.latest != nil && sameReport(r.latest, next) && r.unchanged < heartbeatReports {
+		r.unchanged++
+		return
+	}
+	r.unchanged = 0
+	if r.latest != nil {
+		next.Seq = r.latest.Seq
+	}
+	next.Seq++
+	r.latest = next
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// serve sends the newest report and each later one until the stream ends.
+func (r *reporter) serve(ctx context.Context, s *transport.Stream) {
+	var sent uint64
+	for {
+		r.mu.Lock()
+		latest, changed := r.latest, r.changed
+		r.mu.Unlock()
+		if latest != nil && latest.Seq > sent {
+			if err := s.Send(latest); err != nil {
+				return
+			}
+			sent = latest.Seq
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		case <-s.Context().Done():
+			return
+		}
+	}
+}
+
+// report describes the agent as it is now, without a Seq.
+func (a *Agent) report() *wire.Report {
+	s := a.o.Settings
+	r := &wire.Report{
+		VM:          s.VM,
+		Incarnation: a.o.Incarnation,
+		Role:        platform.RoleAgent,
+		Region:      s.Region,
+		Zone:        s.Zone,
+		Upstream:    s.Upstream,
+		Address:     s.PeerListen,
+		Draining:    a.draining.Load(),
+		Concurrency: s.Concurrency,
+	}
+	if c := a.catalog.Load(); c != nil {
+		r.Configs = map[ident.Environment]platform.Version{s.Environment: c.Version()}
+	}
+	if a.replicas != nil {
+		r.Models = a.replicas.Models()
+		r.FreeMB = a.replicas.FreeMB()
+	}
+	a.addQueues(r)
+	return r
+}
+
+// addQueues adds what runs and waits.
+func (a *Agent) addQueues(r *wire.Report) {
+	a.mu.Lock()
+	lanes := make([]*lane, 0, len(a.lanes))
+	for _, l := range a.lanes {
+		lanes = append(lanes, l)
+	}
+	a.mu.Unlock()
+	for _, l := range lanes {
+		stats := l.stats()
+		r.Running += stats.Running
+		r.Waiting += stats.Waiting
+		if l.model == "" {
+			r.Concurrency = stats.Limit
+			continue
+		}
+		i := slices.IndexFunc(r.Models, func(m wire.ModelReport) bool { return m.Model == l.model })
+		if i >= 0 {
+			r.Models[i].Running = stats.Running
+			r.Models[i].Waiting = stats.Waiting
+		}
+	}
+}
+
+// sameReport tells whether two reports say the same, Seq aside.
+func sameReport(a, b *wire.Report) bool {
+	if a.Draining != b.Draining || a.FreeMB != b.FreeMB || a.Running != b.Running || a.Waiting != b.Waiting || a.Concurrency != b.Concurrency {
+		return false
+	}
+	return sameConfigs(a, b) && slices.EqualFunc(a.Models, b.Models, sameModel)
+}
+
+func sameConfigs(a, b *wire.Report) bool {
+	if len(a.Configs) != len(b.Configs) {
+		return false
+	}
+	for env, v := range a.Configs {
+		if b.Configs[env] != v {
+			return false
+		}
+	}
+	return true
+}
+
+func sameModel(a, b wire.ModelReport) bool {
+	return a.Model == b.Model && a.Phase == b.Phase && a.Tier == b.Tier && a.Fence == b.Fence &&
+		a.Running == b.Running && a.Waiting == b.Waiting && slices.Equal(a.Adapters, b.Adapters)
+}
--- /dev/null
+++ b/agent/run.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/laureltally/laureltally/admission"
+	"github.com/laureltally/laureltally/answer"
+	"github.com/laureltally/laureltally/replica"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// run carries one accepted attempt to its end and writes its answer or refusal.
+func (a *Agent) run(ctx context.Context, d *wire.Dispatch, w *answer.Writer, accepted time.Time) {
+	deadline := accepted.Add(d.Remaining)
+	l, err := a.lane(d.Model)
+	if err != nil {
+		a.refuse(d, w, refusalFor(d.Attempt, err))
+		return
+	}
+	a.ensureLoaded(l, d)
+	if r := l.enter(ctx, a.item(d, deadline)); r != nil {
+		a.refuse(d, w, r)
+		return
+	}
+	result := admission.Failed
+	defer func() { l.leave(d.Attempt, result) }()
+	release, r := a.acquire(ctx, d, deadline)
+	if r != nil {
+		a.refuse(d, w, r)
+		return
+	}
+	defer release()
+	result = a.execute(ctx, d, w, deadline)
+}
+
+func (a *Agent) item(d *wire.Dispatch, deadline time.Time) admission.Item {
+	return admission.Item{
+		ID:          d.Attempt,
+		Environment: d.Environment,
+		Region:      d.Region,
+		Priority:    d.Priority,
+		Deadline:    deadline,
+	}
+}
+
+// acquire keeps the model and the adapter loaded while the attempt runs.
+func (a *Agent) acquire(ctx context.Context, d *wire.Dispatch, deadline time.Time) (func(), *wire.Refusal) {
+	if a.replicas == nil {
+		return func() {}, nil
+	}
+	lease, err := a.replicas.Acquire(ctx, replica.Need{
+		Model:    d.Model,
+		Adapter:  d.Adapter,
+		Priority: d.Priority,
+		Deadline: deadline,
+	})
+	if err != nil {
+		return nil, refusalFor(d.Attempt, err)
+	}
+	return lease.Release, nil
+}
+
+// refuse ends an attempt that was not sent to the upstream. The table has the
+// last word on whether it may be called not run.
+func (a *Agent) refuse(d *wire.Dispatch, w *answer.Writer, r *wire.Refusal) {
+	a.mu.Lock()
+	withdrawn := a.table.Withdraw(a.o.Now(), d.Attempt)
+	a.mu.Unlock()
+	if !withdrawn {
+		r.Run = wire.RunUnknown
+	}
+	r.Attempt = d.Attempt
+	a.o.Metrics.Tagged(map[string]string{"code": string(r.Code)}).Counter("refused").Inc(1)
+	a.o.Logger.WithField("request", d.Request).
+		WithField("attempt", d.Attempt).
+		WithField("code", r.Code).
+		WithField("run", r.Run).
+		Info("attempt refused")
+	_ = w.Refuse(*r)
+}
--- /dev/null
+++ b/agent/shutdown.go
@@ -0,0 +1,75 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/laureltally/laureltally/admission"
+)
+
+const (
+	// defaultShutdownTimeout bounds a graceful shutdown.
+	defaultShutdownTimeout = 60 * time.Second
+	// noticeTime is how long routers are given to learn that the agent leaves.
+	noticeTime = 200 * time.Millisecond
+	// deliverTime is how long routers are given to fetch the last answers.
+	deliverTime = 500 * time.Millisecond
+)
+
+// startDrain refuses all later work and hands queued work back as not run.
+func (a *Agent) startDrain() {
+	if a.draining.Swap(true) {
+		return
+	}
+	a.o.Logger.Info("draining")
+	a.reports.now()
+	for _, l := range a.allLanes() {
+		l.do(func(now time.Time) []admission.Action { return l.queue.Drain(now) })
+	}
+}
+
+func (a *Agent) allLanes() []*lane {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	lanes := make([]*lane, 0, len(a.lanes))
+	for _, l := range a.lanes {
+		lanes = append(lanes, l)
+	}
+	return lanes
+}
+
+// shutdown drains the agent, waits for what runs, and releases its rights.
+func (a *Agent) shutdown() {
+	timeout := time.Duration(a.o.Settings.ShutdownTimeout)
+	if timeout <= 0 {
+		timeout = defaultShutdownTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	a.startDrain()
+	time.Sleep(noticeTime)
+	a.waitRunning(ctx)
+	if a.replicas != nil {
+		if err := a.replicas.Drain(ctx); err != nil {
+			a.o.Logger.WithError(err).Warn("rights not released")
+		}
+	}
+	time.Sleep(deliverTime)
+	a.stop()
+	a.background.Wait()
+	a.o.Logger.Info("stopped")
+}
+
+// waitRunning waits until no attempt runs, at the longest until ctx ends.
+func (a *Agent) waitRunning(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		a.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		a.o.Logger.Warn("shutdown timeout: attempts still run")
+	}
+}
--- /dev/null
+++ b/agent/stream.go
@@ -0,0 +1,93 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/laureltally/laureltally/attempt"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/transport"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// handleStream serves one exchange with a router.
+func (a *Agent) handleStream(ctx context.Context, peer wire.Hello, first wire.Message, s *transport.Stream) {
+	switch m := first.(type) {
+	case *wire.Dispatch:
+		a.handleDispatch(ctx, peer, m, s)
+	case *wire.Resume:
+		a.handleResume(ctx, m, s)
+	case *wire.Inquire:
+		a.handleInquire(m, s)
+	case *wire.Cancel:
+		a.cancel(m.Attempt)
+	case *wire.Subscribe:
+		a.reports.serve(ctx, s)
+	default:
+		a.o.Logger.WithField("kind", int(first.Kind())).Warn("unexpected message")
+		s.Reset()
+	}
+}
+
+// handleResume passes the answer on from an offset. An attempt that was never
+// seen is refused for good, so that the refusal "not run" stays true.
+func (a *Agent) handleResume(ctx context.Context, m *wire.Resume, s *transport.Stream) {
+	verdict := a.inquire(m.Attempt, m.Incarnation)
+	switch verdict {
+	case wire.AttemptNotRun:
+		_ = s.Send(&wire.Refusal{Attempt: m.Attempt, Code: wire.CodeUnknownAttempt, Run: wire.RunNot, RetryAfter: defaultRetryAfter, Detail: "the attempt never began"})
+	case wire.AttemptUnknown:
+		_ = s.Send(&wire.Refusal{Attempt: m.Attempt, Code: wire.CodeUpstreamLost, Run: wire.RunUnknown, Detail: "the agent no longer knows the attempt"})
+	default:
+		a.relay(ctx, m.Attempt, m.Offset, s)
+	}
+}
+
+func (a *Agent) handleInquire(m *wire.Inquire, s *transport.Stream) {
+	_ = s.Send(&wire.Verdict{Attempt: m.Attempt, State: a.inquire(m.Attempt, m.Incarnation)})
+}
+
+func (a *Agent) inquire(id ident.Attempt, incarnation ident.Incarnation) wire.AttemptState {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.table.Inquire(a.o.Now(), id, incarnation)
+}
+
+// cancel stops an attempt whose caller is gone.
+func (a *Agent) cancel(id ident.Attempt) {
+	a.mu.Lock()
+	state := a.table.Cancel(a.o.Now(), id)
+	stop := a.cancels[id]
+	a.mu.Unlock()
+	if stop != nil && state != attempt.Finished {
+		stop()
+	}
+}
+
+// relay sends the answer of an attempt from offset on, until its end.
+func (a *Agent) relay(ctx context.Context, id ident.Attempt, offset int64, s *transport.Stream) {
+	r, err := a.answers.Attach(id, offset)
+	if err != nil {
+		_ = s.Send(&wire.Abort{Attempt: id, Code: wire.CodeAnswerGone, Detail: err.Error()})
+		return
+	}
+	defer r.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(s.Context(), cancel)
+	defer stop()
+	for {
+		m, err := r.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			s.Reset()
+			return
+		}
+		if err := s.Send(m); err != nil {
+			return
+		}
+	}
+}
