--- /dev/null
+++ b/standin/batch_queue.go
@@ -0,0 +1,41 @@
+package standin
+
+// batchWaiter is one request that waits for a place in a batch.
+type batchWaiter struct {
+	priority int
+	seq      uint64
+	ready    chan struct{}
+	// index is the place in the queue, or negative once it was taken out.
+	index int
+}
+
+// batchQueue is a heap.Interface of waiters.
+type batchQueue []*batchWaiter
+
+func (q batchQueue) Len() int { return len(q) }
+
+func (q batchQueue) Less(i, j int) bool {
+	if q[i].priority != q[j].priority {
+		return q[i].priority < q[j].priority
+	}
+	return q[i].seq < q[j].seq
+}
+
+func (q batchQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+func (q *batchQueue) Push(x any) {
+	w := x.(*batchWaiter)
+	w.index = len(*q)
+	*q = append(*q, w)
+}
+
+func (q *batchQueue) Pop() any {
+	last := len(*q) - 1
+	w := (*q)[last]
+	*q = (*q)[:last]
+	w.index = -1
+	return w
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,228 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/gorilla/mux"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+)
+
+// Engine is a fake model engine: the admin API of package engine, the
+// OpenAI-compatible paths, and besides:
+//
+//	POST /control/faults   EngineFaults
+//	POST /control/restart  empties the memory under a new instance id
+//	GET  /control/counters -> EngineCounters
+//	GET  /control/runs     -> how often each X-Request-Id ran
+type Engine struct {
+	o       EngineOptions
+	handler http.Handler
+	batch   *batch
+	cache   *prefixCache
+	orders  sync.WaitGroup
+
+	mu       sync.Mutex
+	restarts int
+	life     context.Context
+	end      context.CancelFunc
+	changed  chan struct{}
+	models   map[ident.Model]*engineModel
+	tiers    map[ident.Model]engine.Tier
+	unloaded []ident.Model
+	fences   map[ident.Model]ident.Fence
+	accepted map[string]bool
+	running  map[string]bool
+	runs     map[string]int
+	faults   EngineFaults
+	counters EngineCounters
+}
+
+// NewEngine returns an engine with empty memory. Close ends its orders.
+func NewEngine(o EngineOptions) *Engine {
+	setEngineDefaults(&o)
+	e := &Engine{
+		o:       o,
+		batch:   newBatch(o.MaxRunning, o.TokensPerSecond, o.LoadLag),
+		cache:   &prefixCache{capacity: o.CachePrefixes, lag: o.CacheLag, gap: o.CacheGap},
+		changed: make(chan struct{}),
+		tiers:   maps.Clone(o.Tiers),
+		runs:    make(map[string]int),
+	}
+	if e.tiers == nil {
+		e.tiers = make(map[ident.Model]engine.Tier)
+	}
+	e.begin()
+	r := mux.NewRouter()
+	r.HandleFunc("/admin/state", e.serveState).Methods(http.MethodGet)
+	r.HandleFunc("/admin/orders", e.serveOrder).Methods(http.MethodPost)
+	r.HandleFunc("/admin/load", e.serveLoad).Methods(http.MethodGet)
+	r.HandleFunc("/admin/cache-events", e.serveCacheEvents).Methods(http.MethodGet)
+	r.HandleFunc("/v1/models", e.serveModels).Methods(http.MethodGet)
+	r.HandleFunc("/v1/chat/completions", e.serveChat).Methods(http.MethodPost)
+	r.HandleFunc("/v1/completions", e.serveCompletion).Methods(http.MethodPost)
+	r.HandleFunc("/control/faults", e.serveFaults).Methods(http.MethodPost)
+	r.HandleFunc("/control/restart", e.serveRestart).Methods(http.MethodPost)
+	r.HandleFunc("/control/counters", e.serveCounters).Methods(http.MethodGet)
+	r.HandleFunc("/control/runs", e.serveRuns).Methods(http.MethodGet)
+	e.handler = r
+	return e
+}
+
+func setEngineDefaults(o *EngineOptions) {
+	if o.Logger == nil {
+		o.Logger = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	}
+	if o.MemoryMB == 0 {
+		o.MemoryMB = DefaultEngineMemoryMB
+	}
+	if o.MemoryModels == 0 {
+		o.MemoryModels = DefaultMemoryModels
+	}
+	if o.HTTP == nil {
+		o.HTTP = http.DefaultClient
+	}
+	if o.MaxRunning == 0 {
+		o.MaxRunning = DefaultMaxRunning
+	}
+	if o.CachePrefixes == 0 {
+		o.CachePrefixes = DefaultCachePrefixes
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.handler.ServeHTTP(w, r) }
+
+// Close ends all orders and requests and waits for the orders.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	e.end()
+	e.mu.Unlock()
+	e.orders.Wait()
+}
+
+// Restart empties the memory as a crash does: running orders and requests end,
+// and the instance id changes.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.end()
+	e.begin()
+	e.broadcast()
+}
+
+// begin starts a life with empty memory. The caller holds mu, except in
+// NewEngine.
+func (e *Engine) begin() {
+	e.restarts++
+	e.life, e.end = context.WithCancel(context.Background())
+	e.models = make(map[ident.Model]*engineModel)
+	e.fences = make(map[ident.Model]ident.Fence)
+	e.accepted = make(map[string]bool)
+	e.running = make(map[string]bool)
+}
+
+// SetFaults replaces the switches.
+func (e *Engine) SetFaults(f EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+	e.broadcast()
+}
+
+// State returns what the engine holds and does now.
+func (e *Engine) State() engine.State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := engine.State{
+		Instance:      fmt.Sprintf("life-%d", e.restarts),
+		Models:        []engine.ModelState{},
+		RunningOrders: slices.Sorted(maps.Keys(e.running)),
+		Tiers:         maps.Clone(e.tiers),
+		MemoryMB:      e.o.MemoryMB,
+		UsedMB:        e.usedMB(),
+	}
+	for _, name := range slices.Sorted(maps.Keys(e.models)) {
+		m := e.models[name]
+		s.Models = append(s.Models, engine.ModelState{
+			Model:    name,
+			Phase:    m.phase,
+			Fence:    e.fences[name],
+			MemoryMB: m.usedMB(),
+			Adapters: slices.Sorted(maps.Keys(m.adapters)),
+		})
+	}
+	return s
+}
+
+// Counters returns the counts since the engine was made.
+func (e *Engine) Counters() EngineCounters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.counters
+	c.PeakRunning = e.batch.peakRunning()
+	return c
+}
+
+// Runs returns how often each X-Request-Id ran.
+func (e *Engine) Runs() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.runs)
+}
+
+// usedMB sums the memory of all models. The caller holds mu.
+func (e *Engine) usedMB() int64 {
+	var used int64
+	for _, m := range e.models {
+		used += m.usedMB()
+	}
+	return used
+}
+
+// broadcast wakes all that wait for a change. The caller holds mu.
+func (e *Engine) broadcast() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// await waits until done holds, which is called with mu held.
+func (e *Engine) await(ctx context.Context, done func() bool) error {
+	for {
+		e.mu.Lock()
+		ok, changed := done(), e.changed
+		e.mu.Unlock()
+		if ok {
+			return ctx.Err()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/standin/engine_serve.go
@@ -0,0 +1,178 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+)
+
+// minPause is the shortest pause between tokens that is slept; shorter ones are
+// added up.
+const minPause = time.Millisecond
+
+// cachedShare is the share of the first-token time that a cached prefix takes.
+const cachedShare = 0.2
+
+// openAIModelList is the answer of /v1/models.
+type openAIModelList struct {
+	Object string        `json:"object"`
+	Data   []openAIModel `json:"data"`
+}
+
+// openAIModel is one entry of an openAIModelList.
+type openAIModel struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (e *Engine) serveModels(w http.ResponseWriter, _ *http.Request) {
+	list := openAIModelList{Object: "list", Data: []openAIModel{}}
+	for _, m := range e.State().Models {
+		if m.Phase == engine.PhaseLoaded {
+			list.Data = append(list.Data, openAIModel{ID: string(m.Model), Object: "model", OwnedBy: "laureltally"})
+		}
+	}
+	respond(w, http.StatusOK, list)
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	e.serveRequest(w, r, chatShape{})
+}
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	e.serveRequest(w, r, completionShape{})
+}
+
+func (e *Engine) serveRequest(w http.ResponseWriter, r *http.Request, shape answerShape) {
+	var req completionRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
+		refuseRequest(w, http.StatusBadRequest, openAIErrorBody{Message: err.Error(), Type: "invalid_request_error"})
+		return
+	}
+	g := &generation{request: req, shape: shape, id: r.Header.Get("X-Request-Id")}
+	g.priority, _ = strconv.Atoi(r.Header.Get("X-Priority"))
+	life, problem := e.join(g)
+	if problem != nil {
+		refuseRequest(w, problem.status, problem.body)
+		return
+	}
+	defer e.part(g)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(life, cancel)()
+	if err := e.generate(ctx, w, g); err != nil {
+		e.noteCancelled()
+		// The connection is cut, so that no cut answer looks like a whole one.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// join checks that the model is loaded and counts the request among its users.
+func (e *Engine) join(g *generation) (context.Context, *requestProblem) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.FailRequests > 0 {
+		e.faults.FailRequests--
+		body := openAIErrorBody{Message: "injected failure", Type: "server_error"}
+		return nil, &requestProblem{status: http.StatusInternalServerError, body: body}
+	}
+	model, adapter := g.request.target()
+	m := e.models[model]
+	loaded := m != nil && m.phase == engine.PhaseLoaded
+	if loaded && adapter != "" {
+		_, loaded = m.adapters[adapter]
+	}
+	if !loaded {
+		body := openAIErrorBody{
+			Message: fmt.Sprintf("The model %q is not loaded.", g.request.Model),
+			Type:    "invalid_request_error", Param: "model", Code: "model_not_found",
+		}
+		return nil, &requestProblem{status: http.StatusNotFound, body: body}
+	}
+	m.running++
+	g.model = m
+	e.counters.Requests++
+	return e.life, nil
+}
+
+// part takes the request off its model's users.
+func (e *Engine) part(g *generation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g.model.running--
+	e.broadcast()
+}
+
+func (e *Engine) noteCancelled() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counters.Cancelled++
+}
+
+// generate waits for a place in the batch and writes the answer.
+func (e *Engine) generate(ctx context.Context, w http.ResponseWriter, g *generation) error {
+	if err := e.batch.enter(ctx, g.priority); err != nil {
+		return err
+	}
+	defer e.batch.leave()
+	hit := e.startRun(g)
+	first := e.o.FirstToken
+	if hit {
+		first = time.Duration(float64(first) * cachedShare)
+	}
+	g.created = time.Now().Unix()
+	out := newAnswerWriter(w, g)
+	next := time.Now().Add(first)
+	for _, token := range answerTokens(g.request.Model, g.request.last(), g.request.tokens()) {
+		if err := e.pause(ctx, next); err != nil {
+			return err
+		}
+		if err := out.token(token); err != nil {
+			return err
+		}
+		next = next.Add(e.batch.step())
+	}
+	return out.finish()
+}
+
+// startRun counts the run and tells whether its prompt prefix is cached.
+func (e *Engine) startRun(g *generation) bool {
+	hit := e.cache.use(g.request.prefixHash())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[g.id]++
+	if hit {
+		e.counters.CacheHits++
+	}
+	return hit
+}
+
+// pause waits until the next token is due and while streams are stalled.
+func (e *Engine) pause(ctx context.Context, next time.Time) error {
+	if d := time.Until(next); d >= minPause {
+		if err := sleep(ctx, d); err != nil {
+			return err
+		}
+	}
+	return e.await(ctx, func() bool { return !e.faults.Stall })
+}
+
+// requestProblem is why a request is refused.
+type requestProblem struct {
+	status int
+	body   openAIErrorBody
+}
+
+func refuseRequest(w http.ResponseWriter, status int, body openAIErrorBody) {
+	respond(w, status, openAIError{Error: body})
+}
+
+// words counts the words of a text, which the engine takes for tokens.
+func words(text string) int { return len(strings.Fields(text)) }
