laureltally-standin: the fakes as a program

Each prints a ready line with its address, so that a caller may let the system choose the port. The object API ends its watches with the signal; the others finish what runs.

--- /dev/null
+++ b/cmd/laureltally-standin/arguments.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"io"
+	"runtime/debug"
+)
+
+// arguments is the command line.
+type arguments struct {
+	Platform *platformCommand `arg:"subcommand:platform" help:"object API with the list of VMs"`
+	Engine   *engineCommand   `arg:"subcommand:engine" help:"model engine"`
+	Service  *serviceCommand  `arg:"subcommand:service" help:"plain service"`
+	Weights  *weightsCommand  `arg:"subcommand:weights" help:"weight store"`
+}
+
+// command is one subcommand.
+type command interface {
+	run(ctx context.Context, stdout io.Writer) error
+}
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "Runs a small fake of what the platform gives, for tests and trials."
+}
+
+// Version implements arg.Versioned.
+func (arguments) Version() string {
+	version := "(devel)"
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		version = info.Main.Version
+	}
+	return "laureltally-standin " + version
+}
+
+// chosen returns the subcommand, or nil if none was given.
+func (a *arguments) chosen() command {
+	switch {
+	case a.Platform != nil:
+		return a.Platform
+	case a.Engine != nil:
+		return a.Engine
+	case a.Service != nil:
+		return a.Service
+	case a.Weights != nil:
+		return a.Weights
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/cmd/laureltally-standin/engine_command.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/standin"
+)
+
+// engineCommand runs a model engine.
+type engineCommand struct {
+	Listen           string        `arg:"--listen" default:"127.0.0.1:0" help:"address to listen on"`
+	MemoryMB         int64         `arg:"--memory-mb" default:"81920" help:"accelerator memory in MiB"`
+	RefuseOvercommit bool          `arg:"--refuse-overcommit" help:"refuse loads that don't fit"`
+	ChecksFences     bool          `arg:"--checks-fences" help:"refuse orders with an old fence"`
+	Models           []ident.Model `arg:"--model,separate" help:"known model, repeatable; none means all"`
+	LoadMemory       time.Duration `arg:"--load-memory" default:"50ms" help:"load time from host memory"`
+	LoadDisk         time.Duration `arg:"--load-disk" default:"200ms" help:"load time from disk"`
+	LoadRemote       time.Duration `arg:"--load-remote" default:"500ms" help:"load time of remote weights, beside the weight store's"`
+	UnloadTime       time.Duration `arg:"--unload-time" default:"10ms" help:"time of an unload"`
+	AdapterTime      time.Duration `arg:"--adapter-time" default:"10ms" help:"load time of an adapter"`
+	WeightStore      string        `arg:"--weights" help:"base URL of the weight store"`
+	MaxRunning       int           `arg:"--max-running" default:"32" help:"requests in the batch"`
+	TokensPerSecond  float64       `arg:"--tokens-per-second" help:"token rate of the whole batch, 0 for no limit"`
+	FirstToken       time.Duration `arg:"--first-token" default:"0s" help:"time to the first token"`
+	LoadLag          time.Duration `arg:"--load-lag" default:"0s" help:"age of the load report"`
+	CacheLag         time.Duration `arg:"--cache-lag" default:"0s" help:"lateness of cache events"`
+	CacheGap         int           `arg:"--cache-gap" help:"lose every so manieth cache event"`
+}
+
+func (c *engineCommand) run(ctx context.Context, stdout io.Writer) error {
+	e := standin.NewEngine(standin.EngineOptions{
+		MemoryMB:         c.MemoryMB,
+		RefuseOvercommit: c.RefuseOvercommit,
+		ChecksFences:     c.ChecksFences,
+		Models:           c.Models,
+		LoadTimes: map[engine.Tier]time.Duration{
+			engine.TierMemory: c.LoadMemory,
+			engine.TierDisk:   c.LoadDisk,
+			engine.TierRemote: c.LoadRemote,
+		},
+		UnloadTime:      c.UnloadTime,
+		AdapterTime:     c.AdapterTime,
+		WeightStore:     c.WeightStore,
+		MaxRunning:      c.MaxRunning,
+		TokensPerSecond: c.TokensPerSecond,
+		FirstToken:      c.FirstToken,
+		LoadLag:         c.LoadLag,
+		CacheLag:        c.CacheLag,
+		CacheGap:        c.CacheGap,
+	})
+	defer e.Close()
+	return serve(ctx, context.Background(), c.Listen, e, stdout)
+}
