Add admission, routing, retry and eject as pure state machines

Cause: the router and the agent need the interfaces of the decisions on load, limits, routing and retries before the policies are final.

Change: Queue, Limiter and RegionWeights in admission; Chooser and Table in routing; Budget, Policy and Hedger in retry; Ejector in eject. Every method takes the time and returns what to do.

Conclusion: simple working policies, to be measured.

--- /dev/null
+++ b/admission/entry.go
@@ -0,0 +1,19 @@
+package admission
+
+import "time"
+
+// entry is an item in the queue or at the upstream, with its zero estimates
+// replaced.
+type entry struct {
+	Item
+	started time.Time
+}
+
+// latestStart is when the item has to start to make its deadline.
+func (e *entry) latestStart(inflation float64) time.Time {
+	return e.Deadline.Add(-scale(e.Cost, inflation))
+}
+
+func scale(d time.Duration, by float64) time.Duration {
+	return time.Duration(float64(d) * by)
+}
--- /dev/null
+++ b/admission/options.go
@@ -0,0 +1,85 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// Defaults of Options.
+const (
+	DefaultMinConcurrency = 1
+	DefaultMaxWaiting     = 256
+	DefaultCost           = time.Second
+	DefaultMinRetryAfter  = 250 * time.Millisecond
+	DefaultMaxRetryAfter  = 30 * time.Second
+	DefaultWaitShare      = 0.5
+)
+
+// Options configures a Queue.
+type Options struct {
+	// Region is where the upstream is.
+	Region ident.Region
+	// Concurrency is how many requests the upstream takes at once, as stated by
+	// the model. The adaptive limit never exceeds it.
+	Concurrency int
+	// MinConcurrency is the lower bound of the adaptive limit.
+	MinConcurrency int
+	// FixedConcurrency turns the adaptive limit off.
+	FixedConcurrency bool
+	// MaxWaiting bounds the queue, in requests.
+	MaxWaiting int
+	// Cost is the expected run time of a request until some have finished.
+	Cost time.Duration
+	// WaitShare is the part of a request's spare time that it may be expected to
+	// spend in the queue, over 0 and at most 1. The rest absorbs errors of the
+	// estimate.
+	WaitShare float64
+	// MinRetryAfter and MaxRetryAfter bound Refuse.RetryAfter before jitter.
+	MinRetryAfter, MaxRetryAfter time.Duration
+	// Rand spreads RetryAfter.
+	Rand *rand.Rand
+}
+
+func (o Options) withDefaults() Options {
+	if o.MinConcurrency == 0 {
+		o.MinConcurrency = DefaultMinConcurrency
+	}
+	if o.MaxWaiting == 0 {
+		o.MaxWaiting = DefaultMaxWaiting
+	}
+	if o.Cost == 0 {
+		o.Cost = DefaultCost
+	}
+	if o.WaitShare == 0 {
+		o.WaitShare = DefaultWaitShare
+	}
+	if o.MinRetryAfter == 0 {
+		o.MinRetryAfter = DefaultMinRetryAfter
+	}
+	if o.MaxRetryAfter == 0 {
+		o.MaxRetryAfter = DefaultMaxRetryAfter
+	}
+	return o
+}
+
+func (o Options) validate() error {
+	switch {
+	case o.Concurrency < 1:
+		return &OptionError{Field: "Concurrency"}
+	case o.MinConcurrency < 1 || o.MinConcurrency > o.Concurrency:
+		return &OptionError{Field: "MinConcurrency"}
+	case o.MaxWaiting < 1:
+		return &OptionError{Field: "MaxWaiting"}
+	case o.Cost < 0:
+		return &OptionError{Field: "Cost"}
+	case o.WaitShare <= 0 || o.WaitShare > 1:
+		return &OptionError{Field: "WaitShare"}
+	case o.MinRetryAfter < 0 || o.MaxRetryAfter < o.MinRetryAfter:
+		return &OptionError{Field: "MaxRetryAfter"}
+	case o.Rand == nil:
+		return &OptionError{Field: "Rand"}
+	}
+	return nil
+}
--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,186 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/wire"
+)
+
+const (
+	// sweepInterval is how often estimates of waiting items are renewed.
+	sweepInterval = 50 * time.Millisecond
+	// averageWeight is the weight of one request in the average place time.
+	averageWeight = 0.05
+	// startQuantile is the quantile of run times that has to fit before the
+	// deadline when an item starts.
+	startQuantile = 0.99
+	// minCapacityShare is the least share of places that urgent work is expected
+	// to leave to less urgent work.
+	minCapacityShare = 0.05
+)
+
+// Queue decides in front of one upstream. Create one with New.
+type Queue struct {
+	opts     Options
+	limit    concurrencyLimit
+	classes  []*class
+	fair     fairness
+	running  map[ident.Attempt]*entry
+	waiting  int
+	average  time.Duration
+	ratio    quantile
+	arrivals decayingRate
+	returns  schedule
+	held     bool
+	ready    time.Time
+	draining bool
+}
+
+// New returns an empty queue. It fails with an *OptionError.
+func New(o Options) (*Queue, error) {
+	o = o.withDefaults()
+	if err := o.validate(); err != nil {
+		return nil, err
+	}
+	return &Queue{
+		opts:    o,
+		limit:   newConcurrencyLimit(o.MinConcurrency, o.Concurrency, o.FixedConcurrency),
+		fair:    newFairness(),
+		running: make(map[ident.Attempt]*entry),
+		average: o.Cost,
+		ratio:   newQuantile(startQuantile, 1),
+		returns: schedule{least: o.MinRetryAfter, most: o.MaxRetryAfter, rand: o.Rand},
+	}, nil
+}
+
+// Offer asks for a place. The returned actions may admit or refuse it, concern
+// other items, or be empty: then the item waits. An ID must not be offered
+// while the queue knows it.
+func (q *Queue) Offer(now time.Time, it Item) []Action {
+	e := q.entry(it)
+	q.arrivals.add(now, 1)
+	if q.draining {
+		return []Action{q.refuse(now, e, wire.CodeDraining)}
+	}
+	if !q.fits(now, e) {
+		return []Action{q.refuse(now, e, q.refusalCode(now, e))}
+	}
+	q.push(e)
+	actions := q.start(now, nil)
+	if q.waiting > q.opts.MaxWaiting {
+		actions = append(actions, q.evict(now))
+	}
+	return actions
+}
+
+// Finish frees the place of an admitted item.
+func (q *Queue) Finish(now time.Time, id ident.Attempt, r Result) []Action {
+	e := q.running[id]
+	if e == nil {
+		return nil
+	}
+	saturated := len(q.running) >= q.limit.current()
+	delete(q.running, id)
+	q.learn(now, e, r, saturated)
+	return q.Tick(now)
+}
+
+// Cancel forgets an item, waiting or admitted, whose caller is gone.
+func (q *Queue) Cancel(now time.Time, id ident.Attempt) []Action {
+	if q.running[id] != nil {
+		return q.Finish(now, id, Failed)
+	}
+	for _, c := range q.classes {
+		if q.removeID(c, id) {
+			break
+		}
+	}
+	return q.Tick(now)
+}
+
+// Tick refuses waiting items that can no longer make their deadline and fills
+// free places.
+func (q *Queue) Tick(now time.Time) []Action {
+	return q.start(now, q.sweep(now, nil))
+}
+
+// Next returns when Tick is due, or false while nothing waits.
+func (q *Queue) Next(now time.Time) (time.Time, bool) {
+	if q.waiting == 0 {
+		return time.Time{}, false
+	}
+	return now.Add(sweepInterval), true
+}
+
+// Hold keeps items waiting while the model is not loaded, which is expected
+// until ready. It refuses those that cannot wait so long.
+func (q *Queue) Hold(now, ready time.Time) []Action {
+	q.held, q.ready = true, ready
+	return q.Tick(now)
+}
+
+// Resume admits items again after Hold.
+func (q *Queue) Resume(now time.Time) []Action {
+	q.held = false
+	return q.Tick(now)
+}
+
+// Drain refuses all waiting items and all later ones. Running ones go on.
+func (q *Queue) Drain(now time.Time) []Action {
+	q.draining = true
+	return q.RefuseAll(now, wire.CodeDraining)
+}
+
+// RefuseAll refuses all waiting items, for example because a load failed.
+func (q *Queue) RefuseAll(now time.Time, code wire.Code) []Action {
+	var actions []Action
+	for _, c := range q.classes {
+		for len(c.flows) > 0 {
+			actions = append(actions, q.refuse(now, q.remove(c, c.flows[0], 0), code))
+		}
+	}
+	return actions
+}
+
+// SetConcurrency changes the stated concurrency of the upstream. Less than one
+// counts as one.
+func (q *Queue) SetConcurrency(now time.Time, n int) []Action {
+	q.limit.setCeiling(max(1, n))
+	return q.Tick(now)
+}
+
+// SetWeights sets each region's share of the upstream; see RegionWeights. Nil
+// shares it equally.
+func (q *Queue) SetWeights(w map[ident.Region]float64) { q.fair.weights = w }
+
+// Estimate is what an item offered now would have to expect.
+func (q *Queue) Estimate(now time.Time, it Item) Estimate {
+	return q.estimate(now, q.entry(it))
+}
+
+// Stats returns a snapshot.
+func (q *Queue) Stats() Stats {
+	return Stats{Running: len(q.running), Waiting: q.waiting, Limit: q.limit.current(), Cost: q.average}
+}
+
+// WaitingAhead counts the waiting items that are as urgent as p or more.
+func (q *Queue) WaitingAhead(p ident.Priority) int {
+	n := 0
+	for _, c := range q.classes {
+		if c.priority <= p {
+			n += c.waiting
+		}
+	}
+	return n
+}
+
+func (q *Queue) entry(it Item) *entry {
+	if it.Cost <= 0 {
+		it.Cost = q.average
+	}
+	if it.Hold <= 0 {
+		it.Hold = it.Cost
+	}
+	return &entry{Item: it}
+}
--- /dev/null
+++ b/admission/queue_estimate.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// estimate is for an item behind all waiting items of its flow.
+func (q *Queue) estimate(now time.Time, e *entry) Estimate {
+	k := flowKey{e.Region, e.Environment}
+	var own time.Duration
+	if c := q.find(e.Priority); c != nil {
+		for _, f := range c.flows {
+			if f.key == k {
+				own = f.work
+			}
+		}
+	}
+	return q.estimateBehind(now, e, own)
+}
+
+// estimateBehind is for an item behind own work of its flow.
+func (q *Queue) estimateBehind(now time.Time, e *entry, own time.Duration) Estimate {
+	est := Estimate{Run: scale(e.Cost, q.ratio.value)}
+	if q.held {
+		est.Load = max(0, q.ready.Sub(now))
+	}
+	ahead := q.aheadOf(e, own)
+	if ahead == 0 && len(q.running) < q.limit.current() {
+		return est
+	}
+	est.Wait = scale(ahead+q.residual(), 1/q.capacity(now, e.Priority))
+	return est
+}
+
+// residual is the work that has to pass before a place is free.
+func (q *Queue) residual() time.Duration {
+	if len(q.running) < q.limit.current() {
+		return 0
+	}
+	return q.average
+}
+
+func (q *Queue) aheadOf(e *entry, own time.Duration) time.Duration {
+	var sum time.Duration
+	for _, c := range q.classes {
+		switch {
+		case c.priority < e.Priority:
+			sum += c.work
+		case c.priority == e.Priority:
+			sum += q.fair.ahead(c, flowKey{e.Region, e.Environment}, own)
+		}
+	}
+	return sum
+}
+
+// capacity is how many places are left to a priority by more urgent work.
+func (q *Queue) capacity(now time.Time, p ident.Priority) float64 {
+	places := float64(q.limit.current())
+	left := places
+	for _, c := range q.classes {
+		if c.priority < p {
+			left -= c.load.perSecond(now)
+		}
+	}
+	return max(left, places*minCapacityShare)
+}
+
+// fits tells whether an offered item is expected to make its deadline, with part
+// of its spare time left.
+func (q *Queue) fits(now time.Time, e *entry) bool {
+	est := q.estimate(now, e)
+	spare := e.Deadline.Sub(now) - est.Load - est.Run
+	return spare >= 0 && est.Wait <= scale(spare, q.opts.WaitShare)
+}
+
+// refusalCode is deadline if even an idle upstream would answer too late.
+func (q *Queue) refusalCode(now time.Time, e *entry) wire.Code {
+	if now.Add(e.Cost).After(e.Deadline) {
+		return wire.CodeDeadline
+	}
+	return wire.CodeOverloaded
+}
+
+// retryAfter schedules the return of one refused caller.
+func (q *Queue) retryAfter(now time.Time, e *entry) time.Duration {
+	drain := float64(q.limit.current()) / max(q.average, time.Millisecond).Seconds()
+	base := q.estimate(now, e).Load
+	spare := max(drain-q.arrivals.perSecond(now), drain*minReturnShare)
+	return q.returns.take(now, base, spare)
+}
--- /dev/null
+++ b/retry/failure.go
@@ -0,0 +1,24 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/wire"
+)
+
+// Failure describes an attempt that gave no answer.
+type Failure struct {
+	// Run tells whether the attempt is known not to have run.
+	Run  wire.Run
+	Code wire.Code
+	// Idempotent requests may be repeated whatever Run says.
+	Idempotent bool
+	// Attempts is how many attempts have been made, this one included.
+	Attempts int
+	// Deadline is when the answer is due.
+	Deadline time.Time
+	// Need is the least time that another attempt would take.
+	Need time.Duration
+	// AnswerBegun is set when part of the answer has reached the caller.
+	AnswerBegun bool
+}
--- /dev/null
+++ b/retry/option_error.go
@@ -0,0 +1,9 @@
+package retry
+
+import "fmt"
+
+// OptionError reports an option that is missing or out of range.
+type OptionError struct{ Field string }
+
+// Error implements error.
+func (e *OptionError) Error() string { return fmt.Sprintf("retry: invalid option %s", e.Field) }
--- /dev/null
+++ b/routing/health.go
@@ -0,0 +1,9 @@
+package routing
+
+// Health is what outlier detection says of a VM.
+type Health struct {
+	// Ejected VMs get requests only if there is no other.
+	Ejected bool
+	// Share is the part of its usual load that a recovering VM should get.
+	Share float64
+}
--- /dev/null
+++ b/routing/request.go
@@ -0,0 +1,18 @@
+package routing
+
+import "github.com/laureltally/laureltally/ident"
+
+// Request is what a choice needs to know of a request.
+type Request struct {
+	// Region and Zone are the router's.
+	Region ident.Region
+	Zone   ident.Zone
+	// Affinity is a hash of what should stay together on one VM: the prompt
+	// prefix, or the adapter. Zero means that nothing should.
+	Affinity uint64
+	// Exclude is a VM that has just refused or failed the request.
+	Exclude ident.VM
+	// AllowCrossing lets the request leave the region: its environment has paid
+	// volume left.
+	AllowCrossing bool
+}
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,199 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/wire"
+)
+
+const (
+	// initialServiceTime stands for a service time that is not known yet.
+	initialServiceTime = time.Second
+	// serviceTimeWeight is the weight of one request in the average.
+	serviceTimeWeight = 0.05
+)
+
+// Table keeps the candidates of each target and chooses among them. A choice
+// costs time in proportion to the VMs that hold the target, whatever else the
+// table holds, and allocates nothing once its scratch space has grown.
+type Table struct {
+	chooser *Chooser
+	vms     map[ident.VM]*vmState
+	members map[Target][]*member
+	scratch []Candidate
+}
+
+// NewTable returns an empty Table that chooses with c.
+func NewTable(c *Chooser) *Table {
+	return &Table{
+		chooser: c,
+		vms:     make(map[ident.VM]*vmState),
+		members: make(map[Target][]*member),
+	}
+}
+
+// Report takes the report of an agent that was made age ago. It returns false
+// for a report of a router and for one that is older than what is known.
+func (t *Table) Report(now time.Time, r *wire.Report, age time.Duration) bool {
+	if r.Role != platform.RoleAgent {
+		return false
+	}
+	s := t.vms[r.VM]
+	if s != nil && s.incarnation == r.Incarnation && r.Seq <= s.seq {
+		return false
+	}
+	if s == nil {
+		s = &vmState{vm: r.VM, hash: hashVM(r.VM), prefixes: make(map[uint64]struct{}), targets: make(map[Target]struct{})}
+		t.vms[r.VM] = s
+	}
+	s.take(now, r, age)
+	t.index(s, r)
+	return true
+}
+
+// Remove forgets a VM that has left the membership.
+func (t *Table) Remove(vm ident.VM) {
+	s := t.vms[vm]
+	if s == nil {
+		return
+	}
+	for target := range s.targets {
+		t.leave(target, s)
+	}
+	delete(t.vms, vm)
+}
+
+// Started counts a request that the router has sent to a VM.
+func (t *Table) Started(now time.Time, vm ident.VM) {
+	if s := t.vms[vm]; s != nil {
+		s.inFlight++
+		s.unseen++
+		s.recent.add(now, 1)
+	}
+}
+
+// Ended counts the end of a request that Started counted. Took is its time at
+// the upstream, or zero if it gave no whole answer.
+func (t *Table) Ended(now time.Time, vm ident.VM, target Target, took time.Duration) {
+	s := t.vms[vm]
+	if s == nil {
+		return
+	}
+	s.inFlight = max(0, s.inFlight-1)
+	s.unseen--
+	s.recent.add(now, -1)
+	if took <= 0 {
+		return
+	}
+	for _, m := range t.members[target] {
+		if m.state == s {
+			m.serviceTime += time.Duration(float64(took-m.serviceTime) * serviceTimeWeight)
+		}
+	}
+}
+
+// Choose picks the VM for a request and returns it with the choice. It fails
+// with a *NoCandidateError.
+func (t *Table) Choose(now time.Time, l Lookup) (ident.VM, Choice, error) {
+	members := t.members[l.Target]
+	t.scratch = slices.Grow(t.scratch[:0], len(members))[:len(members)]
+	for i, m := range members {
+		t.fill(now, &l, m, &t.scratch[i])
+	}
+	ch, err := t.chooser.Choose(l.Request, t.scratch)
+	if err != nil {
+		return "", Choice{}, err
+	}
+	return t.scratch[ch.Index].VM, ch, nil
+}
+
+// Candidates counts the VMs that hold a target.
+func (t *Table) Candidates(target Target) int { return len(t.members[target]) }
+
+func (t *Table) fill(now time.Time, l *Lookup, m *member, c *Candidate) {
+	m.state.candidate(now, c)
+	c.ServiceTime = m.serviceTime
+	c.AdapterLoaded = m.hasAdapter(l.Adapter)
+	_, c.PrefixLikely = m.state.prefixes[l.Prefix]
+	c.Ejected, c.Share = false, 0
+	if l.Health != nil {
+		h := l.Health(now, c.VM)
+		c.Ejected, c.Share = h.Ejected, h.Share
+	}
+}
+
+// take copies the fields of a report.
+func (s *vmState) take(now time.Time, r *wire.Report, age time.Duration) {
+	s.incarnation, s.seq = r.Incarnation, r.Seq
+	s.region, s.zone = r.Region, r.Zone
+	s.running, s.waiting, s.concurrency = r.Running, r.Waiting, r.Concurrency
+	s.draining = r.Draining
+	s.madeAt = now.Add(-age)
+	s.unseen = 0
+	if age > 0 {
+		s.unseen = s.recent.since(s.madeAt)
+	}
+	clear(s.prefixes)
+	for _, h := range r.PrefixHashes {
+		s.prefixes[h] = struct{}{}
+	}
+}
+
+// index makes s a member of exactly the targets that its report names.
+func (t *Table) index(s *vmState, r *wire.Report) {
+	want := make(map[Target]struct{}, len(r.Models)+1)
+	if len(r.Models) == 0 {
+		want[Target{Upstream: r.Upstream}] = struct{}{}
+	}
+	for i := range r.Models {
+		m := &r.Models[i]
+		if m.Phase != engine.PhaseLoaded {
+			continue
+		}
+		target := Target{Upstream: r.Upstream, Model: m.Model}
+		want[target] = struct{}{}
+		t.join(target, s, m.Adapters)
+	}
+	for target := range s.targets {
+		if _, ok := want[target]; !ok {
+			t.leave(target, s)
+		}
+	}
+	if len(r.Models) == 0 {
+		t.join(Target{Upstream: r.Upstream}, s, nil)
+	}
+}
+
+func (t *Table) join(target Target, s *vmState, adapters []ident.Adapter) {
+	m := t.member(target, s)
+	clear(m.adapters)
+	for _, a := range adapters {
+		m.adapters[a] = struct{}{}
+	}
+}
+
+func (t *Table) member(target Target, s *vmState) *member {
+	for _, m := range t.members[target] {
+		if m.state == s {
+			return m
+		}
+	}
+	m := &member{state: s, adapters: make(map[ident.Adapter]struct{}), serviceTime: initialServiceTime}
+	t.members[target] = append(t.members[target], m)
+	s.targets[target] = struct{}{}
+	return m
+}
+
+func (t *Table) leave(target Target, s *vmState) {
+	left := slices.DeleteFunc(t.members[target], func(m *member) bool { return m.state == s })
+	if len(left) == 0 {
+		delete(t.members, target)
+	} else {
+		t.members[target] = left
+	}
+	delete(s.targets, target)
+}
