bench: skeleton of the table of figures

Every decision is to be measured beside its baselines in one run. A section is a function that adds rows; main prints them as one table. No figures yet.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
-# make demo runs the whole path once; make test runs every test.
+# make demo runs the whole path once; make test runs every test; make bench
+# prints the measured figures beside their targets and baselines.
 
 GO ?= go
 
-.PHONY: build demo test lint
+.PHONY: build demo test lint bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -17,3 +18,6 @@
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+
+bench:
+	$(GO) run ./bench
--- /dev/null
+++ b/bench/section.go
@@ -0,0 +1,9 @@
+package main
+
+// section adds the figures of one topic to the table.
+type section func(t *table)
+
+// sections lists the topics in the order in which they are printed.
+func sections() []section {
+	return []section{}
+}
