keepalive: first policy, hazard of the next request per span of idle time

A replica agent needs an order of eviction and an end of the idle time. A replica stays while chance times worth exceeds the idle time. A histogram of whole gaps was ruled out: halving it to forget loses the rare long gaps among many short ones.

--- /dev/null
+++ b/keepalive/keeper_test.go
@@ -0,0 +1,108 @@
+package keepalive
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/ident"
+)
+
+var t0 = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+func newKeeper(t testing.TB, cfg Config) *Keeper[ident.Model] {
+	t.Helper()
+	k, err := New[ident.Model](cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// observeEvery feeds n requests of m, a gap apart, and returns the last time.
+func observeEvery(k *Keeper[ident.Model], m ident.Model, n int, gap time.Duration) time.Time {
+	now := t0
+	for range n {
+		now = now.Add(gap)
+		k.Observe(m, now)
+	}
+	return now
+}
+
+func TestNewRefusesBadConfig(t *testing.T) {
+	bad := []Config{
+		{Aim: config.Aim{ColdStart: -1, IdleHours: 1}},
+		{Aim: config.Aim{ColdStart: 1}},
+		{MaxKeys: -1},
+		{MinKeep: time.Hour, MaxKeep: time.Minute},
+	}
+	for _, cfg := range bad {
+		_, err := New[ident.Model](cfg)
+		var ce *ConfigError
+		if !errors.As(err, &ce) {
+			t.Errorf("New(%+v) = %v, want a *ConfigError", cfg, err)
+		}
+	}
+}
+
+func TestKeepUntilCoversRegularGap(t *testing.T) {
+	k := newKeeper(t, Config{})
+	last := observeEvery(k, "steady", 60, 4*time.Minute)
+	if keep := k.KeepUntil("steady", last).Sub(last); keep < 4*time.Minute {
+		t.Errorf("keep = %v, shorter than the regular gap of 4 minutes", keep)
+	}
+}
+
+func TestKeepUntilGivesUpOnRareModel(t *testing.T) {
+	k := newKeeper(t, Config{})
+	last := observeEvery(k, "rare", 60, 20*time.Hour)
+	if keep := k.KeepUntil("rare", last).Sub(last); keep > time.Minute {
+		t.Errorf("keep = %v for a model that is asked every 20 hours", keep)
+	}
+}
+
+func TestKeepGrowsWithWeightOfColdStart(t *testing.T) {
+	low := newKeeper(t, Config{Aim: config.Aim{ColdStart: 1, IdleHours: 3}})
+	high := newKeeper(t, Config{Aim: config.Aim{ColdStart: 3, IdleHours: 1}})
+	a, b := low.KeepUntil("new", t0), high.KeepUntil("new", t0)
+	if !b.After(a) {
+		t.Errorf("keep until %v at a low weight and %v at a high one", a, b)
+	}
+}
+
+func TestEvictOrderPutsLeastLikelyFirst(t *testing.T) {
+	k := newKeeper(t, Config{})
+	end := observeEvery(k, "rare", 40, 6*time.Hour)
+	now := end.Add(-40 * 2 * time.Minute)
+	for range 40 {
+		now = now.Add(2 * time.Minute)
+		k.Observe("busy", now)
+	}
+	got := k.EvictOrder([]ident.Model{"busy", "rare"}, end)
+	if want := []ident.Model{"rare", "busy"}; !slices.Equal(got, want) {
+		t.Errorf("EvictOrder = %v, want %v", got, want)
+	}
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		k := newKeeper(t, Config{MaxKeys: 10})
+		now := t0
+		for range 200 {
+			m := rapid.StringMatching("[a-z]").Draw(rt, "model")
+			now = now.Add(time.Duration(rapid.IntRange(0, 7200).Draw(rt, "gap")) * time.Second)
+			k.Observe(ident.Model(m), now)
+			until := k.KeepUntil(ident.Model(m), now)
+			if until.Before(now) || until.Sub(now) > DefaultMaxKeep {
+				rt.Fatalf("KeepUntil is %v after the last use", until.Sub(now))
+			}
+		}
+		if k.Len() > 10 || len(k.index) != k.Len() {
+			rt.Fatalf("%d entries and %d keys, want at most 10 of each", k.Len(), len(k.index))
+		}
+	})
+}
