--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,6 +24,7 @@
 	catalog  atomic.Pointer[catalog.Catalog]
 	listener *transport.Listener
 	reports  *reporter
+	policy   *policy
 
 	// stopping ends when the agent gives up on what still runs.
 	stopping context.Context
@@ -33,6 +34,8 @@
 	background sync.WaitGroup
 	running    sync.WaitGroup
 	draining   atomic.Bool
+	// leaving is set by a shutdown, which cannot be withdrawn.
+	leaving atomic.Bool
 
 	mu      sync.Mutex
 	table   *attempt.Table
--- a/agent/shutdown.go
+++ b/agent/shutdown.go
@@ -28,6 +28,18 @@
 	}
 }
 
+// endDrain takes work again after an operator has withdrawn the order.
+func (a *Agent) endDrain() {
+	if a.leaving.Load() || !a.draining.Swap(false) {
+		return
+	}
+	a.o.Logger.Info("draining withdrawn")
+	a.mu.Lock()
+	clear(a.lanes)
+	a.mu.Unlock()
+	a.reports.now()
+}
+
 func (a *Agent) allLanes() []*lane {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -46,6 +58,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	a.leaving.Store(true)
 	a.startDrain()
 	time.Sleep(noticeTime)
 	a.waitRunning(ctx)
