--- /dev/null
+++ b/answer/no_reader_error.go
@@ -0,0 +1,16 @@
+package answer
+
+import (
+	"fmt"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// NoReaderError reports a writer that filled its tail and found no reader
+// within Options.Stall.
+type NoReaderError struct{ Attempt ident.Attempt }
+
+// Error implements error.
+func (e *NoReaderError) Error() string {
+	return fmt.Sprintf("attempt %q: nobody reads the answer", e.Attempt)
+}
--- /dev/null
+++ b/answer/offset_error.go
@@ -0,0 +1,20 @@
+package answer
+
+import (
+	"fmt"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// OffsetError reports a read at an offset that the answer cannot have: a
+// negative one, or one past what has been written.
+type OffsetError struct {
+	Attempt ident.Attempt
+	Offset  int64
+	Written int64
+}
+
+// Error implements error.
+func (e *OffsetError) Error() string {
+	return fmt.Sprintf("attempt %q: offset %d is outside the %d bytes written", e.Attempt, e.Offset, e.Written)
+}
