attempt: an agent's table of attempts

"Not run" may be said only by whoever can still prevent the run, so one table decides: never seen, tombstoned, queued, running, finished, cut.

--- /dev/null
+++ b/attempt/decision.go
@@ -0,0 +1,10 @@
+package attempt
+
+import "github.com/laureltally/laureltally/wire"
+
+// Decision answers a dispatch: it is accepted and queued, or refused.
+type Decision struct {
+	Accepted bool
+	// Refusal is set unless the attempt was accepted.
+	Refusal wire.Refusal
+}
