claim: at most one run for an Idempotency-Key

Claims live in bucket objects, written by conditional update; calls that wait at one router share a write. A found claim is joined, or moved once its agent has said that the attempt did not run; a lost answer is read again. With 100 callers waiting at once a bucket takes at most two writes (test).

--- /dev/null
+++ b/claim/action.go
@@ -0,0 +1,12 @@
+package claim
+
+import "github.com/laureltally/laureltally/platform"
+
+// action is what a machine's driver does next; none if all are unset.
+type action struct {
+	read  bool
+	write bool
+	// value and expect are the arguments of the write.
+	value  []byte
+	expect platform.Version
+}
--- /dev/null
+++ b/claim/format_error.go
@@ -0,0 +1,15 @@
+package claim
+
+import "fmt"
+
+// FormatError reports a bucket object that cannot be decoded.
+type FormatError struct {
+	Key string
+	Err error
+}
+
+// Error implements error.
+func (e *FormatError) Error() string { return fmt.Sprintf("bucket object %q: %v", e.Key, e.Err) }
+
+// Unwrap returns the cause.
+func (e *FormatError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/claim/keeper.go
@@ -0,0 +1,189 @@
+package claim
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// Keeper claims keys for a router, in one environment. It is safe for concurrent
+// use.
+//
+// Calls that wait at the same time go to the platform together, in one
+// conditional update per bucket. Any router may write any bucket: the condition
+// on the version alone keeps them correct.
+type Keeper struct {
+	opts    Options
+	refuted *refuted
+	slots   chan struct{}
+	nextOp  atomic.Uint64
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	closed  bool
+	buckets map[int]*bucket
+}
+
+// New returns a Keeper. The caller closes it.
+func New(o Options) *Keeper {
+	o = o.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Keeper{
+		opts:    o,
+		refuted: newRefuted(),
+		slots:   make(chan struct{}, o.InFlight),
+		ctx:     ctx,
+		cancel:  cancel,
+		buckets: make(map[int]*bucket),
+	}
+}
+
+// Begin claims the key for a new attempt at the target that choose returns, or
+// says what became of the request that holds it. The key is scoped by the
+// caller, see ScopedKey; the fingerprint is that of Fingerprint.
+//
+// An error means that this call has not run the request and will not:
+// *KeyReusedError, *ExpiredError, *OverflowError, *PlatformError, *ClosedError,
+// *FormatError, the error of choose, or the context's. It does not speak of an
+// earlier call with the same key, which may have run; so a caller repeats the
+// call with the same key. After an *ExpiredError there was such an earlier call.
+func (k *Keeper) Begin(ctx context.Context, key, fingerprint string, choose func() (Target, error)) (Outcome, error) {
+	o := op{kind: opClaim, key: digestOf(key), fingerprint: digestOf(fingerprint)}
+	for {
+		target, err := choose()
+		if err != nil {
+			return Outcome{}, err
+		}
+		o.attempt, o.target = k.opts.NewAttempt(), target
+		res, err := k.submit(ctx, o)
+		if err != nil {
+			return Outcome{}, err
+		}
+		if res.found == nil {
+			return Outcome{Kind: Dispatch, Attempt: o.attempt, Target: target}, nil
+		}
+		outcome, notRun := k.ask(ctx, *res.found)
+		if !notRun {
+			return outcome, nil
+		}
+		o.kind, o.from = opMove, res.found.Attempt
+	}
+}
+
+// ask returns the outcome of another's claim, or true if its attempt was not
+// run, so that the claim may be moved.
+func (k *Keeper) ask(ctx context.Context, e entry) (Outcome, bool) {
+	outcome := Outcome{Kind: Unknown, Attempt: e.Attempt, Target: e.target()}
+	if k.refuted.has(e.Attempt) {
+		return outcome, true
+	}
+	state, err := k.opts.Asker.Inquire(ctx, e.target(), e.Attempt)
+	if err != nil {
+		outcome.Reason = fmt.Errorf("inquire of %s: %w", e.VM, err)
+		return outcome, false
+	}
+	switch state {
+	case wire.AttemptNotRun:
+		return outcome, true
+	case wire.AttemptRunning, wire.AttemptFinished:
+		outcome.Kind = Join
+	}
+	return outcome, false
+}
+
+// NotRun records that the agent refused the attempt as not run, with the word of
+// its own Refusal. The next Begin with the key then moves the claim without
+// asking. It makes no call to the platform.
+func (k *Keeper) NotRun(_ context.Context, _ string, attempt ident.Attempt) {
+	k.refuted.add(attempt)
+}
+
+// Release frees the claim of an attempt that was refused as not run, when the
+// router gives up on the request. Without it the next request with the key has
+// to ask the agent, and is told unknown if that agent is gone by then.
+func (k *Keeper) Release(ctx context.Context, key string, attempt ident.Attempt) error {
+	_, err := k.submit(ctx, op{kind: opRelease, key: digestOf(key), from: attempt})
+	return err
+}
+
+// Close ends the Keeper's calls and waits for them. Calls that wait get a
+// *ClosedError.
+func (k *Keeper) Close() {
+	k.mu.Lock()
+	k.closed = true
+	k.mu.Unlock()
+	k.cancel()
+	k.wg.Wait()
+}
+
+// submit hands an op to its bucket and waits for the result.
+func (k *Keeper) submit(ctx context.Context, o op) (result, error) {
+	o.id = k.nextOp.Add(1)
+	done := make(chan result, 1)
+	b, err := k.enqueue(o, done)
+	if err != nil {
+		return result{}, err
+	}
+	select {
+	case r := <-done:
+		return r, k.explain(r.err)
+	case <-ctx.Done():
+		b.abandon(o.id)
+		return result{}, ctx.Err()
+	}
+}
+
+// explain turns the platform's errors into *PlatformError.
+func (k *Keeper) explain(err error) error {
+	if err == nil {
+		return nil
+	}
+	if k.ctx.Err() != nil {
+		return &ClosedError{}
+	}
+	var away *platform.UnavailableError
+	if !errors.As(err, &away) {
+		return err
+	}
+	after := away.RetryAfter
+	if after <= 0 {
+		after = k.opts.RetryAfter
+	}
+	return &PlatformError{RetryAfter: after, Err: err}
+}
+
+func (k *Keeper) enqueue(o op, done chan result) (*bucket, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed {
+		return nil, &ClosedError{}
+	}
+	n := k.bucketOf(o.key)
+	b, ok := k.buckets[n]
+	if !ok {
+		b = newBucket(k, n)
+		k.buckets[n] = b
+	}
+	if b.add(o, done) {
+		k.wg.Go(b.run)
+	}
+	return b, nil
+}
+
+func (k *Keeper) bucketOf(key digest) int {
+	return int(binary.BigEndian.Uint64(key[:]) % uint64(k.opts.Buckets))
+}
+
+func (k *Keeper) objectKey(bucket int) string {
+	return fmt.Sprintf("claims/%s/%04d", k.opts.Environment, bucket)
+}
--- /dev/null
+++ b/claim/keeper_test.go
@@ -0,0 +1,307 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const callLatency = 5 * time.Millisecond
+
+// fakeStore is one object store with a latency. Its faults apply to the next
+// writes.
+type fakeStore struct {
+	platform.Store
+	mu       sync.Mutex
+	objects  map[string]platform.Object
+	version  platform.Version
+	down     bool
+	loseNext int
+	puts     int
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{objects: make(map[string]platform.Object)} }
+
+func (s *fakeStore) Get(_ context.Context, key string) (platform.Object, error) {
+	time.Sleep(callLatency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Object{}, &platform.UnavailableError{Op: "get", RetryAfter: 3 * time.Second, Err: context.DeadlineExceeded}
+	}
+	o, ok := s.objects[key]
+	if !ok {
+		return o, &platform.NotFoundError{Key: key}
+	}
+	return o, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+	time.Sleep(callLatency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.puts++
+	if s.down {
+		return 0, &platform.UnavailableError{Op: "put", Err: context.DeadlineExceeded}
+	}
+	if have := s.objects[key].Version; have != expect {
+		return 0, &platform.ConflictError{Key: key, Expected: expect, Actual: have}
+	}
+	s.version++
+	s.objects[key] = platform.Object{Key: key, Value: value, Version: s.version}
+	if s.loseNext > 0 {
+		s.loseNext--
+		return 0, &platform.UnavailableError{Op: "put", Err: context.DeadlineExceeded}
+	}
+	return s.version, nil
+}
+
+// fakeAsker answers every inquiry alike.
+type fakeAsker struct {
+	mu    sync.Mutex
+	state wire.AttemptState
+	err   error
+	asked []ident.Attempt
+}
+
+func (a *fakeAsker) Inquire(_ context.Context, _ Target, attempt ident.Attempt) (wire.AttemptState, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.asked = append(a.asked, attempt)
+	return a.state, a.err
+}
+
+type rig struct {
+	*Keeper
+	store *fakeStore
+	asker *fakeAsker
+}
+
+func newRig(t *testing.T, store *fakeStore, name string, change func(*Options)) *rig {
+	asker := &fakeAsker{state: wire.AttemptRunning}
+	n := 0
+	var mu sync.Mutex
+	o := Options{
+		Environment: "muotiennuste", Store: store, Asker: asker, Buckets: 1,
+		Window: func() time.Duration { return time.Hour },
+		NewAttempt: func() ident.Attempt {
+			mu.Lock()
+			defer mu.Unlock()
+			n++
+			return ident.Attempt(fmt.Sprintf("%s-%d", name, n))
+		},
+	}
+	if change != nil {
+		change(&o)
+	}
+	k := New(o)
+	t.Cleanup(k.Close)
+	return &rig{Keeper: k, store: store, asker: asker}
+}
+
+func chooseA() (Target, error) { return Target{VM: "a", Incarnation: 1}, nil }
+func chooseB() (Target, error) { return Target{VM: "b", Incarnation: 2}, nil }
+
+func (r *rig) begin(t *testing.T, key, fingerprint string) Outcome {
+	t.Helper()
+	out, err := r.Begin(t.Context(), key, fingerprint, chooseA)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func TestFirstCallDispatchesAndSecondAsks(t *testing.T) {
+	tests := []struct {
+		name  string
+		state wire.AttemptState
+		err   error
+		want  Kind
+	}{
+		{"running is joined", wire.AttemptRunning, nil, Join},
+		{"finished is joined", wire.AttemptFinished, nil, Join},
+		{"agent restarted", wire.AttemptUnknown, nil, Unknown},
+		{"agent unreachable", "", context.DeadlineExceeded, Unknown},
+		{"not run is moved", wire.AttemptNotRun, nil, Dispatch},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				first := newRig(t, store, "r1", nil).begin(t, "k", "f")
+				if first.Kind != Dispatch || first.Attempt != "r1-1" {
+					t.Fatalf("first call: %+v", first)
+				}
+				r2 := newRig(t, store, "r2", nil)
+				r2.asker.state, r2.asker.err = test.state, test.err
+				second := r2.begin(t, "k", "f")
+				if second.Kind != test.want {
+					t.Fatalf("second call: %+v", second)
+				}
+				if moved := second.Attempt != first.Attempt; moved != (test.want == Dispatch) {
+					t.Fatalf("second call has attempt %q", second.Attempt)
+				}
+				if len(r2.asker.asked) != 1 || r2.asker.asked[0] != first.Attempt {
+					t.Fatalf("asked for %v", r2.asker.asked)
+				}
+			})
+		})
+	}
+}
+
+func TestKeyWithAnotherRequestIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, newFakeStore(), "r", nil)
+		r.begin(t, "k", "f")
+		_, err := r.Begin(t.Context(), "k", "other", chooseA)
+		var reused *KeyReusedError
+		if !errors.As(err, &reused) {
+			t.Fatalf("got %v", err)
+		}
+	})
+}
+
+func TestNotRunMovesWithoutAsking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, newFakeStore(), "r", nil)
+		first := r.begin(t, "k", "f")
+		r.NotRun(t.Context(), "k", first.Attempt)
+		second, err := r.Begin(t.Context(), "k", "f", chooseB)
+		if err != nil || second.Kind != Dispatch || second.Target.VM != "b" || second.Attempt == first.Attempt {
+			t.Fatalf("got %+v, %v", second, err)
+		}
+		if len(r.asker.asked) != 0 {
+			t.Fatalf("asked for %v", r.asker.asked)
+		}
+	})
+}
+
+func TestReleasedClaimNeedsNoAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		r := newRig(t, store, "r", nil)
+		first := r.begin(t, "k", "f")
+		if err := r.Release(t.Context(), "k", first.Attempt); err != nil {
+			t.Fatal(err)
+		}
+		other := newRig(t, store, "o", nil)
+		other.asker.state = wire.AttemptUnknown
+		if out := other.begin(t, "k", "f"); out.Kind != Dispatch {
+			t.Fatalf("got %+v", out)
+		}
+	})
+}
+
+func TestLostAnswerIsFoundAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.loseNext = 1
+		r := newRig(t, store, "r", nil)
+		if out := r.begin(t, "k", "f"); out.Kind != Dispatch || out.Attempt != "r-1" {
+			t.Fatalf("got %+v", out)
+		}
+		if store.puts != 1 {
+			t.Fatalf("%d writes, want 1", store.puts)
+		}
+	})
+}
+
+func TestPlatformAwayIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.down = true
+		r := newRig(t, store, "r", nil)
+		start := time.Now()
+		_, err := r.Begin(t.Context(), "k", "f", chooseA)
+		var away *PlatformError
+		if !errors.As(err, &away) || away.RetryAfter != 3*time.Second {
+			t.Fatalf("got %v", err)
+		}
+		if took := time.Since(start); took > callLatency {
+			t.Fatalf("took %v", took)
+		}
+		store.down = false
+		if out := r.begin(t, "k", "f"); out.Kind != Dispatch {
+			t.Fatalf("after the outage: %+v", out)
+		}
+	})
+}
+
+func TestWaitingClaimsShareAWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callers = 100
+		store := newFakeStore()
+		r := newRig(t, store, "r", nil)
+		var wg sync.WaitGroup
+		for i := range callers {
+			wg.Go(func() {
+				out, err := r.Begin(t.Context(), fmt.Sprint("k", i), "f", chooseA)
+				if err != nil || out.Kind != Dispatch {
+					t.Errorf("got %+v, %v", out, err)
+				}
+			})
+		}
+		wg.Wait()
+		if store.puts > 2 {
+			t.Fatalf("%d writes for %d claims", store.puts, callers)
+		}
+	})
+}
+
+func TestKeyOlderThanTheWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, newFakeStore(), "r", nil)
+		r.begin(t, "k", "f")
+		time.Sleep(time.Hour + time.Second)
+		_, err := r.Begin(t.Context(), "k", "f", chooseA)
+		var expired *ExpiredError
+		if !errors.As(err, &expired) || expired.Window != time.Hour {
+			t.Fatalf("got %v", err)
+		}
+		time.Sleep(rememberWindows * time.Hour)
+		if out := r.begin(t, "k", "f"); out.Kind != Dispatch {
+			t.Fatalf("got %+v", out)
+		}
+	})
+}
+
+func TestFullBucketRefusesNewClaimsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, newFakeStore(), "r", func(o *Options) { o.BucketBytes = 160 })
+		r.begin(t, "k1", "f")
+		r.begin(t, "k2", "f")
+		_, err := r.Begin(t.Context(), "k3", "f", chooseA)
+		var overflow *OverflowError
+		if !errors.As(err, &overflow) || overflow.RetryAfter <= 0 || overflow.RetryAfter > time.Hour {
+			t.Fatalf("got %v", err)
+		}
+		r.asker.state = wire.AttemptNotRun
+		if out := r.begin(t, "k1", "f"); out.Kind != Dispatch {
+			t.Fatalf("move in a full bucket: %+v", out)
+		}
+	})
+}
+
+func TestCloseEndsWaitingCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, newFakeStore(), "r", nil)
+		r.Close()
+		_, err := r.Begin(t.Context(), "k", "f", chooseA)
+		var closed *ClosedError
+		if !errors.As(err, &closed) {
+			t.Fatalf("got %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/claim/key_reused_error.go
@@ -0,0 +1,8 @@
+package claim
+
+// KeyReusedError reports a key that was claimed for another request. This
+// request was not run.
+type KeyReusedError struct{}
+
+// Error implements error.
+func (e *KeyReusedError) Error() string { return "idempotency key was used for another request" }
--- /dev/null
+++ b/claim/target.go
@@ -0,0 +1,9 @@
+package claim
+
+import "github.com/laureltally/laureltally/ident"
+
+// Target is the agent that an attempt is meant for.
+type Target struct {
+	VM          ident.VM
+	Incarnation ident.Incarnation
+}
