--- a/agent/agent.go
+++ b/agent/agent.go
@@ -50,7 +50,7 @@
 	stopping, stop := context.WithCancel(context.Background())
 	a := &Agent{
 		o:        o,
-		answers:  answer.NewRegistry(answer.Options{Now: o.Now, Log: o.Logger}),
+		answers:  answer.New(answer.Options{Now: o.Now, Log: o.Logger}),
 		stopping: stopping,
 		stop:     stop,
 		table:    attempt.NewTable(attempt.Options{Incarnation: o.Incarnation}),
--- a/agent/stream.go
+++ b/agent/stream.go
@@ -22,6 +22,8 @@
 		a.handleInquire(m, s)
 	case *wire.Cancel:
 		a.cancel(m.Attempt)
+	case *wire.Wake:
+		a.wake(m)
 	case *wire.Subscribe:
 		a.reports.serve(ctx, s)
 	default:
@@ -65,6 +67,18 @@
 	}
 }
 
+// wake loads a model for requests that will come.
+func (a *Agent) wake(m *wire.Wake) {
+	if a.draining.Load() {
+		return
+	}
+	l, err := a.lane(m.Model)
+	if err != nil {
+		return
+	}
+	a.ensureLoaded(l, &wire.Dispatch{Model: m.Model, Priority: m.Priority})
+}
+
 // relay sends the answer of an attempt from offset on, until its end.
 func (a *Agent) relay(ctx context.Context, id ident.Attempt, offset int64, s *transport.Stream) {
 	r, err := a.answers.Attach(id, offset)
--- /dev/null
+++ b/router/admin.go
@@ -0,0 +1,24 @@
+package router
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/gorilla/mux"
+)
+
+// serveAdmin serves health and status to operators and scrapers.
+func (s *Server) serveAdmin() (*http.Server, error) {
+	ln, err := net.Listen("tcp", s.o.Settings.AdminListen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", s.handleHealth)
+	r.HandleFunc("/readyz", s.handleReady)
+	r.HandleFunc("/admin/status", s.handleStatus)
+	server := s.httpServer(r)
+	go func() { _ = server.Serve(ln) }()
+	return server, nil
+}
--- /dev/null
+++ b/router/choose.go
@@ -0,0 +1,190 @@
+package router
+
+import (
+	"errors"
+	"time"
+
+	"github.com/laureltally/laureltally/coldstart"
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/routing"
+	"github.com/laureltally/laureltally/wire"
+)
+
+const (
+	// noReplicaRetryAfter is told to callers while no VM may serve a model.
+	noReplicaRetryAfter = 2 * time.Second
+	// minRetryAfter is the least that a refused caller is told to wait.
+	minRetryAfter = 100 * time.Millisecond
+)
+
+// choose picks the agent for the next attempt of a request. avoid holds the VMs
+// that have refused or failed it.
+func (f *fleet) choose(req *Request, avoid map[ident.VM]bool) (target, *Failure) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.s.o.Now()
+	if !req.IsModel() {
+		return f.chooseWarmLocked(now, req, routing.Target{Upstream: req.Upstream}, avoid)
+	}
+	choice, failure := f.chooseSlotLocked(now, req, avoid)
+	if failure != nil {
+		return target{}, failure
+	}
+	route := routing.Target{Upstream: req.Upstream, Model: req.Target.Model.Name}
+	if choice.Action == coldstart.Serve {
+		if t, failure := f.chooseWarmLocked(now, req, route, avoid); failure == nil {
+			return t, nil
+		}
+	}
+	return f.targetLocked(now, choice.VM, route), nil
+}
+
+func (f *fleet) chooseSlotLocked(now time.Time, req *Request, avoid map[ident.VM]bool) (coldstart.Choice, *Failure) {
+	m := req.Target.Model
+	q := coldstart.Query{
+		Model:    m.Name,
+		MemoryMB: m.MemoryMB + m.KVCacheMB,
+		Now:      now,
+		Deadline: req.Deadline,
+	}
+	for id, u := range f.byModel[m.Name] {
+		if u.report == nil || u.listed.Upstream != req.Upstream {
+			continue
+		}
+		r, _ := u.model(m.Name)
+		q.Slots = append(q.Slots, coldstart.Slot{VM: id, Fence: r.Fence})
+		q.Candidates = append(q.Candidates, f.candidateLocked(now, u, r, m.Concurrency, avoid))
+	}
+	choice, err := f.cold.Choose(q)
+	if err != nil {
+		return coldstart.Choice{}, noReplica(err)
+	}
+	if !choice.InTime(now, req.Deadline) {
+		return choice, tooLate(now, choice, req)
+	}
+	return choice, nil
+}
+
+func (f *fleet) candidateLocked(now time.Time, u *upstreamVM, r wire.ModelReport, concurrency int, avoid map[ident.VM]bool) coldstart.Candidate {
+	blocked := f.ejectorLocked(u.listed.Upstream).Status(now, u.listed.ID).Blocked
+	return coldstart.Candidate{
+		VM:          u.listed.ID,
+		Region:      u.listed.Region,
+		Zone:        u.listed.Zone,
+		Tier:        r.Tier,
+		Phase:       r.Phase,
+		FreeMB:      u.report.FreeMB,
+		Running:     r.Running,
+		Waiting:     r.Waiting,
+		Concurrency: concurrency,
+		Reachable:   u.available() && !avoid[u.listed.ID] && !blocked && r.Phase != engine.PhaseUnloading,
+	}
+}
+
+func noReplica(err error) *Failure {
+	code := wire.CodeInternal
+	var noSlot *coldstart.NoSlotError
+	if errors.As(err, &noSlot) {
+		code = wire.CodeNoReplica
+	}
+	f := notRun(code, "%v", err)
+	f.RetryAfter = noReplicaRetryAfter
+	return f
+}
+
+// tooLate refuses a request whose answer is not expected in time. The caller is
+// told to come back when the model should be loaded.
+func tooLate(now time.Time, c coldstart.Choice, req *Request) *Failure {
+	f := notRun(wire.CodeDeadline, "the first token is expected in %v, after the deadline in %v", c.FirstToken, req.Deadline.Sub(now))
+	f.RetryAfter = max(c.FirstToken, minRetryAfter)
+	return f
+}
+
+// chooseWarmLocked picks among the VMs that serve the target now.
+func (f *fleet) chooseWarmLocked(now time.Time, req *Request, route routing.Target, avoid map[ident.VM]bool) (target, *Failure) {
+	id, _, err := f.table.Choose(now, routing.Lookup{
+		Request: routing.Request{
+			Region:        f.s.o.Settings.Region,
+			Zone:          f.s.o.Settings.Zone,
+			Affinity:      req.PrefixHash,
+			Exclude:       anyOf(avoid),
+			AllowCrossing: true,
+		},
+		Target:  route,
+		Adapter: req.Target.Adapter,
+		Prefix:  req.PrefixHash,
+		Health:  f.healthLocked,
+	})
+	if err != nil {
+		failure := notRun(wire.CodeNoReplica, "%v", err)
+		failure.RetryAfter = noReplicaRetryAfter
+		return target{}, failure
+	}
+	u, ok := f.vms[id]
+	if !ok || !u.available() || avoid[id] {
+		failure := notRun(wire.CodeNoReplica, "no upstream of %s can be reached", req.Upstream)
+		failure.RetryAfter = noReplicaRetryAfter
+		return target{}, failure
+	}
+	return f.targetLocked(now, id, route), nil
+}
+
+// healthLocked is what outlier detection and the connection say of a VM.
+func (f *fleet) healthLocked(now time.Time, id ident.VM) routing.Health {
+	u, ok := f.vms[id]
+	if !ok || !u.available() {
+		return routing.Health{Ejected: true}
+	}
+	status := f.ejectorLocked(u.listed.Upstream).Status(now, id)
+	return routing.Health{Ejected: status.Blocked, Share: status.Share}
+}
+
+func anyOf(set map[ident.VM]bool) ident.VM {
+	for id := range set {
+		return id
+	}
+	return ""
+}
+
+// targetLocked counts the attempt as started.
+func (f *fleet) targetLocked(now time.Time, id ident.VM, route routing.Target) target {
+	u := f.vms[id]
+	f.table.Started(now, id)
+	f.ejectorLocked(u.listed.Upstream).Started(now, id)
+	return target{
+		vm:          id,
+		address:     u.listed.Address,
+		incarnation: u.report.Incarnation,
+		upstream:    u.listed.Upstream,
+		route:       route,
+		started:     now,
+	}
+}
+
+// ended counts the end of an attempt that choose has started.
+func (f *fleet) ended(t target, failure *Failure) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.s.o.Now()
+	took := now.Sub(t.started)
+	if failure != nil {
+		took = 0
+	}
+	f.table.Ended(now, t.vm, t.route, took)
+	f.ejectorLocked(t.upstream).Ended(now, t.vm, !blames(failure))
+}
+
+// blames tells whether a failure speaks against the VM. Refusals because of
+// load or rights do not.
+func blames(failure *Failure) bool {
+	if failure == nil {
+		return false
+	}
+	switch failure.Code {
+	case wire.CodeUpstreamFailed, wire.CodeUpstreamLost, wire.CodeInternal:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/router/delivery.go
@@ -0,0 +1,212 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/laureltally/laureltally/claim"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/retry"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// delivery is the work on one request: attempts until one gives a whole answer
+// or the failure is final.
+type delivery struct {
+	s     *Server
+	env   *environment
+	req   *Request
+	out   sink
+	limit *time.Timer
+	// avoid holds the VMs that have refused or failed the request.
+	avoid    map[ident.VM]bool
+	attempts int
+	// refuted is the latest claimed attempt that was not run.
+	refuted ident.Attempt
+}
+
+// run returns nil after a whole answer.
+func (d *delivery) run(ctx context.Context) *Failure {
+	d.avoid = make(map[ident.VM]bool)
+	for {
+		failure := d.once(ctx)
+		if failure == nil {
+			return nil
+		}
+		if ctx.Err() != nil || !d.again(ctx, failure) {
+			d.releaseRefuted(failure)
+			return failure
+		}
+	}
+}
+
+// once makes one attempt, claimed if the request needs a claim.
+func (d *delivery) once(ctx context.Context) *Failure {
+	d.attempts++
+	if d.req.NonIdempotent && d.req.Key != "" {
+		return d.claimed(ctx)
+	}
+	t, failure := d.s.fleet.choose(d.req, d.avoid)
+	if failure != nil {
+		d.wakeIfLate(failure)
+		return failure
+	}
+	x := &exchange{d: d, target: t, attempt: d.s.minter.Plain()}
+	failure = x.dispatch(ctx)
+	d.s.fleet.ended(t, failure)
+	if failure != nil {
+		d.avoid[t.vm] = true
+	}
+	return failure
+}
+
+// again waits for the next attempt if there may be one.
+func (d *delivery) again(ctx context.Context, f *Failure) bool {
+	now := d.s.o.Now()
+	decision := d.env.decide(now, retry.Failure{
+		Run:         f.Run,
+		Code:        f.Code,
+		Idempotent:  !d.req.NonIdempotent,
+		Attempts:    d.attempts,
+		Deadline:    d.req.Deadline,
+		AnswerBegun: d.out.Started(),
+	})
+	if !decision.Retry {
+		return false
+	}
+	d.s.o.Metrics.Counter("retries").Inc(1)
+	wait := time.NewTimer(decision.At.Sub(now))
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// claimed makes one attempt of a keyed non-idempotent request.
+func (d *delivery) claimed(ctx context.Context) *Failure {
+	var chosen *target
+	key := claim.ScopedKey(d.req.Caller, d.req.Key)
+	print := claim.Fingerprint(d.req.Method, d.req.Path, d.req.Body)
+	outcome, err := d.env.claims.Begin(ctx, key, print, func() (claim.Target, error) {
+		t, failure := d.s.fleet.choose(d.req, d.avoid)
+		if failure != nil {
+			return claim.Target{}, failure
+		}
+		chosen = &t
+		return claim.Target{VM: t.vm, Incarnation: t.incarnation}, nil
+	})
+	if err != nil {
+		d.discard(chosen)
+		return claimFailure(err)
+	}
+	switch outcome.Kind {
+	case claim.Dispatch:
+		return d.dispatchClaimed(ctx, key, outcome, *chosen)
+	case claim.Join:
+		d.discard(chosen)
+		return d.join(ctx, key, outcome)
+	default:
+		d.discard(chosen)
+		return &Failure{Code: wire.CodeUpstreamLost, Run: wire.RunUnknown, Detail: "an earlier attempt with this key may have run; its upstream cannot tell any more"}
+	}
+}
+
+func (d *delivery) dispatchClaimed(ctx context.Context, key string, o claim.Outcome, t target) *Failure {
+	x := &exchange{d: d, target: t, attempt: o.Attempt, claimed: true}
+	failure := x.dispatch(ctx)
+	d.s.fleet.ended(t, failure)
+	return d.settle(ctx, key, o, failure)
+}
+
+// join attaches to an attempt that another request with the key has begun.
+func (d *delivery) join(ctx context.Context, key string, o claim.Outcome) *Failure {
+	vm, ok := d.s.fleet.find(o.Target.VM)
+	if !ok {
+		return &Failure{Code: wire.CodeUpstreamLost, Run: wire.RunUnknown, Detail: "the upstream of the earlier attempt is gone"}
+	}
+	t := target{vm: vm.ID, address: vm.Address, incarnation: o.Target.Incarnation}
+	x := &exchange{d: d, target: t, attempt: o.Attempt, claimed: true}
+	return d.settle(ctx, key, o, x.attach(ctx))
+}
+
+// settle tells the claims that an attempt was not run, so that the next one may
+// take its place.
+func (d *delivery) settle(ctx context.Context, key string, o claim.Outcome, f *Failure) *Failure {
+	if f == nil || f.Run != wire.RunNot {
+		return f
+	}
+	d.avoid[o.Target.VM] = true
+	d.env.claims.NotRun(ctx, key, o.Attempt)
+	d.refuted = o.Attempt
+	return f
+}
+
+// releaseTimeout bounds the call that frees a claim.
+const releaseTimeout = 2 * time.Second
+
+// releaseRefuted frees the claim of a request that is given up as not run.
+func (d *delivery) releaseRefuted(f *Failure) {
+	if d.refuted == "" || f.Run != wire.RunNot {
+		return
+	}
+	d.s.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		key := claim.ScopedKey(d.req.Caller, d.req.Key)
+		if err := d.env.claims.Release(ctx, key, d.refuted); err != nil {
+			d.s.o.Logger.WithError(err).WithField("attempt", d.refuted).Debug("claim not released")
+		}
+	})
+}
+
+// discard ends the count of a target that was chosen but not used.
+func (d *delivery) discard(t *target) {
+	if t != nil {
+		d.s.fleet.ended(*t, notRun(wire.CodeCanceled, "not used"))
+	}
+}
+
+// claimFailure turns an error of package claim into a failure. All of them mean
+// that this call was not run.
+func claimFailure(err error) *Failure {
+	var (
+		own      *Failure
+		reused   *claim.KeyReusedError
+		expired  *claim.ExpiredError
+		overflow *claim.OverflowError
+		down     *claim.PlatformError
+	)
+	f := notRun(wire.CodeInternal, "%v", err)
+	switch {
+	case errors.As(err, &own):
+		return own
+	case errors.As(err, &reused):
+		f.Code = wire.CodeKeyReused
+	case errors.As(err, &expired):
+		f.Code = wire.CodeAnswerGone
+	case errors.As(err, &overflow):
+		f.Code = wire.CodeOverloaded
+		f.RetryAfter = overflow.RetryAfter
+	case errors.As(err, &down):
+		f.Code = wire.CodePlatformDown
+		f.RetryAfter = down.RetryAfter
+	case errors.Is(err, context.DeadlineExceeded):
+		f.Code = wire.CodeDeadline
+	case errors.Is(err, context.Canceled):
+		f.Code = wire.CodeCanceled
+	}
+	return f
+}
+
+// wakeIfLate lets a model be loaded although the request was refused because
+// the load would take too long for it, so that the caller finds it loaded.
+func (d *delivery) wakeIfLate(f *Failure) {
+	if f.Code != wire.CodeDeadline || !d.req.IsModel() {
+		return
+	}
+	d.s.background.Go(func() { d.s.wake(d.req) })
+}
--- /dev/null
+++ b/router/environment.go
@@ -0,0 +1,117 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/laureltally/laureltally/admission"
+	"github.com/laureltally/laureltally/attempt"
+	"github.com/laureltally/laureltally/catalog"
+	"github.com/laureltally/laureltally/claim"
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/retry"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// configRetryAfter is told to callers while no configuration is in force.
+const configRetryAfter = time.Second
+
+// environment is the router's state of one environment.
+type environment struct {
+	name    ident.Environment
+	catalog atomic.Pointer[catalog.Catalog]
+	claims  *claim.Keeper
+
+	mu      sync.Mutex
+	limiter *admission.Limiter
+	budget  *retry.Budget
+	retries *retry.Policy
+}
+
+func newEnvironment(s *Server, name ident.Environment) (*environment, error) {
+	limiter, err := admission.NewLimiter(admission.LimiterOptions{}, s.splitRand())
+	if err != nil {
+		return nil, fmt.Errorf("rate limits: %w", err)
+	}
+	budget, err := retry.NewBudget(retry.BudgetOptions{})
+	if err != nil {
+		return nil, fmt.Errorf("retry budget: %w", err)
+	}
+	retries, err := retry.New(retry.Options{Budget: budget, Rand: s.splitRand()})
+	if err != nil {
+		return nil, fmt.Errorf("retry policy: %w", err)
+	}
+	e := &environment{name: name, limiter: limiter, budget: budget, retries: retries}
+	jitter := s.splitRand()
+	e.claims = claim.New(claim.Options{
+		Environment: name,
+		Store:       s.o.Store,
+		Asker:       s,
+		NewAttempt:  s.minter.Claimed,
+		Window:      e.claimWindow,
+		Now:         s.o.Now,
+		Jitter:      lockedFloat(jitter),
+		Log:         s.o.Logger,
+	})
+	return e, nil
+}
+
+// lockedFloat makes a source safe for concurrent use.
+func lockedFloat(r *rand.Rand) func() float64 {
+	var mu sync.Mutex
+	return func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return r.Float64()
+	}
+}
+
+func (e *environment) claimWindow() time.Duration {
+	c := e.catalog.Load()
+	if c == nil {
+		return claim.DefaultWindow
+	}
+	return time.Duration(c.Document().Limits.ClaimWindow)
+}
+
+// admit applies the rate limits of the environment and of the caller.
+func (e *environment) admit(now time.Time, caller config.Caller) *Failure {
+	limits := e.catalog.Load().Document().Limits
+	keys := []admission.LimitKey{{Environment: e.name}, {Environment: e.name, Caller: caller.Name}}
+	rates := []admission.Rate{
+		{PerSecond: limits.RequestsPerSecond, Burst: limits.Burst},
+		{PerSecond: caller.RequestsPerSecond, Burst: caller.Burst},
+	}
+	e.mu.Lock()
+	after, ok := e.limiter.AllowAll(now, keys, rates)
+	e.mu.Unlock()
+	if ok {
+		return nil
+	}
+	f := notRun(wire.CodeRateLimited, "the rate limit of %s is reached", caller.Name)
+	f.RetryAfter = after
+	return f
+}
+
+// answered pays for later retries.
+func (e *environment) answered(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget.Success(now)
+}
+
+// decide tells whether a failed attempt is repeated.
+func (e *environment) decide(now time.Time, f retry.Failure) retry.Decision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.retries.Decide(now, f)
+}
+
+var _ claim.Asker = (*Server)(nil)
+
+// minter is where attempts get their names.
+type minter = attempt.Minter
--- /dev/null
+++ b/router/fleet.go
@@ -0,0 +1,186 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/laureltally/laureltally/coldstart"
+	"github.com/laureltally/laureltally/eject"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/routing"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// fleet is what the router knows of the upstream VMs. Its lock guards the
+// choosers, which are state machines without locks of their own.
+type fleet struct {
+	s *Server
+
+	mu       sync.Mutex
+	vms      map[ident.VM]*upstreamVM
+	byModel  map[ident.Model]map[ident.VM]*upstreamVM
+	table    *routing.Table
+	cold     *coldstart.Chooser
+	ejectors map[ident.Upstream]*eject.Ejector
+}
+
+func newFleet(s *Server) (*fleet, error) {
+	chooser, err := routing.New(routing.Options{Rand: s.splitRand()})
+	if err != nil {
+		return nil, fmt.Errorf("routing: %w", err)
+	}
+	cold, err := coldstart.New(coldstart.Config{Region: s.o.Settings.Region, Zone: s.o.Settings.Zone})
+	if err != nil {
+		return nil, fmt.Errorf("cold start: %w", err)
+	}
+	return &fleet{
+		s:        s,
+		vms:      make(map[ident.VM]*upstreamVM),
+		byModel:  make(map[ident.Model]map[ident.VM]*upstreamVM),
+		table:    routing.NewTable(chooser),
+		cold:     cold,
+		ejectors: make(map[ident.Upstream]*eject.Ejector),
+	}, nil
+}
+
+// listInterval is how often the list of VMs is read.
+const listInterval = time.Second
+
+// run follows the list of VMs until ctx ends.
+func (f *fleet) run(ctx context.Context) {
+	tick := time.NewTicker(listInterval)
+	defer tick.Stop()
+	for {
+		f.refresh(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// refresh reads the list once. A list that cannot be read changes nothing.
+func (f *fleet) refresh(ctx context.Context) {
+	listed, err := f.s.o.VMs.ListVMs(ctx)
+	if err != nil {
+		f.s.o.Logger.WithError(err).Debug("list of VMs not read")
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := make(map[ident.VM]bool, len(listed))
+	for _, vm := range listed {
+		if vm.Role != platform.RoleAgent {
+			continue
+		}
+		seen[vm.ID] = true
+		f.listedLocked(ctx, vm)
+	}
+	for id, u := range f.vms {
+		if !seen[id] {
+			f.removeLocked(u)
+		}
+	}
+}
+
+func (f *fleet) listedLocked(ctx context.Context, vm platform.VM) {
+	if u, ok := f.vms[vm.ID]; ok {
+		u.listed.Leaving = u.listed.Leaving || vm.Leaving
+		return
+	}
+	sub, stop := context.WithCancel(ctx)
+	u := &upstreamVM{listed: vm, stop: stop}
+	f.vms[vm.ID] = u
+	f.ejectorLocked(vm.Upstream).Add(vm.ID)
+	f.s.background.Go(func() { f.subscribe(sub, u) })
+}
+
+func (f *fleet) removeLocked(u *upstreamVM) {
+	u.stop()
+	u.gone = true
+	delete(f.vms, u.listed.ID)
+	f.table.Remove(u.listed.ID)
+	f.ejectorLocked(u.listed.Upstream).Remove(u.listed.ID)
+	for _, holders := range f.byModel {
+		delete(holders, u.listed.ID)
+	}
+}
+
+func (f *fleet) ejectorLocked(name ident.Upstream) *eject.Ejector {
+	e, ok := f.ejectors[name]
+	if ok {
+		return e
+	}
+	e, err := eject.New(eject.Options{Rand: f.s.splitRand()})
+	if err != nil {
+		// The options are constant, so a failure is a mistake in this package.
+		panic(err)
+	}
+	f.ejectors[name] = e
+	return e
+}
+
+// take applies a report of the agent beside u.
+func (f *fleet) take(u *upstreamVM, r *wire.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if u.gone || !u.newer(r) {
+		return
+	}
+	now := f.s.o.Now()
+	f.noteLoadsLocked(u, r, now)
+	u.report = r
+	f.table.Report(now, r, 0)
+	f.indexLocked(u)
+}
+
+// indexLocked files u under the models that it has or may load.
+func (f *fleet) indexLocked(u *upstreamVM) {
+	id := u.listed.ID
+	for _, m := range u.indexed {
+		delete(f.byModel[m], id)
+	}
+	u.indexed = u.indexed[:0]
+	for _, m := range u.report.Models {
+		if m.Fence == 0 && m.Phase == "" {
+			continue
+		}
+		holders, ok := f.byModel[m.Model]
+		if !ok {
+			holders = make(map[ident.VM]*upstreamVM)
+			f.byModel[m.Model] = holders
+		}
+		holders[id] = u
+		u.indexed = append(u.indexed, m.Model)
+	}
+}
+
+// noteLoadsLocked tells the cold-start chooser of loads that have ended.
+func (f *fleet) noteLoadsLocked(u *upstreamVM, r *wire.Report, now time.Time) {
+	for _, m := range r.Models {
+		before, _ := u.model(m.Model)
+		u.noteLoad(before, m, now, f.cold)
+	}
+}
+
+// setConnected records whether u's reports arrive.
+func (f *fleet) setConnected(u *upstreamVM, connected bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u.connected = connected
+}
+
+// find returns where an agent is, if it is still listed.
+func (f *fleet) find(id ident.VM) (platform.VM, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u, ok := f.vms[id]
+	if !ok {
+		return platform.VM{}, false
+	}
+	return u.listed, true
+}
--- /dev/null
+++ b/router/inquire.go
@@ -0,0 +1,31 @@
+package router
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/laureltally/laureltally/claim"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// Inquire implements claim.Asker.
+func (s *Server) Inquire(ctx context.Context, t claim.Target, id ident.Attempt) (wire.AttemptState, error) {
+	vm, ok := s.fleet.find(t.VM)
+	if !ok {
+		return "", &unlistedError{vm: t.VM}
+	}
+	conn, err := s.pool.Get(ctx, vm.ID, vm.Address)
+	if err != nil {
+		return "", fmt.Errorf("inquire: %w", err)
+	}
+	m, err := conn.Call(ctx, &wire.Inquire{Attempt: id, Incarnation: t.Incarnation})
+	if err != nil {
+		return "", fmt.Errorf("inquire: %w", err)
+	}
+	v, ok := m.(*wire.Verdict)
+	if !ok || v.Attempt != id {
+		return "", &wire.KindError{Kind: m.Kind()}
+	}
+	return v.State, nil
+}
--- /dev/null
+++ b/router/options.go
@@ -0,0 +1,51 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/transport"
+)
+
+// Options configures a Server.
+type Options struct {
+	Settings    config.RouterSettings
+	Store       platform.Store
+	VMs         platform.VMLister
+	Credentials transport.Credentials
+	Incarnation ident.Incarnation
+	Logger      log.Interface
+	Metrics     tally.Scope
+	Now         func() time.Time
+	Rand        *rand.Rand
+	// BodyTimeout is how long a caller may take to send a body.
+	BodyTimeout time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.Logger == nil {
+		o.Logger = log.Log
+	}
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	for o.Incarnation == 0 {
+		o.Incarnation = ident.Incarnation(rand.Uint64())
+	}
+	if o.BodyTimeout == 0 {
+		o.BodyTimeout = bodyTimeout
+	}
+	return o
+}
--- /dev/null
+++ b/router/server.go
@@ -0,0 +1,160 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/laureltally/laureltally/attempt"
+	"github.com/laureltally/laureltally/catalog"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/transport"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// Server is a router.
+type Server struct {
+	o            Options
+	minter       *minter
+	pool         *transport.Pool
+	fleet        *fleet
+	environments map[ident.Environment]*environment
+	draining     atomic.Bool
+	background   sync.WaitGroup
+
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+// New returns a router that serves nothing until Run.
+func New(o Options) (*Server, error) {
+	o = o.withDefaults()
+	s := &Server{
+		o:            o,
+		minter:       attempt.NewMinter(o.Settings.VM, o.Incarnation),
+		environments: make(map[ident.Environment]*environment),
+		rand:         o.Rand,
+	}
+	s.pool = transport.NewPool(transport.Options{Hello: s.hello(), Credentials: o.Credentials, Logger: o.Logger})
+	f, err := newFleet(s)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	s.fleet = f
+	for _, name := range o.Settings.Environments {
+		e, err := newEnvironment(s, name)
+		if err != nil {
+			return nil, fmt.Errorf("environment %s: %w", name, err)
+		}
+		s.environments[name] = e
+	}
+	return s, nil
+}
+
+func (s *Server) hello() wire.Hello {
+	return wire.Hello{
+		VM:          s.o.Settings.VM,
+		Incarnation: s.o.Incarnation,
+		Role:        platform.RoleRouter,
+		Region:      s.o.Settings.Region,
+		Zone:        s.o.Settings.Zone,
+	}
+}
+
+// splitRand returns an independent source.
+func (s *Server) splitRand() *rand.Rand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rand.New(rand.NewPCG(s.rand.Uint64(), s.rand.Uint64()))
+}
+
+const (
+	// readHeaderTimeout is how long a caller may take to send the headers.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout closes idle connections of callers.
+	idleTimeout = 120 * time.Second
+	// noticeTime is how long the balancer is given to see that the router is no
+	// longer ready.
+	noticeTime = 200 * time.Millisecond
+	// defaultShutdownTimeout bounds a graceful shutdown.
+	defaultShutdownTimeout = 60 * time.Second
+)
+
+// Run serves callers and operators until ctx ends, and then shuts down
+// gracefully: requests in progress are finished.
+func (s *Server) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", s.o.Settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	return s.Serve(ctx, callers)
+}
+
+// Serve is Run with a listener for callers that is open already.
+func (s *Server) Serve(ctx context.Context, callers net.Listener) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	s.start(work)
+	server := s.httpServer(s.callerRoutes())
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(callers) }()
+	admin, err := s.serveAdmin()
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve callers: %w", err)
+	case <-ctx.Done():
+	}
+	s.shutdown(server, admin)
+	stop()
+	s.background.Wait()
+	s.pool.Close()
+	return nil
+}
+
+func (s *Server) httpServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+func (s *Server) start(ctx context.Context) {
+	s.background.Go(func() { s.fleet.run(ctx) })
+	for _, env := range s.environments {
+		s.background.Go(func() {
+			catalog.Follow(ctx, s.o.Store, env.name, s.o.Logger, func(c *catalog.Catalog) { s.useDocument(env, c) })
+		})
+	}
+}
+
+// useDocument brings a version of a document in force.
+func (s *Server) useDocument(env *environment, c *catalog.Catalog) {
+	env.catalog.Store(c)
+	s.o.Logger.WithField("environment", env.name).WithField("version", uint64(c.Version())).Info("configuration in force")
+}
+
+func (s *Server) shutdown(servers ...*http.Server) {
+	timeout := time.Duration(s.o.Settings.ShutdownTimeout)
+	if timeout <= 0 {
+		timeout = defaultShutdownTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	s.draining.Store(true)
+	time.Sleep(noticeTime)
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			s.o.Logger.WithError(err).Warn("shutdown timeout")
+		}
+	}
+	for _, env := range s.environments {
+		env.claims.Close()
+	}
+	s.o.Logger.Info("stopped")
+}
--- /dev/null
+++ b/router/upstream_vm.go
@@ -0,0 +1,71 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/laureltally/laureltally/coldstart"
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// upstreamVM is one VM with an upstream, guarded by the fleet's lock.
+type upstreamVM struct {
+	listed    platform.VM
+	stop      context.CancelFunc
+	report    *wire.Report
+	connected bool
+	gone      bool
+	indexed   []ident.Model
+	// loadSince tells when a load was first reported.
+	loadSince map[ident.Model]time.Time
+	loadTier  map[ident.Model]engine.Tier
+}
+
+// newer tells whether r supersedes the report at hand.
+func (u *upstreamVM) newer(r *wire.Report) bool {
+	return u.report == nil || r.Incarnation != u.report.Incarnation || r.Seq > u.report.Seq
+}
+
+// available tells whether new work may be sent to the VM.
+func (u *upstreamVM) available() bool {
+	return u.report != nil && u.connected && !u.gone && !u.listed.Leaving && !u.report.Draining
+}
+
+func (u *upstreamVM) model(m ident.Model) (wire.ModelReport, bool) {
+	if u.report == nil {
+		return wire.ModelReport{}, false
+	}
+	for _, r := range u.report.Models {
+		if r.Model == m {
+			return r, true
+		}
+	}
+	return wire.ModelReport{}, false
+}
+
+// noteLoad follows the phases of a model over two reports and tells the chooser
+// how long a load took.
+func (u *upstreamVM) noteLoad(before, after wire.ModelReport, now time.Time, c *coldstart.Chooser) {
+	switch {
+	case after.Phase == engine.PhaseLoading && before.Phase != engine.PhaseLoading:
+		u.loadStarted(after.Model, before.Tier, now)
+	case after.Phase == engine.PhaseLoaded && before.Phase == engine.PhaseLoading:
+		if since, ok := u.loadSince[after.Model]; ok {
+			c.Loaded(after.Model, u.listed.ID, u.loadTier[after.Model], 0, now.Sub(since))
+		}
+	case after.Phase == "" && before.Phase == engine.PhaseLoading:
+		c.Failed(after.Model, u.listed.ID, now)
+	}
+}
+
+func (u *upstreamVM) loadStarted(m ident.Model, tier engine.Tier, now time.Time) {
+	if u.loadSince == nil {
+		u.loadSince = make(map[ident.Model]time.Time)
+		u.loadTier = make(map[ident.Model]engine.Tier)
+	}
+	u.loadSince[m] = now
+	u.loadTier[m] = tier
+}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -92,6 +92,8 @@
 		return new(Cancel), nil
 	case KindTicketRequest:
 		return new(TicketRequest), nil
+	case KindWake:
+		return new(Wake), nil
 	case KindTicket:
 		return new(Ticket), nil
 	default:
--- a/wire/kind.go
+++ b/wire/kind.go
@@ -24,4 +24,5 @@
 	KindCancel        Kind = 17
 	KindTicketRequest Kind = 18
 	KindTicket        Kind = 19
+	KindWake          Kind = 20
 )
--- /dev/null
+++ b/wire/wake.go
@@ -0,0 +1,19 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// Wake asks an agent to load a model for requests that will come. There is no
+// reply.
+type Wake struct {
+	Environment ident.Environment `cbor:"1,keyasint"`
+	Model       ident.Model       `cbor:"2,keyasint"`
+	Priority    ident.Priority    `cbor:"3,keyasint"`
+	Remaining   time.Duration     `cbor:"4,keyasint"`
+}
+
+// Kind implements Message.
+func (*Wake) Kind() Kind { return KindWake }
