--- /dev/null
+++ b/cmd/laureltally-standin/main_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+func TestExitCodes(t *testing.T) {
+	tests := []struct {
+		args   []string
+		code   int
+		stdout string
+	}{
+		{[]string{"--help"}, exitOK, "Commands:"},
+		{[]string{"engine", "--help"}, exitOK, "--checks-fences"},
+		{[]string{"--version"}, exitOK, "laureltally-standin "},
+		{nil, exitUsage, ""},
+		{[]string{"bogus"}, exitUsage, ""},
+		{[]string{"engine", "--memory-mb", "much"}, exitUsage, ""},
+		{[]string{"service", "--listen", "nowhere"}, exitFailed, ""},
+		{[]string{"platform", "--vms", "missing.json"}, exitFailed, ""},
+	}
+	for _, tt := range tests {
+		var stdout, stderr bytes.Buffer
+		if code := run(t.Context(), tt.args, &stdout, &stderr); code != tt.code {
+			t.Errorf("%v: exit code %d, want %d: %s", tt.args, code, tt.code, &stderr)
+		}
+		if !strings.Contains(stdout.String(), tt.stdout) || (tt.code != exitOK) != (stderr.Len() > 0) {
+			t.Errorf("%v: printed %q and %q", tt.args, &stdout, &stderr)
+		}
+	}
+}
+
+func TestEachServesUntilTheSignal(t *testing.T) {
+	paths := map[string]string{"platform": "/vms", "engine": "/v1/models", "service": "/archive/1", "weights": "/control/counters"}
+	for name, path := range paths {
+		t.Run(name, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			out, in := io.Pipe()
+			code := make(chan int, 1)
+			go func() { code <- run(ctx, []string{name, "--listen", "127.0.0.1:0"}, in, io.Discard) }()
+			line, err := bufio.NewReader(out).ReadString('\n')
+			if err != nil {
+				t.Fatal(err)
+			}
+			addr, ok := strings.CutPrefix(strings.TrimSpace(line), "ready ")
+			if !ok {
+				t.Fatalf("printed %q", line)
+			}
+			resp, err := http.Get("http://" + addr + path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				t.Errorf("status %d", resp.StatusCode)
+			}
+			stop()
+			if c := <-code; c != exitOK {
+				t.Errorf("exit code %d", c)
+			}
+		})
+	}
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -146,7 +146,7 @@
 	s := engine.State{
 		Instance:      fmt.Sprintf("life-%d", e.restarts),
 		Models:        []engine.ModelState{},
-		RunningOrders: slices.Sorted(maps.Keys(e.running)),
+		RunningOrders: append([]string{}, slices.Sorted(maps.Keys(e.running))...),
 		Tiers:         maps.Clone(e.tiers),
 		MemoryMB:      e.o.MemoryMB,
 		UsedMB:        e.usedMB(),
