--- a/agent/agent.go
+++ b/agent/agent.go
@@ -85,6 +85,11 @@
 	}
 	a.listener = ln
 	defer func() { _ = ln.Close() }()
+	closeAdmin, err := a.serveAdmin()
+	if err != nil {
+		return err
+	}
+	defer closeAdmin()
 	a.start()
 	<-ctx.Done()
 	a.shutdown()
--- a/agent/options.go
+++ b/agent/options.go
@@ -27,8 +27,10 @@
 	Incarnation ident.Incarnation
 	Logger      log.Interface
 	Metrics     tally.Scope
-	Now         func() time.Time
-	Rand        *rand.Rand
+	// MetricsHandler serves the metrics to scrapers; it may be nil.
+	MetricsHandler http.Handler
+	Now            func() time.Time
+	Rand           *rand.Rand
 }
 
 func (o Options) withDefaults() Options {
--- /dev/null
+++ b/dev/cluster.go
@@ -0,0 +1,279 @@
+package dev
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/laureltally/laureltally/agent"
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/engine/enginehttp"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/keys"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/platform/objecthttp"
+	"github.com/laureltally/laureltally/router"
+	"github.com/laureltally/laureltally/standin"
+)
+
+//go:embed document.jsonc
+var document []byte
+
+// Environment, Key and the rest of the embedded environment.
+const (
+	Environment ident.Environment = "dev"
+	// Key is the caller's key.
+	Key = "dev-key"
+
+	region   ident.Region   = "local"
+	zone     ident.Zone     = "local-a"
+	drafting ident.Upstream = "drafting"
+	portal   ident.Upstream = "portal"
+
+	engines        = 2
+	engineMemoryMB = 80 << 10
+	serviceCalls   = 32
+
+	remoteLoad      = 1500 * time.Millisecond
+	diskLoad        = 700 * time.Millisecond
+	memoryLoad      = 200 * time.Millisecond
+	unloadTime      = 50 * time.Millisecond
+	firstToken      = 40 * time.Millisecond
+	tokensPerSecond = 2000
+)
+
+// cluster is the running path.
+type cluster struct {
+	o        Options
+	dir      string
+	ca       *keys.Authority
+	base     string
+	vms      *standin.VMList
+	client   *objecthttp.Client
+	stop     context.CancelFunc
+	wg       sync.WaitGroup
+	closers  []func()
+	failures chan error
+}
+
+// Run serves until ctx ends and then stops every part gracefully.
+func Run(ctx context.Context, o Options) error {
+	c := &cluster{o: o.withDefaults(), failures: make(chan error, 1)}
+	defer c.close()
+	if err := c.startPlatform(); err != nil {
+		return err
+	}
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	for i := range engines {
+		if err := c.startEngine(inner, i); err != nil {
+			return err
+		}
+	}
+	if err := c.startService(inner); err != nil {
+		return err
+	}
+	return c.serveRouter(ctx, stop)
+}
+
+func (c *cluster) close() {
+	c.wg.Wait()
+	for i := len(c.closers) - 1; i >= 0; i-- {
+		c.closers[i]()
+	}
+}
+
+// startPlatform starts the object API and stores the document.
+func (c *cluster) startPlatform() error {
+	dir, err := os.MkdirTemp("", "laureltally-dev-")
+	if err != nil {
+		return fmt.Errorf("directory for keys: %w", err)
+	}
+	c.dir = dir
+	c.closers = append(c.closers, func() { _ = os.RemoveAll(dir) })
+	c.ca, err = keys.NewAuthority(keys.AuthorityOptions{Name: "dev"})
+	if err != nil {
+		return fmt.Errorf("authority: %w", err)
+	}
+	if err := c.ca.Pair().Write(dir, "ca"); err != nil {
+		return fmt.Errorf("authority: %w", err)
+	}
+	store := memstore.New(memstore.Options{})
+	c.vms = standin.NewVMList(0)
+	c.base, err = c.serveHTTP(standin.NewObjectAPI(standin.ObjectAPIOptions{Store: store, VMs: c.vms}))
+	if err != nil {
+		return err
+	}
+	c.client, err = objecthttp.New(objecthttp.Options{BaseURL: c.base})
+	if err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	plain, err := hujson.Standardize(document)
+	if err != nil {
+		return fmt.Errorf("embedded document: %w", err)
+	}
+	_, err = store.Put(context.Background(), "config/"+string(Environment)+"/production", plain, 0)
+	if err != nil {
+		return fmt.Errorf("store document: %w", err)
+	}
+	return nil
+}
+
+// serveHTTP serves h on a free port and returns its base URL.
+func (c *cluster) serveHTTP(h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(ln) }()
+	c.closers = append(c.closers, func() { _ = server.Close() })
+	return "http://" + ln.Addr().String(), nil
+}
+
+func (c *cluster) startEngine(ctx context.Context, i int) error {
+	fake := standin.NewEngine(standin.EngineOptions{
+		MemoryMB:     engineMemoryMB,
+		ChecksFences: true,
+		LoadTimes: map[engine.Tier]time.Duration{
+			engine.TierRemote: remoteLoad,
+			engine.TierDisk:   diskLoad,
+			engine.TierMemory: memoryLoad,
+		},
+		UnloadTime:      unloadTime,
+		TokensPerSecond: tokensPerSecond,
+		FirstToken:      firstToken,
+	})
+	c.closers = append(c.closers, fake.Close)
+	base, err := c.serveHTTP(fake)
+	if err != nil {
+		return err
+	}
+	client, err := enginehttp.New(enginehttp.Options{BaseURL: base})
+	if err != nil {
+		return fmt.Errorf("engine: %w", err)
+	}
+	return c.startAgent(ctx, fmt.Sprintf("engine-%d", i), config.AgentSettings{
+		Upstream: drafting, Kind: config.KindEngine, UpstreamURL: base, MemoryMB: engineMemoryMB,
+	}, client)
+}
+
+func (c *cluster) startService(ctx context.Context) error {
+	base, err := c.serveHTTP(standin.NewService())
+	if err != nil {
+		return err
+	}
+	return c.startAgent(ctx, "portal-0", config.AgentSettings{
+		Upstream: portal, Kind: config.KindService, UpstreamURL: base, Concurrency: serviceCalls,
+	}, nil)
+}
+
+func (c *cluster) startAgent(ctx context.Context, id string, s config.AgentSettings, client engine.Client) error {
+	address, err := freeUDP()
+	if err != nil {
+		return err
+	}
+	credentials, err := c.credentials(ident.VM(id))
+	if err != nil {
+		return err
+	}
+	s.VM, s.Region, s.Zone, s.Environment, s.PeerListen = ident.VM(id), region, zone, Environment, address
+	a, err := agent.New(agent.Options{Settings: s, Store: c.client, Credentials: credentials, Engine: client, Logger: c.o.Logger.WithField("vm", id)})
+	if err != nil {
+		return fmt.Errorf("agent %s: %w", id, err)
+	}
+	c.wg.Go(func() { c.report(a.Run(ctx)) })
+	c.vms.Apply(standin.VMChange{Put: &platform.VM{ID: s.VM, Role: platform.RoleAgent, Region: region, Zone: zone, Address: address, Upstream: s.Upstream}})
+	return nil
+}
+
+func (c *cluster) credentials(vm ident.VM) (*keys.Reloader, error) {
+	pair, err := c.ca.Issue(keys.IssueOptions{VM: vm})
+	if err != nil {
+		return nil, fmt.Errorf("certificate of %s: %w", vm, err)
+	}
+	if err := pair.Write(c.dir, string(vm)); err != nil {
+		return nil, fmt.Errorf("certificate of %s: %w", vm, err)
+	}
+	return keys.NewReloader(keys.ReloaderOptions{
+		CA:          keys.CertificateFile(c.dir, "ca"),
+		Certificate: keys.CertificateFile(c.dir, string(vm)),
+		Key:         keys.KeyFile(c.dir, string(vm)),
+		Logger:      c.o.Logger,
+	})
+}
+
+func (c *cluster) report(err error) {
+	if err == nil {
+		return
+	}
+	select {
+	case c.failures <- err:
+	default:
+	}
+}
+
+// freeUDP returns a loopback address with a UDP port that was free just now.
+func freeUDP() (string, error) {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("find a UDP port: %w", err)
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().String(), nil
+}
+
+// serveRouter runs the router until ctx ends, then stops the agents.
+func (c *cluster) serveRouter(ctx context.Context, stopAgents context.CancelFunc) error {
+	defer stopAgents()
+	ln, err := net.Listen("tcp", c.o.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	credentials, err := c.credentials("router-0")
+	if err != nil {
+		return err
+	}
+	settings := config.RouterSettings{
+		VM: "router-0", Region: region, Zone: zone, AdminListen: "127.0.0.1:0",
+		Environments: []ident.Environment{Environment},
+	}
+	s, err := router.New(router.Options{Settings: settings, Store: c.client, VMs: c.client, Credentials: credentials, Logger: c.o.Logger.WithField("vm", "router-0")})
+	if err != nil {
+		return fmt.Errorf("router: %w", err)
+	}
+	c.vms.Apply(standin.VMChange{Put: &platform.VM{ID: "router-0", Role: platform.RoleRouter, Region: region, Zone: zone}})
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case err := <-c.failures:
+			cancel(err)
+		case <-ctx.Done():
+		}
+	}()
+	go c.announce(ctx, s, ln.Addr().String())
+	return s.Serve(ctx, ln)
+}
+
+// announce prints one line when requests can be served.
+func (c *cluster) announce(ctx context.Context, s *router.Server, address string) {
+	const poll = 20 * time.Millisecond
+	for !s.Serving(Environment) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(poll):
+		}
+	}
+	_, _ = fmt.Fprintf(c.o.Out, "ready http://%s key %s\n", address, Key)
+}
--- /dev/null
+++ b/dev/options.go
@@ -0,0 +1,28 @@
+package dev
+
+import (
+	"io"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+)
+
+// Options configures Run.
+type Options struct {
+	// Listen is the IP address and TCP port for callers.
+	Listen string
+	// Out gets one line when the path is ready.
+	Out io.Writer
+	// Logger gets the logs of all parts; nil drops them.
+	Logger log.Interface
+}
+
+func (o Options) withDefaults() Options {
+	if o.Logger == nil {
+		o.Logger = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	}
+	if o.Out == nil {
+		o.Out = io.Discard
+	}
+	return o
+}
--- a/router/admin.go
+++ b/router/admin.go
@@ -18,6 +18,9 @@
 	r.HandleFunc("/healthz", s.handleHealth)
 	r.HandleFunc("/readyz", s.handleReady)
 	r.HandleFunc("/admin/status", s.handleStatus)
+	if s.o.MetricsHandler != nil {
+		r.Handle("/metrics", s.o.MetricsHandler)
+	}
 	server := s.httpServer(r)
 	go func() { _ = server.Serve(ln) }()
 	return server, nil
--- a/router/environment.go
+++ b/router/environment.go
@@ -12,6 +12,7 @@
 	"github.com/laureltally/laureltally/catalog"
 	"github.com/laureltally/laureltally/claim"
 	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/grant"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/retry"
 	"github.com/laureltally/laureltally/wire"
@@ -25,6 +26,7 @@
 	name    ident.Environment
 	catalog atomic.Pointer[catalog.Catalog]
 	claims  *claim.Keeper
+	planner *grant.Planner
 
 	mu      sync.Mutex
 	limiter *admission.Limiter
@@ -47,6 +49,19 @@
 	}
 	e := &environment{name: name, limiter: limiter, budget: budget, retries: retries}
 	jitter := s.splitRand()
+	e.planner, err = grant.NewPlanner(grant.Options{
+		Environment: name,
+		Self:        s.o.Settings.VM,
+		Incarnation: s.o.Incarnation,
+		Store:       s.o.Store,
+		Logger:      s.o.Logger,
+		Metrics:     s.o.Metrics,
+		Now:         s.o.Now,
+		Rand:        lockedFloat(s.splitRand()),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("planner: %w", err)
+	}
 	e.claims = claim.New(claim.Options{
 		Environment: name,
 		Store:       s.o.Store,
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/coldstart"
+	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/eject"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/platform"
@@ -70,6 +71,7 @@
 		f.s.o.Logger.WithError(err).Debug("list of VMs not read")
 		return
 	}
+	defer f.informPlanners(listed)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	seen := make(map[ident.VM]bool, len(listed))
@@ -87,6 +89,26 @@
 	}
 }
 
+// informPlanners passes the list on, with the VMs marked as leaving whose agents
+// say so, and what memory is free.
+func (f *fleet) informPlanners(listed []platform.VM) {
+	free := make(map[ident.VM]int64)
+	f.mu.Lock()
+	for i := range listed {
+		u, ok := f.vms[listed[i].ID]
+		if !ok || u.report == nil {
+			continue
+		}
+		listed[i].Leaving = listed[i].Leaving || u.report.Draining
+		free[u.listed.ID] = u.report.FreeMB
+	}
+	f.mu.Unlock()
+	for _, env := range f.s.environments {
+		env.planner.SetVMs(listed)
+		env.planner.SetFreeMB(free)
+	}
+}
+
 func (f *fleet) listedLocked(ctx context.Context, vm platform.VM) {
 	if u, ok := f.vms[vm.ID]; ok {
 		u.listed.Leaving = u.listed.Leaving || vm.Leaving
@@ -184,3 +206,30 @@
 	}
 	return u.listed, true
 }
+
+// covers tells whether each model and service of a document has a VM that may
+// serve it.
+func (f *fleet) covers(d config.Document) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range d.Models {
+		if !f.anyLocked(func(u *upstreamVM) bool { r, ok := u.model(m.Name); return ok && r.Fence != 0 }) {
+			return false
+		}
+	}
+	for _, s := range d.Services {
+		if !f.anyLocked(func(u *upstreamVM) bool { return u.listed.Upstream == s.Upstream }) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) anyLocked(match func(*upstreamVM) bool) bool {
+	for _, u := range f.vms {
+		if u.available() && match(u) {
+			return true
+		}
+	}
+	return false
+}
--- a/router/options.go
+++ b/router/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -22,8 +23,10 @@
 	Incarnation ident.Incarnation
 	Logger      log.Interface
 	Metrics     tally.Scope
-	Now         func() time.Time
-	Rand        *rand.Rand
+	// MetricsHandler serves the metrics to scrapers; it may be nil.
+	MetricsHandler http.Handler
+	Now            func() time.Time
+	Rand           *rand.Rand
 	// BodyTimeout is how long a caller may take to send a body.
 	BodyTimeout time.Duration
 }
--- a/router/routes.go
+++ b/router/routes.go
@@ -5,6 +5,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -67,3 +68,14 @@
 func (s *Server) count(f *Failure) {
 	s.o.Metrics.Tagged(map[string]string{"code": string(f.Code), "run": string(f.Run)}).Counter("refused").Inc(1)
 }
+
+// Serving tells whether every model and service of an environment has an
+// upstream that can be reached.
+func (s *Server) Serving(name ident.Environment) bool {
+	env := s.environments[name]
+	if env == nil {
+		return false
+	}
+	c := env.catalog.Load()
+	return c != nil && s.fleet.covers(c.Document())
+}
--- a/router/server.go
+++ b/router/server.go
@@ -127,6 +127,7 @@
 func (s *Server) start(ctx context.Context) {
 	s.background.Go(func() { s.fleet.run(ctx) })
 	for _, env := range s.environments {
+		s.background.Go(func() { s.plan(ctx, env) })
 		s.background.Go(func() {
 			catalog.Follow(ctx, s.o.Store, env.name, s.o.Logger, func(c *catalog.Catalog) { s.useDocument(env, c) })
 		})
@@ -136,9 +137,17 @@
 // useDocument brings a version of a document in force.
 func (s *Server) useDocument(env *environment, c *catalog.Catalog) {
 	env.catalog.Store(c)
+	env.planner.SetDocument(c.Version(), c.Document())
 	s.o.Logger.WithField("environment", env.name).WithField("version", uint64(c.Version())).Info("configuration in force")
 }
 
+// plan keeps the grants of an environment up to date.
+func (s *Server) plan(ctx context.Context, env *environment) {
+	if err := env.planner.Run(ctx); err != nil && ctx.Err() == nil {
+		s.o.Logger.WithError(err).WithField("environment", env.name).Error("planner ended")
+	}
+}
+
 func (s *Server) shutdown(servers ...*http.Server) {
 	timeout := time.Duration(s.o.Settings.ShutdownTimeout)
 	if timeout <= 0 {
