--- /dev/null
+++ b/keys/files.go
@@ -0,0 +1,34 @@
+package keys
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+)
+
+// files are the contents of the files that a Reloader follows.
+type files struct {
+	ca          []byte
+	certificate []byte
+	key         []byte
+}
+
+func readFiles(o ReloaderOptions) (files, error) {
+	var f files
+	parts := []struct {
+		path string
+		into *[]byte
+	}{{o.CA, &f.ca}, {o.Certificate, &f.certificate}, {o.Key, &f.key}}
+	for _, p := range parts {
+		content, err := os.ReadFile(p.path)
+		if err != nil {
+			return files{}, fmt.Errorf("read certificate files: %w", err)
+		}
+		*p.into = content
+	}
+	return f, nil
+}
+
+func (f files) equal(g files) bool {
+	return bytes.Equal(f.ca, g.ca) && bytes.Equal(f.certificate, g.certificate) && bytes.Equal(f.key, g.key)
+}
--- a/standin/engine_serve.go
+++ b/standin/engine_serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
 )
 
 // minPause is the shortest pause between tokens that is slept; shorter ones are
@@ -83,13 +84,8 @@
 		body := openAIErrorBody{Message: "injected failure", Type: "server_error"}
 		return nil, &requestProblem{status: http.StatusInternalServerError, body: body}
 	}
-	model, adapter := g.request.target()
-	m := e.models[model]
-	loaded := m != nil && m.phase == engine.PhaseLoaded
-	if loaded && adapter != "" {
-		_, loaded = m.adapters[adapter]
-	}
-	if !loaded {
+	m := e.resolve(&g.request)
+	if m == nil {
 		body := openAIErrorBody{
 			Message: fmt.Sprintf("The model %q is not loaded.", g.request.Model),
 			Type:    "invalid_request_error", Param: "model", Code: "model_not_found",
@@ -102,6 +98,24 @@
 	return e.life, nil
 }
 
+// resolve finds the loaded model that a request names, by its own name, with an
+// adapter, or by the name of a loaded adapter alone. The caller holds mu.
+func (e *Engine) resolve(r *completionRequest) *engineModel {
+	model, adapter := r.target()
+	if m := e.models[model]; m != nil {
+		if _, ok := m.adapters[adapter]; m.phase == engine.PhaseLoaded && (ok || adapter == "") {
+			return m
+		}
+		return nil
+	}
+	for _, m := range e.models {
+		if _, ok := m.adapters[ident.Adapter(r.Model)]; ok && m.phase == engine.PhaseLoaded {
+			return m
+		}
+	}
+	return nil
+}
+
 // part takes the request off its model's users.
 func (e *Engine) part(g *generation) {
 	e.mu.Lock()
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -163,6 +163,21 @@
 	})
 }
 
+func TestAdaptersAreNamedAloneOrWithTheirModel(t *testing.T) {
+	inEngine(t, EngineOptions{}, func(t *testing.T, e *Engine) {
+		submit(t, e, "1", engine.OrderLoad, "m", 1, 60, "")
+		synctest.Wait()
+		submit(t, e, "2", engine.OrderLoadAdapter, "m", 1, 1, "")
+		synctest.Wait()
+		for name, want := range map[string]int{"m": 200, "m:ad": 200, "ad": 200, "m:other": 404, "other": 404} {
+			body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":"x"}]}`, name)
+			if w := ask(t, e, t.Context(), "r", body); w.Code != want {
+				t.Errorf("%s: status %d, want %d", name, w.Code, want)
+			}
+		}
+	})
+}
+
 func TestBatchSharesItsTokenRate(t *testing.T) {
 	inEngine(t, EngineOptions{TokensPerSecond: 4, FirstToken: time.Second}, func(t *testing.T, e *Engine) {
 		submit(t, e, "1", engine.OrderLoad, "m", 1, 60, "")
