--- /dev/null
+++ b/internal/replay/replica.go
@@ -0,0 +1,26 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+)
+
+// replica is one model on one VM.
+type replica struct {
+	model   int
+	phase   engine.Phase
+	running int
+	queue   []*request
+	// idleSince is when the replica last became idle; lastUsed is the same,
+	// kept while it serves.
+	idleSince, lastUsed time.Time
+	adapters            map[ident.Adapter]bool
+	reserved            bool
+	prewarmed           bool
+}
+
+func (r *replica) idle() bool {
+	return r.phase == engine.PhaseLoaded && r.running == 0 && len(r.queue) == 0
+}
--- /dev/null
+++ b/internal/replay/request.go
@@ -0,0 +1,14 @@
+package replay
+
+import "time"
+
+// request is an arrival under way.
+type request struct {
+	Arrival
+	deadline time.Time
+	// hop is the time on the links, there and back.
+	hop time.Duration
+	// cold tells that it waits for a load.
+	cold bool
+	over bool
+}
--- /dev/null
+++ b/internal/replay/weight_store.go
@@ -0,0 +1,70 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/gate"
+)
+
+// weightStore is the fake store behind the real gate. Loads beyond its parallel
+// limit are proportionally slower.
+type weightStore struct {
+	gate     *gate.Gate
+	parallel int
+	active   int
+	// slowdown multiplies each load time.
+	slowdown float64
+	next     gate.TicketID
+	granted  map[gate.TicketID]func(now time.Time)
+	timer    time.Time
+}
+
+// ask requests a place and calls start when it is granted.
+func (w *World) ask(r gate.Request, now time.Time, start func(id gate.TicketID, now time.Time)) {
+	s := w.store
+	s.next++
+	r.ID = s.next
+	s.granted[r.ID] = func(at time.Time) { start(r.ID, at) }
+	decisions, err := s.gate.Ask(r, now)
+	if err != nil {
+		w.result.GateErrors++
+		start(r.ID, now)
+		return
+	}
+	w.decided(decisions, now)
+}
+
+// decided acts on the decisions of the gate and schedules its next tick.
+func (w *World) decided(ds []gate.Decision, now time.Time) {
+	s := w.store
+	for _, d := range ds {
+		start, ok := s.granted[d.ID]
+		delete(s.granted, d.ID)
+		if ok && d.Verdict == gate.Granted {
+			start(now)
+		}
+	}
+	due, ok := s.gate.Next()
+	if !ok || due.Equal(s.timer) {
+		return
+	}
+	s.timer = due
+	w.events.at(due, func(at time.Time) { w.decided(s.gate.Tick(at), at) })
+}
+
+// fetch loads a model from the store and calls done when it has ended.
+func (w *World) fetch(m int, vm *vm, now time.Time, done func(now time.Time)) {
+	g := w.models[m].group
+	req := gate.Request{VM: vm.id, Priority: g.Priority, Deadline: time.Time{}, MemoryMB: w.models[m].memoryMB}
+	w.ask(req, now, func(id gate.TicketID, at time.Time) {
+		s := w.store
+		s.active++
+		slow := s.slowdown * max(1, float64(s.active)/float64(s.parallel))
+		end := at.Add(time.Duration(slow * float64(loadTimes["remote"].duration(w.models[m].memoryMB))))
+		w.events.at(end, func(at time.Time) {
+			s.active--
+			w.decided(s.gate.Done(id, at), at)
+			done(at)
+		})
+	})
+}
