--- a/internal/replay/policies.go
+++ b/internal/replay/policies.go
@@ -7,6 +7,7 @@
 
 // Policies makes the policies of one VM.
 type Policies struct {
-	Models   func() keepalive.Policy[ident.Model]
+	// Models is told which share of an accelerator each model takes.
+	Models   func(share func(ident.Model) float64) keepalive.Policy[ident.Model]
 	Adapters func() keepalive.Policy[keepalive.AdapterKey]
 }
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -22,15 +22,18 @@
 			p    Policies
 		}
 		ad := func() keepalive.Policy[keepalive.AdapterKey] { return NewLRU[keepalive.AdapterKey]() }
-		pols := []pol{{"lru", Policies{func() keepalive.Policy[ident.Model] { return NewLRU[ident.Model]() }, ad}}}
+		pols := []pol{{"lru", Policies{func(share func(ident.Model) float64) keepalive.Policy[ident.Model] { return NewLRU[ident.Model]() }, ad}}}
 		for _, m := range []float64{1, 2, 5, 10, 20, 30, 60, 120} {
-			pols = append(pols, pol{fmt.Sprint("fixed ", m), Policies{func() keepalive.Policy[ident.Model] {
+			pols = append(pols, pol{fmt.Sprint("fixed ", m), Policies{func(share func(ident.Model) float64) keepalive.Policy[ident.Model] {
 				return NewFixedTimeout[ident.Model](time.Duration(m * float64(time.Minute)))
 			}, ad}})
 		}
-		for _, m := range []float64{1, 2, 5, 10, 20, 40, 80, 160} {
-			pols = append(pols, pol{fmt.Sprint("keeper ", m), Policies{func() keepalive.Policy[ident.Model] {
-				k, _ := keepalive.New[ident.Model](keepalive.Config{Exchange: time.Duration(m * float64(time.Minute)), Daily: true})
+		for _, m := range []float64{5, 10, 20, 40, 80, 160, 320, 640} {
+			pols = append(pols, pol{fmt.Sprint("keeper ", m), Policies{func(share func(ident.Model) float64) keepalive.Policy[ident.Model] {
+				k, err := keepalive.New(keepalive.Config[ident.Model]{Exchange: m, Daily: true, Share: share})
+				if err != nil {
+					panic(err)
+				}
 				return k
 			}, ad}})
 		}
@@ -44,8 +47,8 @@
 				sem <- true
 				defer func() { <-sem }()
 				var sb strings.Builder
-				var c0, c50, c99, a99, idle float64
-				var loads, ev, ref, pw, ph, al int
+				var c0, c50, c99, a99, mean, idle float64
+				var loads, ev, ref, pw, ph, st, al int
 				tiers := map[string]int{}
 				n := 2.0
 				for s := range uint64(n) {
@@ -59,17 +62,19 @@
 					c99 += r.ColdQuantile(.99).Seconds() / n
 					a99 += r.Quantile(.99).Seconds() / n
 					idle += r.IdleHours / n
+					mean += r.Mean().Seconds() / n
 					loads += r.Loads
 					ev += r.Evictions
 					ref += r.Refusals
 					pw += r.Prewarms
+					st += r.Stages
 					ph += r.PrewarmHits
 					al += r.AdapterLoads
 					for k, v := range r.Tiers {
 						tiers[string(k)] += v
 					}
 				}
-				fmt.Fprintf(&sb, "%-14s cold %5.2f%% p50c %5.1f p99c %5.1f p99 %6.2f idle %7.1f loads %5d evict %5d refuse %d prewarm %d hit %d adapters %d %v", p.name, c0*100, c50, c99, a99, idle, loads, ev, ref, pw, ph, al, tiers)
+				fmt.Fprintf(&sb, "%-14s cold %5.2f%% p50c %5.1f p99c %5.1f p99 %6.2f mean %5.2f idle %7.1f loads %5d evict %5d refuse %d prewarm %d hit %d stage %d adapters %d %v", p.name, c0*100, c50, c99, a99, mean, idle, loads, ev, ref, pw, ph, st, al, tiers)
 				lines[i] = sb.String()
 			}()
 		}
--- a/internal/replay/replica.go
+++ b/internal/replay/replica.go
@@ -13,8 +13,8 @@
 	phase   engine.Phase
 	running int
 	queue   []*request
-	// idleSince is when the replica last became idle; lastUsed is the same,
-	// kept while it serves.
+	// idleSince is from when idle time is not yet counted, load time included.
+	// lastUsed is when the last request ended.
 	idleSince, lastUsed time.Time
 	adapters            map[ident.Adapter]bool
 	reserved            bool
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -12,14 +12,15 @@
 	// Cold holds the cold-start time of each request, zero for one that met a
 	// loaded model, and the full time to the deadline for one that was refused.
 	Cold []time.Duration
-	// IdleHours is the time that replicas were loaded and served nothing,
-	// weighed by their share of an accelerator's memory, in hours.
+	// IdleHours is the time that replicas held memory and served nothing, load
+	// time included, weighed by their share of an accelerator, in hours.
 	IdleHours    float64
 	Loads        int
 	Evictions    int
 	Refusals     int
 	Prewarms     int
 	PrewarmHits  int
+	Stages       int
 	AdapterLoads int
 	GateErrors   int
 	// Tiers counts the loads by tier, from the first day on.
@@ -33,6 +34,15 @@
 	return at(r.Cold, q)
 }
 
+// Mean returns the mean cold-start time over all requests.
+func (r *Result) Mean() time.Duration {
+	var sum time.Duration
+	for _, c := range r.Cold {
+		sum += c
+	}
+	return sum / time.Duration(max(1, len(r.Cold)))
+}
+
 // ColdQuantile returns the cold-start time at a quantile over the requests that
 // met a model that was not loaded.
 func (r *Result) ColdQuantile(q float64) time.Duration {
--- a/internal/replay/trace_test.go
+++ b/internal/replay/trace_test.go
@@ -23,7 +23,7 @@
 		}
 		g := map[string]*acc{}
 		lastEv := map[int]time.Time{}
-		r, _ := Run(Options{Deployment: d, Policies: Policies{func() keepalive.Policy[ident.Model] {
+		r, _ := Run(Options{Deployment: d, Policies: Policies{func(share func(ident.Model) float64) keepalive.Policy[ident.Model] {
 			return NewFixedTimeout[ident.Model](10 * time.Minute)
 		}, ad}, Seed: 1, Days: 17, Learn: 3, Trace: func(c ColdRequest) {
 			k := c.Group + " <4s"
--- a/internal/replay/vm.go
+++ b/internal/replay/vm.go
@@ -83,6 +83,7 @@
 	}
 	v.freeMB -= need
 	r.reserved = true
+	r.idleSince = now
 	v.w.events.at(begin, func(at time.Time) { v.load(r, at) })
 }
 
@@ -119,7 +120,7 @@
 	v.w.result.Tiers[tier]++
 	done := func(at time.Time) { v.loaded(r, tier, now, at) }
 	if tier == engine.TierRemote {
-		v.w.fetch(r.model, v, now, done)
+		v.w.fetch(r, v, now, done)
 		return
 	}
 	took := loadTimes[tier].duration(v.w.models[r.model].memoryMB)
@@ -130,11 +131,14 @@
 func (v *vm) loaded(r *replica, tier engine.Tier, began, now time.Time) {
 	m := v.w.models[r.model]
 	r.phase = engine.PhaseLoaded
-	r.idleSince, r.lastUsed = now, now
+	r.lastUsed = now
 	v.disk.put(r.model, v.w.models)
 	for _, c := range v.w.choosers {
 		c.Loaded(m.name, v.id, tier, m.memoryMB, now.Sub(began))
 	}
+	if l, ok := v.policy.(learner); ok {
+		l.Loaded(m.name, now.Sub(began), now)
+	}
 	v.serve(r, now)
 	if r.idle() {
 		v.setTimer(r, now)
--- a/internal/replay/weight_store.go
+++ b/internal/replay/weight_store.go
@@ -3,9 +3,13 @@
 import (
 	"time"
 
+	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/gate"
 )
 
+// prewarmPriority is that of loads that no request waits for.
+const prewarmPriority = 100
+
 // weightStore is the fake store behind the real gate. Loads beyond its parallel
 // limit are proportionally slower.
 type weightStore struct {
@@ -53,14 +57,17 @@
 }
 
 // fetch loads a model from the store and calls done when it has ended.
-func (w *World) fetch(m int, vm *vm, now time.Time, done func(now time.Time)) {
-	g := w.models[m].group
-	req := gate.Request{VM: vm.id, Priority: g.Priority, Deadline: time.Time{}, MemoryMB: w.models[m].memoryMB}
+func (w *World) fetch(r *replica, vm *vm, now time.Time, done func(now time.Time)) {
+	m := w.models[r.model]
+	req := gate.Request{VM: vm.id, Priority: m.group.Priority, MemoryMB: m.memoryMB}
+	if r.prewarmed {
+		req.Priority = prewarmPriority
+	}
 	w.ask(req, now, func(id gate.TicketID, at time.Time) {
 		s := w.store
 		s.active++
 		slow := s.slowdown * max(1, float64(s.active)/float64(s.parallel))
-		end := at.Add(time.Duration(slow * float64(loadTimes["remote"].duration(w.models[m].memoryMB))))
+		end := at.Add(time.Duration(slow * float64(loadTimes[engine.TierRemote].duration(m.memoryMB))))
 		w.events.at(end, func(at time.Time) {
 			s.active--
 			w.decided(s.gate.Done(id, at), at)
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -120,7 +120,7 @@
 			w: w, id: ident.VM(fmt.Sprint("vm-", i)), region: w.d.Regions[i%len(w.d.Regions)],
 			freeMB: w.d.MemoryMB, host: weightCache{freeMB: w.d.HostMB}, disk: weightCache{freeMB: w.d.DiskMB},
 			replicas: make(map[int]*replica),
-			policy:   w.o.Policies.Models(), adapters: w.o.Policies.Adapters(),
+			policy:   w.o.Policies.Models(w.share), adapters: w.o.Policies.Adapters(),
 		}
 		w.vms = append(w.vms, v)
 		if p, ok := v.policy.(prewarmer); ok {
@@ -234,3 +234,8 @@
 		*n++
 	}
 }
+
+// share returns the share of an accelerator that a model takes.
+func (w *World) share(m ident.Model) float64 {
+	return float64(w.models[w.numbers[m]].memoryMB) / float64(w.d.MemoryMB)
+}
--- a/keepalive/config.go
+++ b/keepalive/config.go
@@ -9,39 +9,45 @@
 // Defaults of Config.
 const (
 	DefaultMaxKeys = 32768
-	// DefaultExchange is the idle time that one cold request is worth at equal
-	// weights.
-	DefaultExchange = 10 * time.Minute
+	// DefaultExchange is the idle accelerator time that a unit of cold-start
+	// time is worth at equal weights.
+	DefaultExchange = 50
 	// DefaultMinKeep is the least time that an idle replica stays.
 	DefaultMinKeep = 5 * time.Second
 	// DefaultMaxKeep is the most time that an idle replica stays.
 	DefaultMaxKeep = 4 * time.Hour
-	// DefaultLead is how long before a likely request a model is loaded.
-	DefaultLead = 30 * time.Second
+	// DefaultShare is the share of an accelerator that a key takes whose size is
+	// not known.
+	DefaultShare = 0.25
+	// DefaultReload is the load time that is expected until one was seen.
+	DefaultReload = 5 * time.Second
 )
 
 // Config holds the settings of a Keeper. Zero fields take their defaults.
-type Config struct {
+type Config[K comparable] struct {
 	// Aim weighs cold starts against idle hours. Both weights zero mean equal
 	// weights.
 	Aim config.Aim
 	// MaxKeys bounds the keys whose history is kept. The keys that were used
 	// longest ago are forgotten.
 	MaxKeys int
-	// Exchange is the idle time of one replica that one cold request is worth
-	// at equal weights.
-	Exchange time.Duration
+	// Exchange is the idle time of a whole accelerator that a unit of cold-start
+	// time of one request is worth at equal weights.
+	Exchange float64
 	// MinKeep and MaxKeep bound how long an idle replica stays.
 	MinKeep, MaxKeep time.Duration
-	// Daily keeps a profile of the day for each key, from which Prewarm is
-	// derived. Leave it off for adapters, which load in milliseconds.
+	// Reload is the load time that is expected until one was seen.
+	Reload time.Duration
+	// Share returns the share of an accelerator that a key takes, between 0 and
+	// 1. Nil means DefaultShare for every key.
+	Share func(K) float64
+	// Daily keeps a profile of the day for each key, from which Prewarm and
+	// Stage are derived. Leave it off for adapters, which load in milliseconds.
 	Daily bool
-	// Lead is how long before a likely request a model is loaded.
-	Lead time.Duration
 }
 
 // withDefaults returns c with its zero fields set.
-func (c Config) withDefaults() Config {
+func (c Config[K]) withDefaults() Config[K] {
 	if c.Aim == (config.Aim{}) {
 		c.Aim = config.Aim{ColdStart: 1, IdleHours: 1}
 	}
@@ -49,7 +55,10 @@
 	setDefault(&c.Exchange, DefaultExchange)
 	setDefault(&c.MinKeep, DefaultMinKeep)
 	setDefault(&c.MaxKeep, DefaultMaxKeep)
-	setDefault(&c.Lead, DefaultLead)
+	setDefault(&c.Reload, DefaultReload)
+	if c.Share == nil {
+		c.Share = func(K) float64 { return DefaultShare }
+	}
 	return c
 }
 
@@ -62,19 +71,19 @@
 }
 
 // validate returns a *ConfigError for the first field that can't be used.
-func (c Config) validate() error {
+func (c Config[K]) validate() error {
 	checks := []struct {
 		bad   bool
 		field string
 		value any
 	}{
 		{c.Aim.ColdStart < 0, "Aim.ColdStart", c.Aim.ColdStart},
-		{c.Aim.IdleHours <= 0, "Aim.IdleHours", c.Aim.IdleHours},
+		{!(c.Aim.IdleHours > 0), "Aim.IdleHours", c.Aim.IdleHours},
 		{c.MaxKeys < 1, "MaxKeys", c.MaxKeys},
-		{c.Exchange < 0, "Exchange", c.Exchange},
+		{!(c.Exchange > 0), "Exchange", c.Exchange},
 		{c.MinKeep < 0, "MinKeep", c.MinKeep},
 		{c.MaxKeep < c.MinKeep, "MaxKeep", c.MaxKeep},
-		{c.Lead < 0, "Lead", c.Lead},
+		{c.Reload < 0, "Reload", c.Reload},
 	}
 	for _, k := range checks {
 		if k.bad {
--- a/keepalive/keeper.go
+++ b/keepalive/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -15,22 +14,37 @@
 	poolWeight = 3
 	// priorWeight is how many exposures the prior counts for.
 	priorWeight = 4
+	// dayPoolWeight and dayPriorWeight are the same for the slots of the day.
+	dayPoolWeight  = 2
+	dayPriorWeight = 4
+	// tailPower is the power of the load time that its worth grows with. Above
+	// one, long loads count more than several short ones.
+	tailPower = 1.5
+	// referenceLoad is the load time that counts as itself, in seconds.
+	referenceLoad = 5
+	// minSegment is the least length that a segment is taken to have, in
+	// seconds.
+	minSegment = 0.001
 	// evictionHorizon is the time ahead over which idle keys are compared, in
 	// seconds.
-	evictionHorizon = 600
+	evictionHorizon = 1800
 	// forgetSample is how many entries are compared to find one to forget.
 	forgetSample = 8
 )
 
 // Keeper is the Policy that learns from the history of each key.
 type Keeper[K comparable] struct {
-	cfg     Config
-	worth   float64
-	index   map[K]int
-	entries []entry[K]
-	// pool is the history over all keys.
-	pool gaps
-	hand int
+	cfg Config[K]
+	// exchange is the idle accelerator time that a unit of cold-start time is
+	// worth under the aim.
+	exchange float64
+	index    map[K]int
+	entries  []entry[K]
+	// pool and poolDays are the history over all keys.
+	pool     gaps
+	poolDays days
+	reloads  reloads
+	hand     int
 }
 
 var (
@@ -39,40 +53,49 @@
 )
 
 // New returns a Keeper without history. It fails with a *ConfigError.
-func New[K comparable](cfg Config) (*Keeper[K], error) {
+func New[K comparable](cfg Config[K]) (*Keeper[K], error) {
 	cfg = cfg.withDefaults()
 	if err := cfg.validate(); err != nil {
 		return nil, fmt.Errorf("new keeper: %w", err)
 	}
 	return &Keeper[K]{
-		cfg:   cfg,
-		worth: cfg.Exchange.Seconds() * cfg.Aim.ColdStart / cfg.Aim.IdleHours,
-		index: make(map[K]int),
+		cfg:      cfg,
+		exchange: cfg.Exchange * cfg.Aim.ColdStart / cfg.Aim.IdleHours,
+		index:    make(map[K]int),
 	}, nil
 }
 
 // Observe implements Policy.
 func (k *Keeper[K]) Observe(key K, now time.Time) {
-	i, known := k.index[key]
-	if !known {
+	e := k.find(key)
+	if e == nil {
 		k.insert(key, now)
 		return
 	}
-	e := &k.entries[i]
-	idle := e.idle(now)
-	e.gaps.observe(idle)
+	idle := e.arrive(now)
 	k.pool.observe(idle)
-	e.last = max(e.last, now.UnixNano())
+	if k.cfg.Daily && idle >= sessionGap {
+		k.poolDays.observe(idle, now)
+	}
 }
 
-// KeepUntil implements Policy.
-func (k *Keeper[K]) KeepUntil(key K, lastUsed time.Time) time.Time {
+// Loaded records that a load of a key ended at now after took. The Keeper
+// learns from it what a cold start costs after an idle time.
+func (k *Keeper[K]) Loaded(key K, took time.Duration, now time.Time) {
 	e := k.find(key)
-	var idle float64
-	if e != nil {
-		idle = e.idle(lastUsed).Seconds()
+	if e == nil {
+		return
+	}
+	span := int(e.lastSpan)
+	if began := now.Add(-took); e.idle(began) > burstWindow {
+		span = spanOf(e.idle(began))
 	}
-	keep := k.bestKeep(e, idle)
+	k.reloads.observe(span, k.share(e), took)
+}
+
+// KeepUntil implements Policy.
+func (k *Keeper[K]) KeepUntil(key K, lastUsed time.Time) time.Time {
+	keep := k.bestKeep(k.find(key), lastUsed)
 	return lastUsed.Add(min(max(keep, k.cfg.MinKeep), k.cfg.MaxKeep))
 }
 
@@ -80,7 +103,8 @@
 func (k *Keeper[K]) EvictOrder(idle []K, now time.Time) []K {
 	score := make(map[K]float64, len(idle))
 	for _, key := range idle {
-		score[key] = k.chanceWithin(k.find(key), now, evictionHorizon)
+		e := k.find(key)
+		score[key] = k.value(e, now, evictionHorizon) / k.share(e)
 	}
 	out := slices.Clone(idle)
 	slices.SortStableFunc(out, func(a, b K) int {
@@ -109,7 +133,10 @@
 
 // insert adds a key, in the place of an old one if the bound is reached.
 func (k *Keeper[K]) insert(key K, now time.Time) {
-	fresh := entry[K]{key: key, last: now.UnixNano()}
+	fresh := entry[K]{key: key, last: now.UnixNano(), session: now.UnixNano(), inBurst: 1, burst: 1}
+	if k.cfg.Daily {
+		fresh.days = new(days)
+	}
 	if len(k.entries) < k.cfg.MaxKeys {
 		k.index[key] = len(k.entries)
 		k.entries = append(k.entries, fresh)
@@ -133,6 +160,14 @@
 	return oldest
 }
 
+// share returns the share of an accelerator that a key takes.
+func (k *Keeper[K]) share(e *entry[K]) float64 {
+	if e == nil {
+		return DefaultShare
+	}
+	return k.cfg.Share(e.key)
+}
+
 // spanChance returns the chance that the idle time of e ends in a span that it
 // has reached. A nil entry has no history of its own.
 func (k *Keeper[K]) spanChance(e *entry[K], span int) float64 {
@@ -143,56 +178,49 @@
 	return e.gaps[span].blend(pooled, poolWeight)
 }
 
-// bestKeep returns the time to keep a replica that has been idle for some
-// seconds, such that the worth of the avoided cold starts exceeds the idle time
-// by the most.
-func (k *Keeper[K]) bestKeep(e *entry[K], idle float64) time.Duration {
-	var (
-		best, gain, keep float64
-		alive            = 1.0
-		limit            = idle + k.cfg.MaxKeep.Seconds()
-	)
-	first := spanOf(time.Duration(idle * float64(time.Second)))
-	for i := first; i < spanCount; i++ {
-		start, end := spanBounds(i)
-		from := max(start, idle)
-		if from >= limit {
-			break
+// bestKeep returns how long a replica stays from a time on, such that the worth
+// of the avoided cold starts exceeds the idle time by the most. It does not
+// look past a stretch that costs more than a load would.
+func (k *Keeper[K]) bestKeep(e *entry[K], from time.Time) time.Duration {
+	var best, gain, keep float64
+	alive, first := 1.0, -1.0
+	share := k.share(e)
+	bridge := share * bridgeTime
+	k.segments(e, from, k.cfg.MaxKeep.Seconds(), func(s segment) bool {
+		if first < 0 {
+			first = s.start
 		}
-		p := partChance(k.spanChance(e, i), start, end, from)
-		gain += alive * (p*k.worth - (1-p/2)*(end-from))
-		alive *= 1 - p
+		gain += alive * (s.chance*s.worth - share*(1-s.chance/2)*(s.end-s.start))
+		alive *= 1 - s.chance
 		if gain > best {
-			best, keep = gain, end-idle
+			best, keep = gain, s.end-first
 		}
-	}
-	return time.Duration(keep * float64(time.Second))
+		return best-gain < bridge
+	})
+	return seconds(keep)
 }
 
-// partChance returns the chance of the rest of a span from the chance of the
-// whole, with an even hazard.
-func partChance(p, start, end, from float64) float64 {
-	if from <= start {
-		return p
-	}
-	return 1 - math.Pow(1-p, (end-from)/(end-start))
+// bridgeTime is the longest stretch of idle time without worth that a replica
+// stays for what comes after it, in seconds.
+const bridgeTime = 300
+
+// value returns the expected worth of a loaded replica over some seconds.
+func (k *Keeper[K]) value(e *entry[K], now time.Time, ahead float64) float64 {
+	sum, alive := 0.0, 1.0
+	k.segments(e, now, ahead, func(s segment) bool {
+		sum += alive * s.chance * s.worth
+		alive *= 1 - s.chance
+		return true
+	})
+	return sum
 }
 
-// chanceWithin returns the chance of a request within some seconds from now.
-func (k *Keeper[K]) chanceWithin(e *entry[K], now time.Time, ahead float64) float64 {
-	var idle float64
-	if e != nil {
-		idle = e.idle(now).Seconds()
-	}
+// likely returns the chance of a request within some seconds.
+func (k *Keeper[K]) likely(e *entry[K], now time.Time, ahead float64) float64 {
 	alive := 1.0
-	for i := spanOf(time.Duration(idle * float64(time.Second))); i < spanCount; i++ {
-		start, end := spanBounds(i)
-		from, to := max(start, idle), min(end, idle+ahead)
-		if from >= to {
-			break
-		}
-		whole := k.spanChance(e, i)
-		alive *= math.Pow(1-whole, (to-from)/(end-start))
-	}
+	k.segments(e, now, ahead, func(s segment) bool {
+		alive *= 1 - s.chance
+		return true
+	})
 	return 1 - alive
 }
--- a/keepalive/keeper_test.go
+++ b/keepalive/keeper_test.go
@@ -14,7 +14,7 @@
 
 var t0 = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
 
-func newKeeper(t testing.TB, cfg Config) *Keeper[ident.Model] {
+func newKeeper(t testing.TB, cfg Config[ident.Model]) *Keeper[ident.Model] {
 	t.Helper()
 	k, err := New[ident.Model](cfg)
 	if err != nil {
@@ -34,7 +34,7 @@
 }
 
 func TestNewRefusesBadConfig(t *testing.T) {
-	bad := []Config{
+	bad := []Config[ident.Model]{
 		{Aim: config.Aim{ColdStart: -1, IdleHours: 1}},
 		{Aim: config.Aim{ColdStart: 1}},
 		{MaxKeys: -1},
@@ -50,7 +50,7 @@
 }
 
 func TestKeepUntilCoversRegularGap(t *testing.T) {
-	k := newKeeper(t, Config{})
+	k := newKeeper(t, Config[ident.Model]{})
 	last := observeEvery(k, "steady", 60, 4*time.Minute)
 	if keep := k.KeepUntil("steady", last).Sub(last); keep < 4*time.Minute {
 		t.Errorf("keep = %v, shorter than the regular gap of 4 minutes", keep)
@@ -58,7 +58,7 @@
 }
 
 func TestKeepUntilGivesUpOnRareModel(t *testing.T) {
-	k := newKeeper(t, Config{})
+	k := newKeeper(t, Config[ident.Model]{})
 	last := observeEvery(k, "rare", 60, 20*time.Hour)
 	if keep := k.KeepUntil("rare", last).Sub(last); keep > time.Minute {
 		t.Errorf("keep = %v for a model that is asked every 20 hours", keep)
@@ -66,8 +66,8 @@
 }
 
 func TestKeepGrowsWithWeightOfColdStart(t *testing.T) {
-	low := newKeeper(t, Config{Aim: config.Aim{ColdStart: 1, IdleHours: 3}})
-	high := newKeeper(t, Config{Aim: config.Aim{ColdStart: 3, IdleHours: 1}})
+	low := newKeeper(t, Config[ident.Model]{Aim: config.Aim{ColdStart: 1, IdleHours: 3}})
+	high := newKeeper(t, Config[ident.Model]{Aim: config.Aim{ColdStart: 3, IdleHours: 1}})
 	a, b := low.KeepUntil("new", t0), high.KeepUntil("new", t0)
 	if !b.After(a) {
 		t.Errorf("keep until %v at a low weight and %v at a high one", a, b)
@@ -75,7 +75,7 @@
 }
 
 func TestEvictOrderPutsLeastLikelyFirst(t *testing.T) {
-	k := newKeeper(t, Config{})
+	k := newKeeper(t, Config[ident.Model]{})
 	end := observeEvery(k, "rare", 40, 6*time.Hour)
 	now := end.Add(-40 * 2 * time.Minute)
 	for range 40 {
@@ -90,7 +90,7 @@
 
 func TestHistoryIsBounded(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		k := newKeeper(t, Config{MaxKeys: 10})
+		k := newKeeper(t, Config[ident.Model]{MaxKeys: 10})
 		now := t0
 		for range 200 {
 			m := rapid.StringMatching("[a-z]").Draw(rt, "model")
