--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -23,12 +23,12 @@
 		}
 		ad := func() keepalive.Policy[keepalive.AdapterKey] { return NewLRU[keepalive.AdapterKey]() }
 		pols := []pol{{"lru", Policies{func(share func(ident.Model) float64) keepalive.Policy[ident.Model] { return NewLRU[ident.Model]() }, ad}}}
-		for _, m := range []float64{1, 2, 5, 10, 20, 30, 60, 120} {
+		for _, m := range []float64{1, 2, 5, 10, 30, 60} {
 			pols = append(pols, pol{fmt.Sprint("fixed ", m), Policies{func(share func(ident.Model) float64) keepalive.Policy[ident.Model] {
 				return NewFixedTimeout[ident.Model](time.Duration(m * float64(time.Minute)))
 			}, ad}})
 		}
-		for _, m := range []float64{5, 10, 20, 40, 80, 160, 320, 640} {
+		for _, m := range []float64{5, 15, 30, 60, 120, 240, 480} {
 			pols = append(pols, pol{fmt.Sprint("keeper ", m), Policies{func(share func(ident.Model) float64) keepalive.Policy[ident.Model] {
 				k, err := keepalive.New(keepalive.Config[ident.Model]{Exchange: m, Daily: true, Share: share})
 				if err != nil {
--- a/keepalive/days.go
+++ b/keepalive/days.go
@@ -43,3 +43,23 @@
 	}
 	d.at(now).update(true, dayMemory)
 }
+
+// smooth returns the estimate for the slot that holds a time, together with
+// half of those of the slots beside it, drawn towards prior as if prior had
+// been seen weight times.
+func (d *days) smooth(t time.Time, prior, weight float64) float64 {
+	sum, seen := prior*weight, weight
+	for i := -1; i <= 1; i++ {
+		c := d.at(t.Add(time.Duration(i) * slotLength))
+		n := float64(c.seen)
+		if i != 0 {
+			n *= neighbourWeight
+		}
+		sum += n * float64(c.value) / chanceOne
+		seen += n
+	}
+	return sum / seen
+}
+
+// neighbourWeight is what an exposure of the slot before or after counts for.
+const neighbourWeight = 0.5
--- a/keepalive/entry.go
+++ b/keepalive/entry.go
@@ -21,6 +21,10 @@
 	lastSpan uint8
 	// inBurst counts the requests of the burst under way.
 	inBurst uint16
+	// staged tells that the weights were brought nearer and no request came
+	// yet, and stageLoad how long that took, in seconds.
+	staged    bool
+	stageLoad float32
 	// burst is the running mean of the requests of a burst.
 	burst float32
 	gaps  gaps
--- a/keepalive/keeper.go
+++ b/keepalive/keeper.go
@@ -17,6 +17,9 @@
 	// dayPoolWeight and dayPriorWeight are the same for the slots of the day.
 	dayPoolWeight  = 2
 	dayPriorWeight = 4
+	// nearPart is the part of a load from the store that a load of weights takes
+	// at most that were still near.
+	nearPart = 0.6
 	// tailPower is the power of the load time that its worth grows with. Above
 	// one, long loads count more than several short ones.
 	tailPower = 1.5
@@ -44,6 +47,7 @@
 	pool     gaps
 	poolDays days
 	reloads  reloads
+	staging  staging
 	hand     int
 }
 
@@ -86,11 +90,17 @@
 	if e == nil {
 		return
 	}
-	span := int(e.lastSpan)
-	if began := now.Add(-took); e.idle(began) > burstWindow {
-		span = spanOf(e.idle(began))
+	idle := e.idle(now.Add(-took))
+	if idle > burstWindow {
+		e.stageLoad = float32(took.Seconds())
+		k.reloads.observe(spanOf(idle), k.share(e), took)
+		return
+	}
+	if e.staged {
+		e.staged = false
+		k.staging.ended(float32(took.Seconds()) < nearPart*e.stageLoad)
 	}
-	k.reloads.observe(span, k.share(e), took)
+	k.reloads.observe(int(e.lastSpan), k.share(e), took)
 }
 
 // KeepUntil implements Policy.
--- a/keepalive/prewarm.go
+++ b/keepalive/prewarm.go
@@ -35,6 +35,7 @@
 // Stage returns those of the keys whose weights are far, from which a load
 // would now take long, that are worth a load and an unload at once, so that the
 // weights are near when the next request comes. The most valuable come first.
+// Keys that it returned before and that are far again count as failures.
 func (k *Keeper[K]) Stage(now time.Time, far []K) []K {
 	if !k.cfg.Daily {
 		return nil
@@ -48,8 +49,13 @@
 		if !isFar[e.key] || idle < sessionGap {
 			return 0, false
 		}
-		spared := k.likely(e, now, stageHorizon) * e.hits(idle.Seconds())
-		return spared, spared > stageThreshold
+		if e.staged {
+			e.staged = false
+			k.staging.ended(false)
+		}
+		spared := k.likely(e, now, stageHorizon) * e.hits(idle.Seconds()) * k.staging.useful()
+		e.staged = spared > stageThreshold
+		return spared, e.staged
 	})
 }
 
--- a/keepalive/segment.go
+++ b/keepalive/segment.go
@@ -65,8 +65,8 @@
 	at := origin.Add(seconds(s.start + minSegment))
 	slotPart := (s.end - s.start) / slotLength.Seconds()
 	slotGap := 1 - math.Pow(1-byGap, 1/slotPart)
-	pooled := k.poolDays.at(at).blend(slotGap, dayPriorWeight)
-	whole := e.days.at(at).blend(pooled, dayPoolWeight)
+	pooled := k.poolDays.smooth(at, slotGap, dayPriorWeight)
+	whole := e.days.smooth(at, pooled, dayPoolWeight)
 	return 1 - math.Pow(1-whole, slotPart)
 }
 
