keepalive: gaps after a lone request and within a session are told apart

Cause: about half of the first requests after a long gap at Nordfjell stay alone, yet each held its replica as long as a session would. Change: the chance for each span of idle time is kept twice, after a lone request and within a session; the power of the load time becomes a setting.

--- a/keepalive/config.go
+++ b/keepalive/config.go
@@ -19,6 +19,8 @@
 	// DefaultShare is the share of an accelerator that a key takes whose size is
 	// not known.
 	DefaultShare = 0.25
+	// DefaultTailPower is the power of the load time that its worth grows with.
+	DefaultTailPower = 1.5
 	// DefaultReload is the load time that is expected until one was seen.
 	DefaultReload = 5 * time.Second
 )
@@ -36,6 +38,9 @@
 	Exchange float64
 	// MinKeep and MaxKeep bound how long an idle replica stays.
 	MinKeep, MaxKeep time.Duration
+	// TailPower is the power of the load time that its worth grows with. Above
+	// one, a long load counts more than several short ones of the same sum.
+	TailPower float64
 	// Reload is the load time that is expected until one was seen.
 	Reload time.Duration
 	// Share returns the share of an accelerator that a key takes, between 0 and
@@ -55,6 +60,7 @@
 	setDefault(&c.Exchange, DefaultExchange)
 	setDefault(&c.MinKeep, DefaultMinKeep)
 	setDefault(&c.MaxKeep, DefaultMaxKeep)
+	setDefault(&c.TailPower, DefaultTailPower)
 	setDefault(&c.Reload, DefaultReload)
 	if c.Share == nil {
 		c.Share = func(K) float64 { return DefaultShare }
@@ -83,6 +89,7 @@
 		{!(c.Exchange > 0), "Exchange", c.Exchange},
 		{c.MinKeep < 0, "MinKeep", c.MinKeep},
 		{c.MaxKeep < c.MinKeep, "MaxKeep", c.MaxKeep},
+		{!(c.TailPower > 0), "TailPower", c.TailPower},
 		{c.Reload < 0, "Reload", c.Reload},
 	}
 	for _, k := range checks {
--- a/keepalive/entry.go
+++ b/keepalive/entry.go
@@ -27,7 +27,8 @@
 	stageLoad float32
 	// burst is the running mean of the requests of a burst.
 	burst float32
-	gaps  gaps
+	stage stage
+	gaps  [stageCount]gaps
 	// days is nil unless profiles of the day are kept.
 	days *days
 }
@@ -41,7 +42,8 @@
 func (e *entry[K]) arrive(now time.Time) time.Duration {
 	idle := e.idle(now)
 	e.lastSpan = uint8(spanOf(idle))
-	e.gaps.observe(idle)
+	e.gaps[e.stage].observe(idle)
+	e.stage = followed
 	if idle >= sessionGap {
 		e.beginSession(idle, now)
 	} else if now.UnixNano()-e.session < int64(burstWindow) && e.inBurst < maxBurst {
@@ -58,6 +60,7 @@
 func (e *entry[K]) beginSession(idle time.Duration, now time.Time) {
 	e.burst += burstGain * (float32(e.inBurst) - e.burst)
 	e.inBurst = 1
+	e.stage = lone
 	e.session = now.UnixNano()
 	if e.days != nil {
 		e.days.observe(idle, now)
--- a/keepalive/gaps.go
+++ b/keepalive/gaps.go
@@ -38,3 +38,15 @@
 	}
 	return p
 }
+
+// stage tells how far a session has come.
+type stage uint8
+
+// The stages of a session.
+const (
+	// lone is that of a session with one request.
+	lone stage = iota
+	// followed is that of a session with several.
+	followed
+	stageCount
+)
--- a/keepalive/keeper.go
+++ b/keepalive/keeper.go
@@ -20,9 +20,6 @@
 	// nearPart is the part of a load from the store that a load of weights takes
 	// at most that were still near.
 	nearPart = 0.6
-	// tailPower is the power of the load time that its worth grows with. Above
-	// one, long loads count more than several short ones.
-	tailPower = 1.5
 	// referenceLoad is the load time that counts as itself, in seconds.
 	referenceLoad = 5
 	// minSegment is the least length that a segment is taken to have, in
@@ -44,7 +41,7 @@
 	index    map[K]int
 	entries  []entry[K]
 	// pool and poolDays are the history over all keys.
-	pool     gaps
+	pool     [stageCount]gaps
 	poolDays days
 	reloads  reloads
 	staging  staging
@@ -76,8 +73,9 @@
 		k.insert(key, now)
 		return
 	}
+	before := e.stage
 	idle := e.arrive(now)
-	k.pool.observe(idle)
+	k.pool[before].observe(idle)
 	if k.cfg.Daily && idle >= sessionGap {
 		k.poolDays.observe(idle, now)
 	}
@@ -181,11 +179,15 @@
 // spanChance returns the chance that the idle time of e ends in a span that it
 // has reached. A nil entry has no history of its own.
 func (k *Keeper[K]) spanChance(e *entry[K], span int) float64 {
-	pooled := k.pool[span].blend(priorChances[span], priorWeight)
+	at := lone
+	if e != nil {
+		at = e.stage
+	}
+	pooled := k.pool[at][span].blend(priorChances[span], priorWeight)
 	if e == nil {
 		return pooled
 	}
-	return e.gaps[span].blend(pooled, poolWeight)
+	return e.gaps[at][span].blend(pooled, poolWeight)
 }
 
 // bestKeep returns how long a replica stays from a time on, such that the worth
--- a/keepalive/segment.go
+++ b/keepalive/segment.go
@@ -83,7 +83,7 @@
 	if e != nil {
 		hits = e.hits(idle)
 	}
-	return k.exchange * hits * load * math.Pow(load/referenceLoad, tailPower-1)
+	return k.exchange * hits * load * math.Pow(load/referenceLoad, k.cfg.TailPower-1)
 }
 
 // seconds converts a number of seconds.
