--- /dev/null
+++ b/bench/policy.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/replay"
+	"github.com/laureltally/laureltally/keepalive"
+)
+
+// policy is one way to treat idle replicas.
+type policy struct {
+	name string
+	make replay.Policies
+}
+
+// share tells which share of an accelerator a model takes.
+type share = func(ident.Model) float64
+
+func lruAdapters() keepalive.Policy[keepalive.AdapterKey] {
+	return replay.NewLRU[keepalive.AdapterKey]()
+}
+
+// baselines returns fixed time-outs, shortest first, and LRU.
+func baselines() []policy {
+	var out []policy
+	for _, minutes := range []int{1, 5, 10, 30} {
+		timeout := time.Duration(minutes) * time.Minute
+		out = append(out, policy{
+			name: fmt.Sprintf("fixed %d min", minutes),
+			make: replay.Policies{
+				Models:   func(share) keepalive.Policy[ident.Model] { return replay.NewFixedTimeout[ident.Model](timeout) },
+				Adapters: lruAdapters,
+			},
+		})
+	}
+	return append(out, policy{
+		name: "LRU",
+		make: replay.Policies{
+			Models:   func(share) keepalive.Policy[ident.Model] { return replay.NewLRU[ident.Model]() },
+			Adapters: lruAdapters,
+		},
+	})
+}
+
+// keeper returns ours at an exchange and an aim.
+func keeper(name string, exchange float64, aim config.Aim) policy {
+	return policy{name: name, make: replay.Policies{
+		Models: func(s share) keepalive.Policy[ident.Model] {
+			return must(keepalive.New(keepalive.Config[ident.Model]{Aim: aim, Exchange: exchange, Share: s, Daily: true}))
+		},
+		Adapters: func() keepalive.Policy[keepalive.AdapterKey] {
+			return must(keepalive.New(keepalive.Config[keepalive.AdapterKey]{Aim: aim}))
+		},
+	}}
+}
+
+// front returns ours along the trade of cold-start time against idle hours.
+func front() []policy {
+	var out []policy
+	for _, exchange := range []float64{5, 10, 15, 20, 25, 30, 40, 50, 60, 80, 120, 200, 320} {
+		out = append(out, keeper(fmt.Sprintf("exchange %g", exchange), exchange, config.Aim{}))
+	}
+	return out
+}
--- a/internal/replay/deployments.go
+++ b/internal/replay/deployments.go
@@ -13,7 +13,7 @@
 	d := base("muotiennuste")
 	d.Regions = []ident.Region{"uusimaa", "pirkanmaa", "pohjanmaa"}
 	d.Store.LoadsPerSecond = 5
-	d.Aim = config.Aim{ColdStart: 3, IdleHours: 1}
+	d.Aim = config.Aim{ColdStart: 2, IdleHours: 1}
 	d.AdapterMin, d.AdapterMax = 7*time.Millisecond, 13*time.Millisecond
 	d.Groups = []Group{
 		{
@@ -41,7 +41,7 @@
 	d := base("nordfjell")
 	d.Regions = []ident.Region{"vestland", "trøndelag", "nordland"}
 	d.Store.LoadsPerSecond = 3
-	d.Aim = config.Aim{ColdStart: 1, IdleHours: 3}
+	d.Aim = config.Aim{ColdStart: 1, IdleHours: 2}
 	d.AdapterMin, d.AdapterMax = 5*time.Millisecond, 14*time.Millisecond
 	d.Groups = []Group{
 		{
