Search the concurrency limit by throughput, route by the waiting work that counts

Cause, limit: the first limit lowered itself when the mean of 16 run times rose over 1.5 times the least such mean. Cause, routing: reports told one number of waiting requests. At overload every queue is as long as admission lets it be, so the sum says nothing of how much urgent work waits. Urgent requests gathered at VMs whose queues held little else: 11 waiting urgent requests at one VM and none at others; 1 in 8 urgent requests was refused.

Change: limit probes with windows of 96 and a growing gap; reports carry the waiting requests of each priority, and a choice counts those as urgent or more.

--- a/admission/concurrency_limit.go
+++ b/admission/concurrency_limit.go
@@ -1,77 +1,154 @@
 package admission
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Parameters of the adaptive concurrency limit.
 const (
-	// limitWindow is how many finished requests make one step.
-	limitWindow = 16
-	// limitTolerance is the latency, relative to the baseline, up to which the
-	// limit rises.
-	limitTolerance = 1.5
-	// limitBackoff is the factor of a decrease.
+	// limitWindow is how many finished requests make one measurement.
+	limitWindow = 96
+	// limitStep is the part by which a probe changes the limit.
+	limitStep = 0.25
+	// noLoss is the part of the throughput that a lower limit has to keep.
+	noLoss = 0.97
+	// limitBackoff is the factor of a decrease after the upstream turned work
+	// away.
 	limitBackoff = 0.8
-	// baselineDrift lets the baseline forget a time that no longer comes back.
-	baselineDrift = 1.02
+	// suspicion is the rise of the mean run time that calls for a probe at once.
+	suspicion = 1.3
+	// minProbeGap and maxProbeGap bound the windows between probes. The gap
+	// doubles after each probe that showed no gain.
+	minProbeGap = 8
+	maxProbeGap = 256
 )
 
-// concurrencyLimit is an additive-increase, multiplicative-decrease limit. It is
-// fed with the run times of requests relative to what was expected of them.
+// concurrencyLimit searches for the concurrency at which the upstream gets most
+// done. Only when a lower limit gets no less done does it stay lower: an
+// upstream that is merely slow keeps its concurrency.
 type concurrencyLimit struct {
-	floor, ceiling float64
-	value          float64
+	floor, ceiling int
+	value          int
 	fixed          bool
-	baseline       float64
-	sum            float64
+	sum            time.Duration
 	samples        int
-	saturated      bool
+	// usual is the mean run time of the window before, at the present limit.
+	usual time.Duration
+	// probing is the limit to return to, or zero.
+	probing int
+	// rising is the direction of the next probe.
+	rising       bool
+	gap, windows int
 }
 
 func newConcurrencyLimit(floor, ceiling int, fixed bool) concurrencyLimit {
-	return concurrencyLimit{floor: float64(floor), ceiling: float64(ceiling), value: float64(ceiling), fixed: fixed}
+	return concurrencyLimit{floor: floor, ceiling: ceiling, value: ceiling, fixed: fixed, gap: minProbeGap}
 }
 
 // current is the limit in requests.
-func (l *concurrencyLimit) current() int { return int(l.value) }
+func (l *concurrencyLimit) current() int { return l.value }
 
 func (l *concurrencyLimit) setCeiling(n int) {
-	grew := l.value >= l.ceiling
-	l.ceiling = float64(n)
-	l.floor = min(l.floor, l.ceiling)
-	if grew || l.value > l.ceiling {
-		l.value = l.ceiling
+	if l.value == l.ceiling || l.value > n {
+		l.value = n
 	}
+	l.ceiling = n
+	l.floor = min(l.floor, n)
+	l.restart()
 }
 
-// observe takes the relative run time of one request, and whether all places
-// were taken meanwhile.
-func (l *concurrencyLimit) observe(ratio float64, saturated bool) {
-	l.sum += ratio
+// observe takes the run time of one request that ran while all places were taken.
+func (l *concurrencyLimit) observe(took time.Duration) {
+	if l.fixed {
+		return
+	}
+	l.sum += took
 	l.samples++
-	l.saturated = l.saturated || saturated
 	if l.samples < limitWindow {
 		return
 	}
-	l.step(l.sum / float64(l.samples))
-	l.sum, l.samples, l.saturated = 0, 0, false
+	mean := l.sum / limitWindow
+	l.sum, l.samples = 0, 0
+	l.step(mean)
+}
+
+// step ends a window with the given mean run time.
+func (l *concurrencyLimit) step(mean time.Duration) {
+	if l.probing != 0 {
+		l.judge(mean)
+		return
+	}
+	l.windows++
+	suspect := l.usual > 0 && float64(mean) > suspicion*float64(l.usual)
+	if l.usual == 0 || !suspect {
+		l.usual = mean
+	}
+	if suspect || l.windows >= l.gap {
+		l.usual = mean
+		l.rising = l.rising && !suspect
+		l.probe()
+	}
+}
+
+// probe tries another limit for one window.
+func (l *concurrencyLimit) probe() {
+	l.windows = 0
+	next := l.neighbour()
+	if next == l.value {
+		l.rising = !l.rising
+		next = l.neighbour()
+	}
+	if next != l.value {
+		l.probing, l.value = l.value, next
+	}
 }
 
-func (l *concurrencyLimit) step(mean float64) {
-	if l.baseline == 0 {
-		l.baseline = mean
+// neighbour is the next limit in the present direction.
+func (l *concurrencyLimit) neighbour() int {
+	step := max(1, int(float64(l.value)*limitStep))
+	if l.rising {
+		return min(l.ceiling, l.value+step)
 	}
-	l.baseline = min(l.baseline*baselineDrift, mean)
-	switch {
-	case mean > l.baseline*limitTolerance:
-		l.decrease()
-	case l.saturated:
-		l.value = min(l.ceiling, l.value+1)
+	return max(l.floor, l.value-step)
+}
+
+// judge ends a probe. The limit stays at its new value if that is worth it, and
+// the search goes on in the same direction; otherwise it returns.
+func (l *concurrencyLimit) judge(mean time.Duration) {
+	old := l.probing
+	l.probing = 0
+	if l.prefers(mean, old) {
+		l.usual, l.gap, l.windows = mean, minProbeGap, minProbeGap-1
+		return
 	}
+	l.value = old
+	l.rising = !l.rising
+	l.gap = min(maxProbeGap, l.gap*2)
 }
 
-// decrease reacts to an upstream that slows down or turns work away.
+// prefers tells whether the present limit, with a mean run time, is better than
+// an old one. A lower limit must get as much done; a higher one at least half of
+// what its additional places promise.
+func (l *concurrencyLimit) prefers(mean time.Duration, old int) bool {
+	now, before := float64(l.value)/float64(mean), float64(old)/float64(l.usual)
+	if l.value < old {
+		return now >= before*noLoss
+	}
+	promised := float64(l.value) / float64(old)
+	return now > before*(1+promised)/2
+}
+
+// decrease reacts to an upstream that turns work away.
 func (l *concurrencyLimit) decrease() {
-	if !l.fixed {
-		l.value = max(l.floor, math.Floor(l.value*limitBackoff))
+	if l.fixed {
+		return
 	}
+	l.value = max(l.floor, int(math.Floor(float64(l.value)*limitBackoff)))
+	l.restart()
+}
+
+func (l *concurrencyLimit) restart() {
+	l.sum, l.samples, l.usual, l.probing, l.windows = 0, 0, 0, 0, 0
+	l.gap = minProbeGap
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -164,15 +164,17 @@
 	return Stats{Running: len(q.running), Waiting: q.waiting, Limit: q.limit.current(), Cost: q.average}
 }
 
-// WaitingAhead counts the waiting items that are as urgent as p or more.
-func (q *Queue) WaitingAhead(p ident.Priority) int {
-	n := 0
+// WaitingByPriority counts the waiting items of each priority from zero on, for
+// wire.Report.
+func (q *Queue) WaitingByPriority() []int {
+	var counts []int
 	for _, c := range q.classes {
-		if c.priority <= p {
-			n += c.waiting
+		for len(counts) <= int(c.priority) {
+			counts = append(counts, 0)
 		}
+		counts[max(0, c.priority)] += c.waiting
 	}
-	return n
+	return counts
 }
 
 func (q *Queue) entry(it Item) *entry {
--- a/admission/queue_order.go
+++ b/admission/queue_order.go
@@ -144,7 +144,9 @@
 		relative := float64(took) / float64(e.Hold)
 		q.average += scale(took-q.average, averageWeight)
 		q.ratio.observe(relative)
-		q.limit.observe(relative, saturated)
+		if saturated {
+			q.limit.observe(took)
+		}
 	case Rejected:
 		q.limit.decrease()
 	}
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -11,13 +11,17 @@
 	VM     ident.VM
 	Region ident.Region
 	Zone   ident.Zone
-	// Running and Waiting are the requests at the VM as it last reported.
-	Running, Waiting int
+	// Running is the requests that run at the VM, as it last reported.
+	Running int
+	// Waiting is the requests that wait at the VM and are as urgent as the one to
+	// be routed or more, or all if only that is known.
+	Waiting int
 	// Concurrency is how many requests the VM takes at once, as reported.
 	Concurrency int
-	// InFlight counts the router's own requests that have not ended.
+	// InFlight counts the router's own requests that have not ended and are as
+	// urgent or more.
 	InFlight int
-	// Unseen is the router's own requests that started after the report was
+	// Unseen is the router's own requests, as urgent or more, that started after the report was
 	// made, less those that ended after it. It may be negative.
 	Unseen int
 	// ReportAge is the time since the report was made.
--- a/routing/request.go
+++ b/routing/request.go
@@ -7,6 +7,8 @@
 	// Region and Zone are the router's.
 	Region ident.Region
 	Zone   ident.Zone
+	// Priority tells which waiting requests count: the as urgent and more urgent.
+	Priority ident.Priority
 	// Affinity is a hash of what should stay together on one VM: the prompt
 	// prefix, or the adapter. Zero means that nothing should.
 	Affinity uint64
--- a/routing/table.go
+++ b/routing/table.go
@@ -68,24 +68,24 @@
 }
 
 // Started counts a request that the router has sent to a VM.
-func (t *Table) Started(now time.Time, vm ident.VM) {
+func (t *Table) Started(now time.Time, vm ident.VM, p ident.Priority) {
 	if s := t.vms[vm]; s != nil {
-		s.inFlight++
-		s.unseen++
-		s.recent.add(now, 1)
+		s.inFlight[level(p)]++
+		s.unseen[level(p)]++
+		s.recent[level(p)].add(now, 1)
 	}
 }
 
 // Ended counts the end of a request that Started counted. Took is its time at
 // the upstream, or zero if it gave no whole answer.
-func (t *Table) Ended(now time.Time, vm ident.VM, target Target, took time.Duration) {
+func (t *Table) Ended(now time.Time, vm ident.VM, target Target, p ident.Priority, took time.Duration) {
 	s := t.vms[vm]
 	if s == nil {
 		return
 	}
-	s.inFlight = max(0, s.inFlight-1)
-	s.unseen--
-	s.recent.add(now, -1)
+	s.inFlight[level(p)] = max(0, s.inFlight[level(p)]-1)
+	s.unseen[level(p)]--
+	s.recent[level(p)].add(now, -1)
 	if took <= 0 {
 		return
 	}
@@ -115,7 +115,7 @@
 func (t *Table) Candidates(target Target) int { return len(t.members[target]) }
 
 func (t *Table) fill(now time.Time, l *Lookup, m *member, c *Candidate) {
-	m.state.candidate(now, c)
+	m.state.candidate(now, l.Priority, c)
 	c.ServiceTime = m.serviceTime
 	c.AdapterLoaded = m.hasAdapter(l.Adapter)
 	_, c.PrefixLikely = m.state.prefixes[l.Prefix]
@@ -133,9 +133,12 @@
 	s.running, s.waiting, s.concurrency = r.Running, r.Waiting, r.Concurrency
 	s.draining = r.Draining
 	s.madeAt = now.Add(-age)
-	s.unseen = 0
-	if age > 0 {
-		s.unseen = s.recent.since(s.madeAt)
+	s.waitingBy = append(s.waitingBy[:0], r.WaitingByPriority...)
+	for i := range s.unseen {
+		s.unseen[i] = 0
+		if age > 0 {
+			s.unseen[i] = s.recent[i].since(s.madeAt)
+		}
 	}
 	clear(s.prefixes)
 	for _, h := range r.PrefixHashes {
--- a/wire/report.go
+++ b/wire/report.go
@@ -29,6 +29,9 @@
 	Concurrency int `cbor:"15,keyasint,omitempty"`
 	// PrefixHashes lists prompt prefixes that are probably cached, a hint.
 	PrefixHashes []uint64 `cbor:"16,keyasint,omitempty"`
+	// WaitingByPriority counts the waiting requests of each priority, the most
+	// urgent first. Empty means that only Waiting is known.
+	WaitingByPriority []int `cbor:"17,keyasint,omitempty"`
 }
 
 // Kind implements Message.
