Share between regions below the urgent class; cross regions only near the deadline

Weighed: strict priority (PriorityLag of an hour); equal shares at every VM; shares by what a region is entitled to (RegionWeights); crossing for 100 ms, for a quarter and for half of the time left.

Change: regions share by start-time fair queueing over all their work. The most urgent priority stays strict; below it a region may fall behind by PriorityLag for each step of priority. A request crosses regions only when that gains a quarter of the time that it has left.

Conclusion: a quarter, with shares by entitlement.

--- a/admission/class.go
+++ b/admission/class.go
@@ -6,7 +6,7 @@
 	"github.com/laureltally/laureltally/ident"
 )
 
-// class is the waiting items of one priority, as flows in order of arrival.
+// class is the waiting items of one priority of one region.
 type class struct {
 	priority ident.Priority
 	flows    []*flow
@@ -16,19 +16,42 @@
 	load decayingRate
 }
 
-func (c *class) flow(k flowKey) *flow {
+// flow returns the flow of an environment. A new one, or one that had nothing
+// waiting, does not make up for the time before.
+func (c *class) flow(env ident.Environment) *flow {
+	f := c.find(env)
+	if f == nil {
+		f = &flow{environment: env}
+		c.flows = append(c.flows, f)
+	}
+	if len(f.items) == 0 {
+		f.started = max(f.started, c.leastStarted(f))
+	}
+	return f
+}
+
+func (c *class) find(env ident.Environment) *flow {
 	for _, f := range c.flows {
-		if f.key == k {
+		if f.environment == env {
 			return f
 		}
 	}
-	f := &flow{key: k}
-	c.flows = append(c.flows, f)
-	return f
+	return nil
+}
+
+func (c *class) leastStarted(but *flow) time.Duration {
+	var least time.Duration
+	found := false
+	for _, f := range c.flows {
+		if f != but && len(f.items) > 0 && (!found || f.started < least) {
+			least, found = f.started, true
+		}
+	}
+	return least
 }
 
 func (c *class) push(e *entry) {
-	c.flow(flowKey{e.Region, e.Environment}).push(e)
+	c.flow(e.Environment).push(e)
 	c.waiting++
 	c.work += e.Hold
 }
@@ -37,38 +60,28 @@
 	e := f.removeAt(i)
 	c.waiting--
 	c.work -= e.Hold
-	if len(f.items) == 0 {
-		c.drop(f)
-	}
 	return e
 }
 
-func (c *class) drop(f *flow) {
-	for i, g := range c.flows {
-		if g == f {
-			c.flows = append(c.flows[:i], c.flows[i+1:]...)
-			return
+// next is the flow whose turn it is: the one that has started least.
+func (c *class) next() *flow {
+	var best *flow
+	for _, f := range c.flows {
+		if len(f.items) > 0 && (best == nil || f.started < best.started) {
+			best = f
 		}
 	}
+	return best
 }
 
-// regionWork is the waiting work of one region.
-func (c *class) regionWork(r ident.Region) time.Duration {
-	var sum time.Duration
+// ahead is the work of the class that starts before an item of env that has own
+// work of its flow before it.
+func (c *class) ahead(env ident.Environment, own time.Duration) time.Duration {
+	sum := own
 	for _, f := range c.flows {
-		if f.key.region == r {
-			sum += f.work
+		if f.environment != env {
+			sum += min(f.work, own)
 		}
 	}
 	return sum
 }
-
-// firstOfRegion tells whether no flow before the i-th is of the same region.
-func (c *class) firstOfRegion(i int) bool {
-	for _, f := range c.flows[:i] {
-		if f.key.region == c.flows[i].key.region {
-			return false
-		}
-	}
-	return true
-}
--- a/admission/flow.go
+++ b/admission/flow.go
@@ -6,17 +6,13 @@
 	"github.com/laureltally/laureltally/ident"
 )
 
-// flowKey names the flows that share an upstream fairly.
-type flowKey struct {
-	region      ident.Region
-	environment ident.Environment
-}
-
-// flow is the waiting items of one key within one class, oldest first.
+// flow is the waiting items of one environment within a class, oldest first.
 type flow struct {
-	key   flowKey
-	items []*entry
-	work  time.Duration
+	environment ident.Environment
+	items       []*entry
+	work        time.Duration
+	// started is the work that the flow has started, its virtual time.
+	started time.Duration
 }
 
 func (f *flow) push(e *entry) {
--- a/admission/options.go
+++ b/admission/options.go
@@ -15,6 +15,7 @@
 	DefaultMinRetryAfter  = 250 * time.Millisecond
 	DefaultMaxRetryAfter  = 30 * time.Second
 	DefaultWaitShare      = 0.5
+	DefaultPriorityLag    = 2 * time.Second
 )
 
 // Options configures a Queue.
@@ -36,6 +37,10 @@
 	// spend in the queue, over 0 and at most 1. The rest absorbs errors of the
 	// estimate.
 	WaitShare float64
+	// PriorityLag is how far a region may fall behind others, in time of the whole
+	// upstream, for each step by which their work is more urgent. The most urgent
+	// priority goes first whatever the lag.
+	PriorityLag time.Duration
 	// MinRetryAfter and MaxRetryAfter bound Refuse.RetryAfter before jitter.
 	MinRetryAfter, MaxRetryAfter time.Duration
 	// Rand spreads RetryAfter.
@@ -55,6 +60,9 @@
 	if o.WaitShare == 0 {
 		o.WaitShare = DefaultWaitShare
 	}
+	if o.PriorityLag == 0 {
+		o.PriorityLag = DefaultPriorityLag
+	}
 	if o.MinRetryAfter == 0 {
 		o.MinRetryAfter = DefaultMinRetryAfter
 	}
@@ -76,6 +84,8 @@
 		return &OptionError{Field: "Cost"}
 	case o.WaitShare <= 0 || o.WaitShare > 1:
 		return &OptionError{Field: "WaitShare"}
+	case o.PriorityLag < 0:
+		return &OptionError{Field: "PriorityLag"}
 	case o.MinRetryAfter < 0 || o.MaxRetryAfter < o.MinRetryAfter:
 		return &OptionError{Field: "MaxRetryAfter"}
 	case o.Rand == nil:
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -24,10 +24,8 @@
 type Queue struct {
 	opts     Options
 	limit    concurrencyLimit
-	classes  []*class
-	fair     fairness
+	backlog  backlog
 	running  map[ident.Attempt]*entry
-	waiting  int
 	average  time.Duration
 	ratio    quantile
 	arrivals decayingRate
@@ -46,7 +44,6 @@
 	return &Queue{
 		opts:    o,
 		limit:   newConcurrencyLimit(o.MinConcurrency, o.Concurrency, o.FixedConcurrency),
-		fair:    newFairness(),
 		running: make(map[ident.Attempt]*entry),
 		average: o.Cost,
 		ratio:   newQuantile(startQuantile, 1),
@@ -68,7 +65,7 @@
 	}
 	q.push(e)
 	actions := q.start(now, nil)
-	if q.waiting > q.opts.MaxWaiting {
+	if q.backlog.waiting > q.opts.MaxWaiting {
 		actions = append(actions, q.evict(now))
 	}
 	return actions
@@ -91,11 +88,7 @@
 	if q.running[id] != nil {
 		return q.Finish(now, id, Failed)
 	}
-	for _, c := range q.classes {
-		if q.removeID(c, id) {
-			break
-		}
-	}
+	q.removeID(id)
 	return q.Tick(now)
 }
 
@@ -107,7 +100,7 @@
 
 // Next returns when Tick is due, or false while nothing waits.
 func (q *Queue) Next(now time.Time) (time.Time, bool) {
-	if q.waiting == 0 {
+	if q.backlog.waiting == 0 {
 		return time.Time{}, false
 	}
 	return now.Add(sweepInterval), true
@@ -135,10 +128,8 @@
 // RefuseAll refuses all waiting items, for example because a load failed.
 func (q *Queue) RefuseAll(now time.Time, code wire.Code) []Action {
 	var actions []Action
-	for _, c := range q.classes {
-		for len(c.flows) > 0 {
-			actions = append(actions, q.refuse(now, q.remove(c, c.flows[0], 0), code))
-		}
+	for at, ok := q.backlog.next(); ok; at, ok = q.backlog.next() {
+		actions = append(actions, q.refuse(now, q.backlog.remove(at, 0), code))
 	}
 	return actions
 }
@@ -152,7 +143,7 @@
 
 // SetWeights sets each region's share of the upstream; see RegionWeights. Nil
 // shares it equally.
-func (q *Queue) SetWeights(w map[ident.Region]float64) { q.fair.weights = w }
+func (q *Queue) SetWeights(w map[ident.Region]float64) { q.backlog.setWeights(w) }
 
 // Estimate is what an item offered now would have to expect.
 func (q *Queue) Estimate(now time.Time, it Item) Estimate {
@@ -161,19 +152,21 @@
 
 // Stats returns a snapshot.
 func (q *Queue) Stats() Stats {
-	return Stats{Running: len(q.running), Waiting: q.waiting, Limit: q.limit.current(), Cost: q.average}
+	return Stats{Running: len(q.running), Waiting: q.backlog.waiting, Limit: q.limit.current(), Cost: q.average}
 }
 
 // WaitingByPriority counts the waiting items of each priority from zero on, for
 // wire.Report.
 func (q *Queue) WaitingByPriority() []int {
 	var counts []int
-	for _, c := range q.classes {
-		for len(counts) <= int(c.priority) {
+	q.backlog.each(func(at place) bool {
+		p := max(0, int(at.class.priority))
+		for len(counts) <= p {
 			counts = append(counts, 0)
 		}
-		counts[max(0, c.priority)] += c.waiting
-	}
+		counts[p] += len(at.flow.items)
+		return true
+	})
 	return counts
 }
 
--- a/admission/queue_estimate.go
+++ b/admission/queue_estimate.go
@@ -3,19 +3,15 @@
 import (
 	"time"
 
-	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/wire"
 )
 
 // estimate is for an item behind all waiting items of its flow.
 func (q *Queue) estimate(now time.Time, e *entry) Estimate {
-	k := flowKey{e.Region, e.Environment}
 	var own time.Duration
-	if c := q.find(e.Priority); c != nil {
-		for _, f := range c.flows {
-			if f.key == k {
-				own = f.work
-			}
+	if c := q.backlog.lane(e.Region).find(e.Priority); c != nil {
+		if f := c.find(e.Environment); f != nil {
+			own = f.work
 		}
 	}
 	return q.estimateBehind(now, e, own)
@@ -27,11 +23,11 @@
 	if q.held {
 		est.Load = max(0, q.ready.Sub(now))
 	}
-	ahead := q.aheadOf(e, own)
+	ahead := q.backlog.ahead(e, own)
 	if ahead == 0 && len(q.running) < q.limit.current() {
 		return est
 	}
-	est.Wait = scale(ahead+q.residual(), 1/q.capacity(now, e.Priority))
+	est.Wait = scale(ahead+q.residual(), 1/q.capacity(now, e))
 	return est
 }
 
@@ -43,28 +39,10 @@
 	return q.average
 }
 
-func (q *Queue) aheadOf(e *entry, own time.Duration) time.Duration {
-	var sum time.Duration
-	for _, c := range q.classes {
-		switch {
-		case c.priority < e.Priority:
-			sum += c.work
-		case c.priority == e.Priority:
-			sum += q.fair.ahead(c, flowKey{e.Region, e.Environment}, own)
-		}
-	}
-	return sum
-}
-
-// capacity is how many places are left to a priority by more urgent work.
-func (q *Queue) capacity(now time.Time, p ident.Priority) float64 {
+// capacity is how many places more urgent work leaves to an item.
+func (q *Queue) capacity(now time.Time, e *entry) float64 {
 	places := float64(q.limit.current())
-	left := places
-	for _, c := range q.classes {
-		if c.priority < p {
-			left -= c.load.perSecond(now)
-		}
-	}
+	left := places - q.backlog.urgentLoad(now, e.Region, e.Priority)
 	return max(left, places*minCapacityShare)
 }
 
--- a/bench/hotpath/scenario.go
+++ b/bench/hotpath/scenario.go
@@ -89,10 +89,14 @@
 	Alone bool
 	// EqualShares gives every region the same share of each VM.
 	EqualShares bool
+	// PriorityLag replaces the default of the queue.
+	PriorityLag time.Duration
 	// BlindReports leaves the priorities out of load reports.
 	BlindReports bool
 	// WaitShare replaces the default of the queue.
 	WaitShare float64
+	// CrossingShare replaces the default of the chooser.
+	CrossingShare float64
 	// LoadBound replaces the default of the chooser.
 	LoadBound float64
 }
--- a/bench/hotpath/upstream.go
+++ b/bench/hotpath/upstream.go
@@ -59,6 +59,7 @@
 		Concurrency:      s.Stated,
 		FixedConcurrency: s.Policy.FixedLimit,
 		WaitShare:        s.Policy.WaitShare,
+		PriorityLag:      s.Policy.PriorityLag,
 		Rand:             rand.New(rand.NewPCG(s.Seed, uint64(1000+u.index))),
 	})
 	if err != nil {
@@ -206,4 +207,3 @@
 	r.Models = []wire.ModelReport{{Model: "m", Phase: phase}}
 	return r
 }
-
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -39,12 +39,17 @@
 		return Choice{}, noCandidate(all)
 	case n == 0:
 		return other, nil
-	case m > 0 && other.Wait+c.opts.CrossingGain < own.Wait:
+	case m > 0 && other.Wait+c.gain(req) < own.Wait:
 		return other, nil
 	}
 	return own, nil
 }
 
+// gain is how much sooner a request must start in another region.
+func (c *Chooser) gain(req Request) time.Duration {
+	return max(c.opts.CrossingGain, time.Duration(c.opts.CrossingShare*float64(req.Remaining)))
+}
+
 // pick chooses within the request's region, or among all others.
 func (c *Chooser) pick(req Request, all []Candidate, crossing bool) (Choice, int) {
 	p := pool{req: req, all: all, crossing: crossing}
--- a/routing/options.go
+++ b/routing/options.go
@@ -9,6 +9,7 @@
 const (
 	DefaultRegionDelay   = 30 * time.Millisecond
 	DefaultCrossingGain  = 100 * time.Millisecond
+	DefaultCrossingShare = 0.25
 	DefaultLoadBound     = 1.25
 	DefaultAdapterDelay  = 15 * time.Millisecond
 	DefaultPrefixSavings = 0.3
@@ -22,6 +23,9 @@
 	// CrossingGain is how much sooner, links included, a request must be expected
 	// to start in another region to be worth the paid volume.
 	CrossingGain time.Duration
+	// CrossingShare is the part of the time to the deadline that crossing must gain
+	// besides.
+	CrossingShare float64
 	// LoadBound is how many times the mean load a VM may have and still be chosen
 	// for its affinity. It is over 1.
 	LoadBound float64
@@ -43,6 +47,9 @@
 	if o.CrossingGain == 0 {
 		o.CrossingGain = DefaultCrossingGain
 	}
+	if o.CrossingShare == 0 {
+		o.CrossingShare = DefaultCrossingShare
+	}
 	if o.LoadBound == 0 {
 		o.LoadBound = DefaultLoadBound
 	}
@@ -64,6 +71,8 @@
 		return &OptionError{Field: "RegionDelay"}
 	case o.CrossingGain < 0:
 		return &OptionError{Field: "CrossingGain"}
+	case o.CrossingShare < 0 || o.CrossingShare > 1:
+		return &OptionError{Field: "CrossingShare"}
 	case o.LoadBound <= 1:
 		return &OptionError{Field: "LoadBound"}
 	case o.AdapterDelay < 0:
--- a/routing/request.go
+++ b/routing/request.go
@@ -1,6 +1,10 @@
 package routing
 
-import "github.com/laureltally/laureltally/ident"
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
 
 // Request is what a choice needs to know of a request.
 type Request struct {
@@ -9,6 +13,9 @@
 	Zone   ident.Zone
 	// Priority tells which waiting requests count: the as urgent and more urgent.
 	Priority ident.Priority
+	// Remaining is the time to the request's deadline. The more there is, the more
+	// crossing has to gain.
+	Remaining time.Duration
 	// Affinity is a hash of what should stay together on one VM: the prompt
 	// prefix, or the adapter. Zero means that nothing should.
 	Affinity uint64
