Ejected VMs at home no longer hold requests back; a refused request may cross

Cause, limit: probes took 2 to 3 of 100 answers at steady overload.

Change: ejected candidates of any region come after all others; a request without Remaining crosses for CrossingGain alone, which routers use after a refusal; probes of the limit start 32 windows apart.

--- a/admission/concurrency_limit.go
+++ b/admission/concurrency_limit.go
@@ -20,7 +20,7 @@
 	suspicion = 1.3
 	// minProbeGap and maxProbeGap bound the windows between probes. The gap
 	// doubles after each probe that showed no gain.
-	minProbeGap = 8
+	minProbeGap = 32
 	maxProbeGap = 256
 )
 
--- a/bench/hotpath/router.go
+++ b/bench/hotpath/router.go
@@ -121,7 +121,7 @@
 		Request: routing.Request{
 			Region:        regionName(r.region),
 			Priority:      q.class.Priority,
-			Remaining:     q.deadline - r.w.now,
+			Remaining:     r.patience(q),
 			Affinity:      q.prefix,
 			Exclude:       q.exclude,
 			AllowCrossing: !r.w.s.NoCrossing,
@@ -134,6 +134,14 @@
 	return vm, c.Crosses, err == nil
 }
 
+// patience is the time left, or none once a VM has refused the request.
+func (r *router) patience(q *request) time.Duration {
+	if q.attempts > 0 {
+		return 0
+	}
+	return q.deadline - r.w.now
+}
+
 func (r *router) health(now time.Time, vm ident.VM) routing.Health {
 	if r.w.s.Policy.NoEjection {
 		return routing.Health{}
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -29,20 +29,29 @@
 // Choose picks the VM for a request. It fails with a *NoCandidateError if every
 // candidate is leaving or excluded.
 func (c *Chooser) Choose(req Request, all []Candidate) (Choice, error) {
-	own, n := c.pick(req, all, false)
+	if ch, ok := c.choose(req, all, false); ok {
+		return ch, nil
+	}
+	if ch, ok := c.choose(req, all, true); ok {
+		return ch, nil
+	}
+	return Choice{}, noCandidate(all)
+}
+
+// choose picks among all candidates, or among those that are not ejected.
+func (c *Chooser) choose(req Request, all []Candidate, ejected bool) (Choice, bool) {
+	own, n := c.pick(pool{req: req, all: all, ejected: ejected})
 	if n > 0 && !req.AllowCrossing {
-		return own, nil
-	}
-	other, m := c.pick(req, all, true)
-	switch {
-	case n == 0 && m == 0:
-		return Choice{}, noCandidate(all)
-	case n == 0:
-		return other, nil
-	case m > 0 && other.Wait+c.gain(req) < own.Wait:
-		return other, nil
-	}
-	return own, nil
+		return own, true
+	}
+	other, m := c.pick(pool{req: req, all: all, ejected: ejected, crossing: true})
+	if n == 0 {
+		return other, m > 0
+	}
+	if m > 0 && other.Wait+c.gain(req) < own.Wait {
+		return other, true
+	}
+	return own, true
 }
 
 // gain is how much sooner a request must start in another region.
@@ -50,23 +59,18 @@
 	return max(c.opts.CrossingGain, time.Duration(c.opts.CrossingShare*float64(req.Remaining)))
 }
 
-// pick chooses within the request's region, or among all others.
-func (c *Chooser) pick(req Request, all []Candidate, crossing bool) (Choice, int) {
-	p := pool{req: req, all: all, crossing: crossing}
+// pick chooses within one pool and returns its size.
+func (c *Chooser) pick(p pool) (Choice, int) {
 	p.count(c.opts.Routers)
-	if p.n == 0 {
-		p.ejected = true
-		p.count(c.opts.Routers)
-	}
 	if p.n == 0 {
 		return Choice{}, 0
 	}
 	i, affine := c.pickFrom(&p)
 	return Choice{
 		Index:       i,
-		Wait:        c.wait(&all[i], crossing),
-		ServiceTime: all[i].ServiceTime,
-		Crosses:     crossing,
+		Wait:        c.wait(&p.all[i], p.crossing),
+		ServiceTime: p.all[i].ServiceTime,
+		Crosses:     p.crossing,
 		Affine:      affine,
 	}, p.n
 }
