An idle upstream takes a request of unknown cost; agents report waiting work by priority

Cause: the cost of requests was assumed to be 1 s until some had finished, so an upstream whose requests were due within less refused them all and never learned. The same held after a time of slow answers.

Change: one request of unknown cost passes to an idle upstream whatever was learned; the first guess is 100 ms and the first averages are plain means. The router's choices carry priority and time left, the agent's reports the waiting requests of each priority.

--- a/admission/entry.go
+++ b/admission/entry.go
@@ -6,6 +6,8 @@
 // replaced.
 type entry struct {
 	Item
+	// guessed is set when Cost is the average of other requests.
+	guessed bool
 	started time.Time
 }
 
--- a/admission/options.go
+++ b/admission/options.go
@@ -11,7 +11,7 @@
 const (
 	DefaultMinConcurrency = 1
 	DefaultMaxWaiting     = 256
-	DefaultCost           = time.Second
+	DefaultCost           = 100 * time.Millisecond
 	DefaultMinRetryAfter  = 250 * time.Millisecond
 	DefaultMaxRetryAfter  = 30 * time.Second
 	DefaultWaitShare      = 0.5
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -27,6 +27,7 @@
 	backlog  backlog
 	running  map[ident.Attempt]*entry
 	average  time.Duration
+	seen     int
 	ratio    quantile
 	arrivals decayingRate
 	returns  schedule
@@ -171,11 +172,12 @@
 }
 
 func (q *Queue) entry(it Item) *entry {
-	if it.Cost <= 0 {
+	guessed := it.Cost <= 0
+	if guessed {
 		it.Cost = q.average
 	}
 	if it.Hold <= 0 {
 		it.Hold = it.Cost
 	}
-	return &entry{Item: it}
+	return &entry{Item: it, guessed: guessed}
 }
--- a/admission/queue_estimate.go
+++ b/admission/queue_estimate.go
@@ -49,11 +49,20 @@
 // fits tells whether an offered item is expected to make its deadline, with part
 // of its spare time left.
 func (q *Queue) fits(now time.Time, e *entry) bool {
+	if q.mayProbe(now, e) {
+		return true
+	}
 	est := q.estimate(now, e)
 	spare := e.Deadline.Sub(now) - est.Load - est.Run
 	return spare >= 0 && est.Wait <= scale(spare, q.opts.WaitShare)
 }
 
+// mayProbe lets one item of guessed cost through to an idle upstream, whatever
+// was learned: without it, one slow time could refuse everything for good.
+func (q *Queue) mayProbe(now time.Time, e *entry) bool {
+	return e.guessed && !q.held && len(q.running) == 0 && q.backlog.waiting == 0 && now.Before(e.Deadline)
+}
+
 // refusalCode is deadline if even an idle upstream would answer too late.
 func (q *Queue) refusalCode(now time.Time, e *entry) wire.Code {
 	if now.Add(e.Cost).After(e.Deadline) {
--- a/admission/queue_order.go
+++ b/admission/queue_order.go
@@ -38,7 +38,7 @@
 
 func (q *Queue) startNext(now time.Time, at place) Action {
 	e := q.backlog.remove(at, 0)
-	if now.After(e.latestStart(q.ratio.value)) {
+	if !q.mayProbe(now, e) && now.After(e.latestStart(q.ratio.value)) {
 		return q.refuse(now, e, wire.CodeDeadline)
 	}
 	e.started = now
@@ -86,7 +86,8 @@
 	switch r {
 	case Succeeded:
 		took := now.Sub(e.started)
-		q.average += scale(took-q.average, averageWeight)
+		q.seen++
+		q.average += scale(took-q.average, max(averageWeight, 1/float64(q.seen)))
 		q.ratio.observe(float64(took) / float64(e.Hold))
 		if saturated {
 			q.limit.observe(took)
--- a/agent/admitter.go
+++ b/agent/admitter.go
@@ -70,6 +70,13 @@
 	return a.queue.Stats()
 }
 
+// waitingByPriority counts the waiting items of each priority.
+func (a *admitter) waitingByPriority() []int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.WaitingByPriority()
+}
+
 // do runs one event of the queue and carries out what follows.
 func (a *admitter) do(event func(now time.Time) []admission.Action) {
 	a.mu.Lock()
--- a/agent/reporter.go
+++ b/agent/reporter.go
@@ -142,6 +142,7 @@
 		stats := l.stats()
 		r.Running += stats.Running
 		r.Waiting += stats.Waiting
+		r.WaitingByPriority = addCounts(r.WaitingByPriority, l.waitingByPriority())
 		if l.model == "" {
 			r.Concurrency = stats.Limit
 			continue
@@ -154,12 +155,23 @@
 	}
 }
 
+// addCounts adds b to a, position by position.
+func addCounts(a, b []int) []int {
+	for i, n := range b {
+		if i == len(a) {
+			a = append(a, 0)
+		}
+		a[i] += n
+	}
+	return a
+}
+
 // sameReport tells whether two reports say the same, Seq aside.
 func sameReport(a, b *wire.Report) bool {
 	if a.Draining != b.Draining || a.FreeMB != b.FreeMB || a.Running != b.Running || a.Waiting != b.Waiting || a.Concurrency != b.Concurrency {
 		return false
 	}
-	return sameConfigs(a, b) && slices.EqualFunc(a.Models, b.Models, sameModel)
+	return slices.Equal(a.WaitingByPriority, b.WaitingByPriority) && sameConfigs(a, b) && slices.EqualFunc(a.Models, b.Models, sameModel)
 }
 
 func sameConfigs(a, b *wire.Report) bool {
--- a/router/choose.go
+++ b/router/choose.go
@@ -37,7 +37,7 @@
 			return t, nil
 		}
 	}
-	return f.targetLocked(now, choice.VM, route), nil
+	return f.targetLocked(now, choice.VM, route, req.Priority), nil
 }
 
 func (f *fleet) chooseSlotLocked(now time.Time, req *Request, avoid map[ident.VM]bool) (coldstart.Choice, *Failure) {
@@ -107,6 +107,8 @@
 		Request: routing.Request{
 			Region:        f.s.o.Settings.Region,
 			Zone:          f.s.o.Settings.Zone,
+			Priority:      req.Priority,
+			Remaining:     patience(now, req, avoid),
 			Affinity:      req.PrefixHash,
 			Exclude:       anyOf(avoid),
 			AllowCrossing: true,
@@ -127,7 +129,7 @@
 		failure.RetryAfter = noReplicaRetryAfter
 		return target{}, failure
 	}
-	return f.targetLocked(now, id, route), nil
+	return f.targetLocked(now, id, route, req.Priority), nil
 }
 
 // healthLocked is what outlier detection and the connection say of a VM.
@@ -140,6 +142,15 @@
 	return routing.Health{Ejected: status.Blocked, Share: status.Share}
 }
 
+// patience is the time left, or none once a VM has refused or failed the
+// request: then another region is as good.
+func patience(now time.Time, req *Request, avoid map[ident.VM]bool) time.Duration {
+	if len(avoid) > 0 {
+		return 0
+	}
+	return req.Deadline.Sub(now)
+}
+
 func anyOf(set map[ident.VM]bool) ident.VM {
 	for id := range set {
 		return id
@@ -148,9 +159,9 @@
 }
 
 // targetLocked counts the attempt as started.
-func (f *fleet) targetLocked(now time.Time, id ident.VM, route routing.Target) target {
+func (f *fleet) targetLocked(now time.Time, id ident.VM, route routing.Target, p ident.Priority) target {
 	u := f.vms[id]
-	f.table.Started(now, id)
+	f.table.Started(now, id, p)
 	f.ejectorLocked(u.listed.Upstream).Started(now, id)
 	return target{
 		vm:          id,
@@ -159,6 +170,7 @@
 		upstream:    u.listed.Upstream,
 		route:       route,
 		started:     now,
+		priority:    p,
 	}
 }
 
@@ -171,7 +183,7 @@
 	if failure != nil {
 		took = 0
 	}
-	f.table.Ended(now, t.vm, t.route, took)
+	f.table.Ended(now, t.vm, t.route, t.priority, took)
 	f.ejectorLocked(t.upstream).Ended(now, t.vm, !blames(failure))
 }
 
--- a/router/target.go
+++ b/router/target.go
@@ -15,4 +15,5 @@
 	upstream    ident.Upstream
 	route       routing.Target
 	started     time.Time
+	priority    ident.Priority
 }
