bench: loaded models at twice their capacity and after losses

Cause: the policies of admission, routing, retries and ejection need figures with baselines in one run.

--- a/bench/hotpath/result.go
+++ b/bench/hotpath/result.go
@@ -1,6 +1,7 @@
 package hotpath
 
 import (
+	"slices"
 	"time"
 
 	hdr "github.com/HdrHistogram/hdrhistogram-go"
@@ -32,14 +33,15 @@
 	Served []int
 	// ClassAsked and ClassAnswered count by priority.
 	ClassAsked, ClassAnswered map[ident.Priority]int
-	// PeakWaiting is the longest queue of each VM, MeanWaiting over VMs and time.
+	// PeakWaiting is the longest queue of each VM.
 	PeakWaiting []int
-	MeanWaiting float64
 	// Codes counts refusals.
 	Codes map[string]int
 
-	s       Scenario
-	latency map[ident.Priority]*hdr.Histogram
+	s Scenario
+	// loads holds the sums over samples of the longest and the mean load.
+	longest, mean float64
+	latency       map[ident.Priority]*hdr.Histogram
 }
 
 func newResult(s Scenario) *Result {
@@ -120,7 +122,8 @@
 	}
 }
 
-func (r *Result) attempt(measured, crosses bool) {
+func (r *Result) attempt(at time.Duration, measured, crosses bool) {
+	r.AttemptsPerSecond[at/time.Second]++
 	if measured {
 		r.Attempts++
 		if crosses {
@@ -161,6 +164,52 @@
 	return time.Duration(r.latency[p].ValueAtQuantile(100*q)) * time.Microsecond
 }
 
+// sample takes the requests at each VM.
+func (r *Result) sample(loads []int) {
+	sum := 0
+	for _, l := range loads {
+		sum += l
+	}
+	r.longest += float64(slices.Max(loads))
+	r.mean += float64(sum) / float64(len(loads))
+}
+
+// Herd is the mean of the longest queue over the mean queue.
+func (r *Result) Herd() float64 { return r.longest / max(1, r.mean) }
+
+// HitRate is the share of requests that found their prefix cached.
+func (r *Result) HitRate() float64 {
+	return float64(r.PrefixHits) / float64(max(1, r.PrefixLookups))
+}
+
+// Between sums counts of seconds between two times.
+func Between(counts []int, from, until time.Duration) int {
+	sum := 0
+	for _, n := range counts[from/time.Second : until/time.Second] {
+		sum += n
+	}
+	return sum
+}
+
+// recoverySpan is the time over which goodput is averaged to call it back.
+const recoverySpan = 5 * time.Second
+
+// Recovery is the time from a fault until goodput, averaged over recoverySpan, is
+// back at a share of the allowed answers a second and stays there on average
+// until the end of the fault. It is the length of the fault if that never
+// happens.
+func (r *Result) Recovery(from, until time.Duration, allowed, share float64) time.Duration {
+	enough := func(a, b time.Duration) bool {
+		return float64(Between(r.PerSecond, a, b)) >= share*allowed*(b-a).Seconds()
+	}
+	for t := from; t+recoverySpan <= until; t += time.Second {
+		if enough(t, t+recoverySpan) && enough(t, until) {
+			return t - from
+		}
+	}
+	return until - from
+}
+
 // Jain is the fairness index of the answers in time over regions.
 func (r *Result) Jain() float64 {
 	var sum, squares float64
--- a/bench/hotpath/router.go
+++ b/bench/hotpath/router.go
@@ -86,7 +86,7 @@
 	}
 	q.attempts++
 	r.sent++
-	r.w.result.attempt(r.w.measured(), crosses)
+	r.w.result.attempt(r.w.now, r.w.measured(), crosses)
 	now := r.w.clock()
 	r.table.Started(now, vm, q.class.Priority)
 	r.ejector.Started(now, vm)
--- a/bench/hotpath/world.go
+++ b/bench/hotpath/world.go
@@ -32,16 +32,16 @@
 		w.arrive(region)
 	}
 	w.faults()
+	w.after(s.Warm, w.sample)
 	w.run(s.End)
 	w.result.close(w)
 	return w.result
 }
 
 func (w *world) build() {
-	for region, n := range w.s.VMs {
+	for _, n := range w.s.VMs {
 		for range n {
 			w.listed[len(w.listed)] = true
-			_ = region
 		}
 	}
 	for region, n := range w.s.VMs {
@@ -88,6 +88,19 @@
 	w.after(lag, deliver)
 }
 
+// sampleEvery is how often the loads of the VMs are sampled.
+const sampleEvery = 100 * time.Millisecond
+
+func (w *world) sample() {
+	loads := make([]int, 0, len(w.upstreams))
+	for _, u := range w.upstreams {
+		st := u.queue.Stats()
+		loads = append(loads, st.Running+st.Waiting)
+	}
+	w.result.sample(loads)
+	w.after(sampleEvery, w.sample)
+}
+
 // arrive makes the next request of a region and plans the one after it.
 func (w *world) arrive(region int) {
 	capacity := float64(len(w.upstreams)*w.s.Places) / w.s.Service.Seconds()
--- a/bench/section.go
+++ b/bench/section.go
@@ -5,5 +5,8 @@
 
 // sections lists the topics in the order in which they are printed.
 func sections() []section {
-	return []section{}
+	return []section{
+		overloadSection,
+		outageSection,
+	}
 }
