--- a/bench/section.go
+++ b/bench/section.go
@@ -5,5 +5,11 @@
 
 // sections lists the topics in the order in which they are printed.
 func sections() []section {
-	return []section{muotiennuste, nordfjell, memoryless}
+	return []section{
+		muotiennuste,
+		nordfjell,
+		memoryless,
+		overloadSection,
+		outageSection,
+	}
 }
