The whole path in one process, and the replica manager's lost wake-up mended

Cause: a request to a loaded model hung. Manager.Acquire filed its result channel under the id that machine.acquire returned, which was read from the waiter after the step had granted it and cleared its id to zero; the result was then dropped. Ruled out by a dump of goroutines and of the engine's state: the load itself, the lane's Resume, and the answer's relay.

--- a/bench/outage.go
+++ b/bench/outage.go
@@ -103,7 +103,7 @@
 			base = append(base, named{v.name, get(figures[i+1])})
 		}
 		own := get(figures[0])
-		t.add(row{name, figure, target, baselines(format, base...), own.text(format), reached(own)})
+		t.add(row{name, figure, target, baselineSpreads(format, base...), own.text(format), reached(own)})
 	}
 	put("attempts for each request, first 10 s", "<= 1.1", "%.3f", func(f outageFigures) spread { return f.attempts },
 		func(s spread) verdict { return judge(s.most() <= maxAttempts) })
--- a/bench/overload.go
+++ b/bench/overload.go
@@ -62,7 +62,7 @@
 	}
 	put := func(figure, target, format string, get func(overloadFigures) spread, reached func(spread) verdict) {
 		own, base := pick(get)
-		t.add(row{"overload 2x", figure, target, baselines(format, base...), own.text(format), reached(own)})
+		t.add(row{"overload 2x", figure, target, baselineSpreads(format, base...), own.text(format), reached(own)})
 	}
 	put("goodput / capacity", ">= 0.95", "%.3f", func(f overloadFigures) spread { return f.goodput },
 		func(s spread) verdict { return judge(s.least() >= minGoodput) })
--- a/bench/spread.go
+++ b/bench/spread.go
@@ -29,8 +29,8 @@
 	spread spread
 }
 
-// baselines prints the spreads of baselines.
-func baselines(format string, all ...named) string {
+// baselineSpreads prints the spreads of baselines.
+func baselineSpreads(format string, all ...named) string {
 	parts := make([]string, 0, len(all))
 	for _, n := range all {
 		parts = append(parts, n.name+" "+n.spread.text(format))
--- a/dev/cluster.go
+++ b/dev/cluster.go
@@ -59,7 +59,6 @@
 	base     string
 	vms      *standin.VMList
 	client   *objecthttp.Client
-	stop     context.CancelFunc
 	wg       sync.WaitGroup
 	closers  []func()
 	failures chan error
--- /dev/null
+++ b/dev/demo_error.go
@@ -0,0 +1,12 @@
+package dev
+
+import "fmt"
+
+// demoError reports a request of the demonstration that was not answered.
+type demoError struct {
+	title  string
+	status string
+}
+
+// Error implements error.
+func (e *demoError) Error() string { return fmt.Sprintf("%s: status %s", e.title, e.status) }
--- a/replica/machine_waiters.go
+++ b/replica/machine_waiters.go
@@ -12,12 +12,13 @@
 // which may be queued already.
 func (m *machine) acquire(n Need, now time.Time) uint64 {
 	m.waiterSeq++
-	w := &waiter{id: m.waiterSeq, need: n}
+	id := m.waiterSeq
+	w := &waiter{id: id, need: n}
 	i, _ := slices.BinarySearchFunc(m.waiters, w, compareWaiters)
 	m.waiters = slices.Insert(m.waiters, i, w)
 	m.o.policy.Observe(n.Model, now)
 	m.step(now)
-	return w.id
+	return id
 }
 
 // cancel withdraws a need and tells whether it was still waiting.
