--- /dev/null
+++ b/config/positions.go
@@ -0,0 +1,31 @@
+package config
+
+import (
+	"bytes"
+	"strings"
+)
+
+// positions finds the place of a field in a text.
+type positions struct {
+	text    []byte
+	offsets map[string]int
+}
+
+// find returns line and column of a field, or of the nearest one around it that
+// the text has.
+func (p positions) find(path string) (line, column int) {
+	if p.text == nil {
+		return 0, 0
+	}
+	for {
+		if offset, ok := p.offsets[path]; ok {
+			return p.lineColumn(offset)
+		}
+		path = path[:max(0, strings.LastIndexAny(path, ".["))]
+	}
+}
+
+func (p positions) lineColumn(offset int) (line, column int) {
+	before := p.text[:offset]
+	return bytes.Count(before, []byte{'\n'}) + 1, offset - bytes.LastIndexByte(before, '\n')
+}
--- /dev/null
+++ b/config/settings_defaults.go
@@ -0,0 +1,34 @@
+package config
+
+import "time"
+
+// Defaults of the daemons' settings.
+const (
+	DefaultLogFormat          = LogFormatJSON
+	DefaultLogLevel           = "info"
+	DefaultReportInterval     = 500 * time.Millisecond
+	DefaultShutdownTimeout    = 30 * time.Second
+	DefaultServiceConcurrency = 64
+)
+
+// The formats of logs.
+const (
+	LogFormatJSON = "json"
+	LogFormatText = "text"
+)
+
+func (l *LogSettings) setDefaults() {
+	*l = LogSettings{Format: DefaultLogFormat, Level: DefaultLogLevel}
+}
+
+func (s *RouterSettings) setDefaults() {
+	s.Log.setDefaults()
+	s.ShutdownTimeout = Duration(DefaultShutdownTimeout)
+}
+
+func (s *AgentSettings) setDefaults() {
+	s.Log.setDefaults()
+	s.Concurrency = DefaultServiceConcurrency
+	s.ReportInterval = Duration(DefaultReportInterval)
+	s.ShutdownTimeout = Duration(DefaultShutdownTimeout)
+}
