document, audit: conditional updates, promotion, watcher, audit records

A write that got no answer is repeated under the same condition, which lets at most one repetition take effect; its id in the envelope, or among the recent ids of the one in place, tells whose it was. The racing test first looked into the audit trail for that and found a stale read there that told a winner that he had lost, so the envelope alone decides now. The audit record is part of the same conditional update and is copied afterwards; a writer drops records of earlier writes only once they are copied, so a crash loses none. A watcher goes by rising versions only.

--- /dev/null
+++ b/audit/action.go
@@ -0,0 +1,14 @@
+package audit
+
+// Action tells what an operator did.
+type Action string
+
+// The actions.
+const (
+	ActionApply    Action = "apply"
+	ActionPromote  Action = "promote"
+	ActionDrain    Action = "drain"
+	ActionUndrain  Action = "undrain"
+	ActionKeyCA    Action = "keys.ca"
+	ActionKeyIssue Action = "keys.issue"
+)
--- /dev/null
+++ b/document/in_force.go
@@ -0,0 +1,13 @@
+package document
+
+import (
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// InForce is a document that a process has brought in force.
+type InForce struct {
+	Document config.Document
+	Version  platform.Version
+	Digest   string
+}
--- /dev/null
+++ b/document/lost_race_error.go
@@ -0,0 +1,28 @@
+package document
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// LostRaceError reports a write that did not take effect since another operator
+// changed the document after it was read.
+type LostRaceError struct {
+	// Base is the version that the loser had read.
+	Base platform.Version
+	// Version, Actor and Time are those of the document in place now.
+	Version platform.Version
+	Actor   string
+	Time    time.Time
+	// Changes lead from the document in place to the one that lost.
+	Changes []config.Change
+}
+
+// Error implements error.
+func (e *LostRaceError) Error() string {
+	return fmt.Sprintf("document changed since version %d: %s wrote version %d at %s, which differs in %d fields",
+		e.Base, e.Actor, e.Version, e.Time.Format(time.RFC3339), len(e.Changes))
+}
--- /dev/null
+++ b/document/repository.go
@@ -0,0 +1,161 @@
+package document
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/laureltally/laureltally/audit"
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// maxRecords is how many audit records an envelope holds.
+const maxRecords = 8
+
+// Repository reads and writes the documents of environments. It is safe for
+// concurrent use, also by several processes.
+type Repository struct{ o Options }
+
+// New returns a repository.
+func New(o Options) *Repository {
+	if o.Logger == nil {
+		o.Logger = log.Log
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.NewID == nil {
+		o.NewID = rand.Text
+	}
+	if o.Patience == 0 {
+		o.Patience = DefaultPatience
+	}
+	return &Repository{o: o}
+}
+
+// Read returns a document. If there is none, its version is zero.
+func (r *Repository) Read(ctx context.Context, e ident.Environment, s Slot) (Stored, error) {
+	return r.read(ctx, Key(e, s))
+}
+
+func (r *Repository) read(ctx context.Context, key string) (Stored, error) {
+	o, err := r.o.Store.Get(ctx, key)
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return Stored{}, nil
+	}
+	if err != nil {
+		return Stored{}, fmt.Errorf("read document: %w", err)
+	}
+	e, err := decodeEnvelope(o.Value)
+	if err != nil {
+		return Stored{}, err
+	}
+	return Stored{Envelope: e, Version: o.Version}, nil
+}
+
+// Apply stores a new text if the document is still at the version that the
+// operator read. A text with problems is a *config.InvalidError, a document that
+// another operator changed meanwhile a *LostRaceError, and a platform that stays
+// away an *UnknownOutcomeError.
+func (r *Repository) Apply(ctx context.Context, u Update) (Accepted, error) {
+	return r.update(ctx, u, audit.ActionApply)
+}
+
+// Promote stores the very text that trial has in production, with errors as of
+// Apply. Another digest in trial is a *DigestError, no document a *MissingError.
+func (r *Repository) Promote(ctx context.Context, p Promotion) (Accepted, error) {
+	trial, err := r.Read(ctx, p.Environment, SlotTrial)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if trial.Version == 0 {
+		return Accepted{}, &MissingError{Environment: p.Environment, Slot: SlotTrial}
+	}
+	if got := Digest(trial.Text); got != p.Digest {
+		return Accepted{}, &DigestError{Want: p.Digest, Got: got}
+	}
+	u := Update{
+		Environment: p.Environment,
+		Slot:        SlotProduction,
+		Text:        trial.Text,
+		Actor:       p.Actor,
+		Reason:      p.Reason,
+		Base:        p.Base,
+	}
+	return r.update(ctx, u, audit.ActionPromote)
+}
+
+func (r *Repository) update(ctx context.Context, u Update, action audit.Action) (Accepted, error) {
+	d, err := config.ReadDocument(u.Text)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if d.Environment != u.Environment {
+		return Accepted{}, &EnvironmentError{Want: u.Environment, Got: d.Environment}
+	}
+	w := &write{repository: r, update: u, document: d, key: Key(u.Environment, u.Slot), action: action}
+	ctx, cancel := context.WithTimeout(ctx, r.o.Patience)
+	defer cancel()
+	return w.run(ctx)
+}
+
+// Repair copies the audit records that a crash left behind and returns how many
+// there were.
+func (r *Repository) Repair(ctx context.Context, e ident.Environment) (int, error) {
+	copied := 0
+	for _, s := range []Slot{SlotProduction, SlotTrial} {
+		stored, err := r.Read(ctx, e, s)
+		if err != nil {
+			return copied, err
+		}
+		for _, record := range stored.records() {
+			there, err := audit.Exists(ctx, r.o.Store, record)
+			if err == nil && !there {
+				err = audit.Write(ctx, r.o.Store, record)
+				copied++
+			}
+			if err != nil {
+				return copied, err
+			}
+		}
+	}
+	return copied, nil
+}
+
+// retry repeats an operation while the platform is away or answers from the
+// past, until ctx ends.
+func retry[T any](ctx context.Context, op backoff.Operation[T]) (T, error) {
+	policy := backoff.NewExponentialBackOff()
+	return backoff.Retry(ctx, func() (T, error) {
+		v, err := op()
+		if err == nil || transient(err) {
+			return v, err
+		}
+		return v, backoff.Permanent(err)
+	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
+}
+
+func transient(err error) bool {
+	var (
+		unavailable *platform.UnavailableError
+		stale       *StaleReadError
+	)
+	return errors.As(err, &unavailable) || errors.As(err, &stale)
+}
+
+func encode(e Envelope) ([]byte, error) {
+	value, err := json.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("encode document: %w", err)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/document/update.go
@@ -0,0 +1,17 @@
+package document
+
+import (
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// Update asks for a new text of a document.
+type Update struct {
+	Environment ident.Environment
+	Slot        Slot
+	Text        []byte
+	Actor       string
+	Reason      string
+	// Base is the version that the operator read, or zero if there was none.
+	Base platform.Version
+}
--- /dev/null
+++ b/document/watcher_options.go
@@ -0,0 +1,41 @@
+package document
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// Defaults of a Watcher.
+const (
+	DefaultRelist   = time.Minute
+	DefaultMaxRetry = 5 * time.Second
+
+	// minRetry is the first pause after a failure.
+	minRetry = 100 * time.Millisecond
+	// relistJitter is the share by which the time between listings varies.
+	relistJitter = 0.5
+)
+
+// WatcherOptions configures a Watcher.
+type WatcherOptions struct {
+	Store       platform.Store
+	Environment ident.Environment
+	// Slot is the document to follow; empty takes SlotProduction.
+	Slot Slot
+	// Logger receives a line for each version that is brought in force or
+	// rejected; nil takes log.Log.
+	Logger log.Interface
+	// Use is called with each document brought in force, one after the other.
+	Use func(InForce)
+	// Relist is the longest time without a listing, less a random part. Zero
+	// takes DefaultRelist.
+	Relist time.Duration
+	// MaxRetry is the longest pause after failures. Zero takes DefaultMaxRetry.
+	MaxRetry time.Duration
+	// Random draws from [0, 1); nil takes math/rand.
+	Random func() float64
+}
