--- a/agent/policy.go
+++ b/agent/policy.go
@@ -18,7 +18,7 @@
 }
 
 func newPolicy() (*policy, error) {
-	k, err := keepalive.New[ident.Model](keepalive.Config{Daily: true})
+	k, err := keepalive.New[ident.Model](keepalive.Config[ident.Model]{Daily: true})
 	if err != nil {
 		return nil, err
 	}
@@ -32,7 +32,7 @@
 	if aim == p.aim {
 		return nil
 	}
-	k, err := keepalive.New[ident.Model](keepalive.Config{Aim: aim, Daily: true})
+	k, err := keepalive.New[ident.Model](keepalive.Config[ident.Model]{Aim: aim, Daily: true})
 	if err != nil {
 		return fmt.Errorf("keep-alive: %w", err)
 	}
