--- a/agent/reporter.go
+++ b/agent/reporter.go
@@ -25,11 +25,10 @@
 	a    *Agent
 	kick chan struct{}
 
-	mu          sync.Mutex
-	latest      *wire.Report
-	unchanged   int
-	changed     chan struct{}
-	subscribers int
+	mu        sync.Mutex
+	latest    *wire.Report
+	unchanged int
+	changed   chan struct{}
 }
 
 func newReporter(a *Agent) *reporter {
