--- a/agent/document.go
+++ b/agent/document.go
@@ -6,11 +6,17 @@
 
 	"github.com/laureltally/laureltally/admission"
 	"github.com/laureltally/laureltally/catalog"
+	"github.com/laureltally/laureltally/document"
 )
 
 // followDocument brings each newer version of the document in force.
 func (a *Agent) followDocument(ctx context.Context) {
-	catalog.Follow(ctx, a.o.Store, a.o.Settings.Environment, a.o.Logger, a.useDocument)
+	_ = document.NewWatcher(document.WatcherOptions{
+		Store:       a.o.Store,
+		Environment: a.o.Settings.Environment,
+		Logger:      a.o.Logger,
+		Use:         func(f document.InForce) { a.useDocument(catalog.New(f.Version, f.Document)) },
+	}).Run(ctx)
 }
 
 // useDocument replaces the catalog and what is derived from it.
--- a/dev/cluster.go
+++ b/dev/cluster.go
@@ -10,10 +10,9 @@
 	"sync"
 	"time"
 
-	"github.com/tailscale/hujson"
-
 	"github.com/laureltally/laureltally/agent"
 	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/document"
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/engine/enginehttp"
 	"github.com/laureltally/laureltally/ident"
@@ -26,7 +25,7 @@
 )
 
 //go:embed document.jsonc
-var document []byte
+var text []byte
 
 // Environment, Key and the rest of the embedded environment.
 const (
@@ -116,14 +115,16 @@
 	if err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
-	plain, err := hujson.Standardize(document)
+	_, err = document.New(document.Options{Store: store, Logger: c.o.Logger}).Apply(context.Background(), document.Update{
+		Environment: Environment,
+		Slot:        document.SlotProduction,
+		Text:        text,
+		Actor:       "dev",
+		Reason:      "embedded document",
+	})
 	if err != nil {
 		return fmt.Errorf("embedded document: %w", err)
 	}
-	_, err = store.Put(context.Background(), "config/"+string(Environment)+"/production", plain, 0)
-	if err != nil {
-		return fmt.Errorf("store document: %w", err)
-	}
 	return nil
 }
 
--- a/router/server.go
+++ b/router/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/laureltally/laureltally/attempt"
 	"github.com/laureltally/laureltally/catalog"
+	"github.com/laureltally/laureltally/document"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/platform"
 	"github.com/laureltally/laureltally/transport"
@@ -128,17 +129,27 @@
 	s.background.Go(func() { s.fleet.run(ctx) })
 	for _, env := range s.environments {
 		s.background.Go(func() { s.plan(ctx, env) })
-		s.background.Go(func() {
-			catalog.Follow(ctx, s.o.Store, env.name, s.o.Logger, func(c *catalog.Catalog) { s.useDocument(env, c) })
-		})
+		s.background.Go(func() { s.followDocument(ctx, env) })
 	}
 }
 
+// followDocument brings each newer version of an environment's document in
+// force.
+func (s *Server) followDocument(ctx context.Context, env *environment) {
+	_ = document.NewWatcher(document.WatcherOptions{
+		Store:       s.o.Store,
+		Environment: env.name,
+		Logger:      s.o.Logger,
+		Use: func(f document.InForce) {
+			s.useDocument(env, catalog.New(f.Version, f.Document))
+		},
+	}).Run(ctx)
+}
+
 // useDocument brings a version of a document in force.
 func (s *Server) useDocument(env *environment, c *catalog.Catalog) {
 	env.catalog.Store(c)
 	env.planner.SetDocument(c.Version(), c.Document())
-	s.o.Logger.WithField("environment", env.name).WithField("version", uint64(c.Version())).Info("configuration in force")
 }
 
 // plan keeps the grants of an environment up to date.
