drain: orders that survive lost and late answers

An order was to be deleted when it ends, as agents expected. A write of the order that lands late finds no object then and drains the VM again, which the test with late writes shows.

--- a/agent/drain.go
+++ b/agent/drain.go
@@ -4,19 +4,16 @@
 	"context"
 	"time"
 
+	"github.com/laureltally/laureltally/drain"
 	"github.com/laureltally/laureltally/platform"
 )
 
-const (
-	// drainPrefix is where operators ask VMs to drain: drains/{vm}.
-	drainPrefix = "drains/"
-	// watchRetry is how long to wait after a watch has failed.
-	watchRetry = time.Second
-)
+// watchRetry is how long to wait after a watch has failed.
+const watchRetry = time.Second
 
 // followDrain drains the agent while an operator asks for it.
 func (a *Agent) followDrain(ctx context.Context) {
-	key := drainPrefix + string(a.o.Settings.VM)
+	key := drain.Key(a.o.Settings.VM)
 	for ctx.Err() == nil {
 		if err := a.watchDrain(ctx, key); err != nil && ctx.Err() == nil {
 			a.o.Logger.WithError(err).Debug("drain orders not watched")
@@ -42,11 +39,11 @@
 	if e.Object.Key != key {
 		return
 	}
-	if e.Deleted {
-		a.endDrain()
+	if drain.Active(e) {
+		a.startDrain()
 		return
 	}
-	a.startDrain()
+	a.endDrain()
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/document/repository.go
+++ b/document/repository.go
@@ -4,17 +4,15 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cenkalti/backoff/v5"
-
 	"github.com/laureltally/laureltally/audit"
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/platform/persist"
 )
 
 // maxRecords is how many audit records an envelope holds.
@@ -43,18 +41,18 @@
 
 // Read returns a document. If there is none, its version is zero.
 func (r *Repository) Read(ctx context.Context, e ident.Environment, s Slot) (Stored, error) {
-	return r.read(ctx, Key(e, s))
+	return r.readAtLeast(ctx, Key(e, s), 0)
 }
 
-func (r *Repository) read(ctx context.Context, key string) (Stored, error) {
-	o, err := r.o.Store.Get(ctx, key)
-	var missing *platform.NotFoundError
-	if errors.As(err, &missing) {
-		return Stored{}, nil
-	}
+// readAtLeast reads a document that is known to have reached a version.
+func (r *Repository) readAtLeast(ctx context.Context, key string, v platform.Version) (Stored, error) {
+	o, err := persist.GetAtLeast(ctx, r.o.Store, key, v)
 	if err != nil {
 		return Stored{}, fmt.Errorf("read document: %w", err)
 	}
+	if o.Version == 0 {
+		return Stored{}, nil
+	}
 	e, err := decodeEnvelope(o.Value)
 	if err != nil {
 		return Stored{}, err
@@ -131,27 +129,6 @@
 	return copied, nil
 }
 
-// retry repeats an operation while the platform is away or answers from the
-// past, until ctx ends.
-func retry[T any](ctx context.Context, op backoff.Operation[T]) (T, error) {
-	policy := backoff.NewExponentialBackOff()
-	return backoff.Retry(ctx, func() (T, error) {
-		v, err := op()
-		if err == nil || transient(err) {
-			return v, err
-		}
-		return v, backoff.Permanent(err)
-	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
-}
-
-func transient(err error) bool {
-	var (
-		unavailable *platform.UnavailableError
-		stale       *StaleReadError
-	)
-	return errors.As(err, &unavailable) || errors.As(err, &stale)
-}
-
 func encode(e Envelope) ([]byte, error) {
 	value, err := json.Marshal(e)
 	if err != nil {
--- a/document/write.go
+++ b/document/write.go
@@ -8,6 +8,7 @@
 	"github.com/laureltally/laureltally/audit"
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/platform/persist"
 )
 
 // write is one attempt of an operator to replace a document.
@@ -24,7 +25,7 @@
 // run replaces the document if it is still at the base. Repeating the put is
 // safe: its condition lets at most one of the repetitions take effect.
 func (w *write) run(ctx context.Context) (Accepted, error) {
-	base, err := retry(ctx, func() (Stored, error) { return w.readAtLeast(ctx, w.update.Base) })
+	base, err := persist.Retry(ctx, func() (Stored, error) { return w.repository.readAtLeast(ctx, w.key, w.update.Base) })
 	if err != nil {
 		return Accepted{}, err
 	}
@@ -39,26 +40,17 @@
 	if err != nil {
 		return Accepted{}, err
 	}
-	accepted, err := retry(ctx, func() (Accepted, error) { return w.put(ctx, value) })
+	accepted, err := persist.Retry(ctx, func() (Accepted, error) { return w.put(ctx, value) })
 	var unknown *UnknownOutcomeError
 	if errors.As(err, &unknown) {
 		return Accepted{}, err
 	}
-	if transient(err) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+	if persist.Transient(err) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		return Accepted{}, &UnknownOutcomeError{Err: err}
 	}
 	return accepted, err
 }
 
-// readAtLeast reads the document, which is known to have reached a version.
-func (w *write) readAtLeast(ctx context.Context, v platform.Version) (Stored, error) {
-	s, err := w.repository.read(ctx, w.key)
-	if err == nil && s.Version < v {
-		err = &StaleReadError{Key: w.key, Got: s.Version, Wanted: v}
-	}
-	return s, err
-}
-
 // prepare copies the audit records of earlier writes and makes the envelope,
 // which keeps those that could not be copied.
 func (w *write) prepare(ctx context.Context) error {
@@ -130,7 +122,7 @@
 	if !errors.As(err, &conflict) {
 		return Accepted{}, err
 	}
-	current, err := w.readAtLeast(ctx, conflict.Actual)
+	current, err := w.repository.readAtLeast(ctx, w.key, conflict.Actual)
 	if err != nil {
 		return Accepted{}, err
 	}
--- /dev/null
+++ b/drain/options.go
@@ -0,0 +1,22 @@
+package drain
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/platform"
+)
+
+// DefaultPatience is how long an order is tried while the platform is away.
+const DefaultPatience = 20 * time.Second
+
+// Options configures Orders.
+type Options struct {
+	Store platform.Store
+	// Now is the clock; nil takes time.Now.
+	Now func() time.Time
+	// NewID draws the ids of audit records; nil takes random ones.
+	NewID func() string
+	// Patience is how long an order is tried while the platform is away. Zero
+	// takes DefaultPatience.
+	Patience time.Duration
+}
--- /dev/null
+++ b/drain/orders_test.go
@@ -0,0 +1,105 @@
+package drain
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/laureltally/laureltally/audit"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/platform/memstore"
+)
+
+func acts(t *testing.T, s platform.Store) string {
+	t.Helper()
+	records, err := audit.Read(t.Context(), s, audit.Query{Environment: "e"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []string
+	for _, r := range records {
+		lines = append(lines, fmt.Sprintf("%s %s %s", r.Actor, r.Action, r.Subject))
+	}
+	return strings.Join(lines, ", ")
+}
+
+func TestDrainAndUndrain(t *testing.T) {
+	for name, faults := range map[string]memstore.Faults{
+		"healthy":      {},
+		"lost answers": {LoseAnswers: 9},
+		"late writes":  {LateWrites: 2, LateBy: 30 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := memstore.New(memstore.Options{})
+				o := New(Options{Store: s})
+				s.SetFaults(faults)
+				if err := o.Begin(t.Context(), Request{VM: "v", Environment: "e", Actor: "anna"}); err != nil {
+					t.Fatal(err)
+				}
+				err := o.Begin(t.Context(), Request{VM: "v", Environment: "e", Actor: "boris"})
+				var already *AlreadyError
+				if !errors.As(err, &already) || already.Actor != "anna" {
+					t.Fatalf("got %v", err)
+				}
+				time.Sleep(time.Second)
+				if err := o.End(t.Context(), Request{VM: "v", Environment: "e", Actor: "boris"}); err != nil {
+					t.Fatal(err)
+				}
+				var missing *NotDrainingError
+				if err := o.End(t.Context(), Request{VM: "v"}); !errors.As(err, &missing) {
+					t.Fatalf("got %v", err)
+				}
+				if got := acts(t, s); got != "anna drain v, boris undrain v" {
+					t.Fatalf("got %q", got)
+				}
+				time.Sleep(time.Minute)
+				if object, err := s.Get(t.Context(), Key("v")); err != nil || Active(platform.Event{Object: object}) {
+					t.Fatalf("a late write began the drain again: %s %v", object.Value, err)
+				}
+				s.SetFaults(memstore.Faults{})
+				time.Sleep(2 * keepEnded)
+				if err := o.Repair(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				if _, err := s.Get(t.Context(), Key("v")); err == nil {
+					t.Fatal("the ended order is still there")
+				}
+				if err := o.Begin(t.Context(), Request{VM: "v", Environment: "e", Actor: "anna"}); err != nil {
+					t.Fatal(err)
+				}
+			})
+		})
+	}
+}
+
+func TestCrashBetweenTheWrites(t *testing.T) {
+	s := memstore.New(memstore.Options{})
+	o := New(Options{Store: s})
+	r := Request{VM: "v", Environment: "e", Actor: "anna"}
+	order := Order{VM: "v", Actor: "anna", Environment: "e", Records: []audit.Record{o.record(r, audit.ActionDrain)}}
+	version, err := o.put(t.Context(), order, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := o.Repair(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := acts(t, s); got != "anna drain v" {
+		t.Fatalf("got %q", got)
+	}
+	order.Ended, order.EndTime = true, time.Now()
+	order.Records = append(order.Records, o.record(r, audit.ActionUndrain))
+	if _, err := o.put(t.Context(), order, version); err != nil {
+		t.Fatal(err)
+	}
+	if err := o.Begin(t.Context(), r); err != nil { // Copies what is left.
+		t.Fatal(err)
+	}
+	if got := acts(t, s); got != "anna drain v, anna undrain v, anna drain v" {
+		t.Fatalf("got %q", got)
+	}
+}
