--- /dev/null
+++ b/cmd/laureltally/apply_command.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/laureltally/laureltally/document"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// applyCommand stores a document.
+type applyCommand struct {
+	platformFlags
+	actorFlags
+	jsonFlag
+	File  string            `arg:"positional,required" placeholder:"FILE"`
+	Trial bool              `arg:"--trial" help:"store it for trial, not for production"`
+	Base  *platform.Version `arg:"--base" placeholder:"VERSION" help:"version that the document was edited from; default: the one stored now"`
+}
+
+func (c *applyCommand) run(ctx context.Context, stdout, _ io.Writer) error {
+	out := &output{w: stdout}
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return fmt.Errorf("read document: %w", err)
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	repository := document.New(document.Options{Store: client})
+	u := document.Update{Environment: c.Environment, Slot: slotOf(c.Trial), Text: text, Actor: c.Actor, Reason: c.Reason}
+	if u.Base, err = baseOf(ctx, repository, c.platformFlags, u.Slot, c.Base); err != nil {
+		return err
+	}
+	accepted, err := repository.Apply(ctx, u)
+	return printAccepted(out, c.JSON, accepted, err)
+}
+
+// baseOf returns the version that the operator names, or the one stored now.
+func baseOf(ctx context.Context, r *document.Repository, f platformFlags, s document.Slot, named *platform.Version) (platform.Version, error) {
+	if named != nil {
+		return *named, nil
+	}
+	stored, err := r.Read(ctx, f.Environment, s)
+	return stored.Version, err
+}
--- /dev/null
+++ b/cmd/laureltally/file_exists_error.go
@@ -0,0 +1,9 @@
+package main
+
+import "fmt"
+
+// fileExistsError reports a file that would be overwritten.
+type fileExistsError struct{ file string }
+
+// Error implements error.
+func (e *fileExistsError) Error() string { return fmt.Sprintf("%s exists already", e.file) }
--- a/cmd/laureltally/main.go
+++ b/cmd/laureltally/main.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -23,10 +24,22 @@
 
 // arguments is the command line.
 type arguments struct {
-	Dev  *devCommand  `arg:"subcommand:dev" help:"run the whole path in one process"`
-	Demo *demoCommand `arg:"subcommand:demo" help:"run the whole path once and show the answers"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check documents or settings"`
+	Diff    *diffCommand    `arg:"subcommand:diff" help:"show how two documents differ"`
+	Apply   *applyCommand   `arg:"subcommand:apply" help:"store a document"`
+	Promote *promoteCommand `arg:"subcommand:promote" help:"bring what trial runs to production"`
+	Status  *statusCommand  `arg:"subcommand:status" help:"show what a router knows"`
+	Drain   *drainCommand   `arg:"subcommand:drain" help:"take a VM out of service"`
+	Undrain *undrainCommand `arg:"subcommand:undrain" help:"bring a drained VM back"`
+	Audit   *auditCommand   `arg:"subcommand:audit" help:"list what operators changed"`
+	Keys    *keysCommand    `arg:"subcommand:keys" help:"make a certificate authority and certificates"`
+	Dev     *devCommand     `arg:"subcommand:dev" help:"run the whole path in one process"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run the whole path once and show the answers"`
 }
 
+// Version implements arg.Versioned.
+func (arguments) Version() string { return "laureltally " + daemon.Version }
+
 // command is one subcommand.
 type command interface {
 	run(ctx context.Context, stdout, stderr io.Writer) error
@@ -35,6 +48,24 @@
 // chosen returns the subcommand of the command line, or nil.
 func (a *arguments) chosen() command {
 	switch {
+	case a.Check != nil:
+		return a.Check
+	case a.Diff != nil:
+		return a.Diff
+	case a.Apply != nil:
+		return a.Apply
+	case a.Promote != nil:
+		return a.Promote
+	case a.Status != nil:
+		return a.Status
+	case a.Drain != nil:
+		return a.Drain
+	case a.Undrain != nil:
+		return a.Undrain
+	case a.Audit != nil:
+		return a.Audit
+	case a.Keys != nil:
+		return a.Keys.chosen()
 	case a.Dev != nil:
 		return a.Dev
 	case a.Demo != nil:
@@ -58,7 +89,16 @@
 	}
 	if err := c.run(ctx, stdout, stderr); err != nil {
 		fmt.Fprintln(stderr, "laureltally:", err)
-		return daemon.ExitFailed
+		return exitCode(err)
 	}
 	return daemon.ExitOK
 }
+
+// exitCode returns the exit code of a failed command.
+func exitCode(err error) int {
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return daemon.ExitUsage
+	}
+	return daemon.ExitFailed
+}
--- /dev/null
+++ b/cmd/laureltally/platform_flags.go
@@ -0,0 +1,16 @@
+package main
+
+import (
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform/objecthttp"
+)
+
+// platformFlags say where the platform is and which environment is meant.
+type platformFlags struct {
+	Platform    string            `arg:"--platform,required,env:LAURELTALLY_PLATFORM" placeholder:"URL" help:"base URL of the object API"`
+	Environment ident.Environment `arg:"--environment,required,env:LAURELTALLY_ENVIRONMENT" placeholder:"NAME" help:"environment that is meant"`
+}
+
+func (f platformFlags) client() (*objecthttp.Client, error) {
+	return objecthttp.New(objecthttp.Options{BaseURL: f.Platform})
+}
--- /dev/null
+++ b/cmd/laureltally/write_result.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"errors"
+	"time"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/document"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// writeResult is what became of an apply or a promotion, for a script.
+type writeResult struct {
+	Accepted *document.Accepted `json:"accepted,omitempty"`
+	Lost     *lostRace          `json:"lost,omitempty"`
+	Error    string             `json:"error,omitempty"`
+}
+
+// lostRace tells who changed the document before.
+type lostRace struct {
+	Base    platform.Version `json:"base"`
+	Version platform.Version `json:"version"`
+	Actor   string           `json:"actor"`
+	Time    time.Time        `json:"time"`
+	Changes []config.Change  `json:"changes"`
+}
+
+// printAccepted prints the outcome of a write and returns its error.
+func printAccepted(out *output, asJSON bool, accepted document.Accepted, err error) error {
+	var lost *document.LostRaceError
+	isLost := errors.As(err, &lost)
+	if asJSON {
+		return errors.Join(out.json(newWriteResult(accepted, lost, err)), err)
+	}
+	switch {
+	case err == nil && accepted.Superseded:
+		out.printf("accepted, and replaced by a later change already\ndigest %s\n", accepted.Digest)
+	case err == nil:
+		out.printf("accepted as version %d\ndigest %s\n", accepted.Version, accepted.Digest)
+	case isLost:
+		printChanges(out, lost.Changes)
+	}
+	return err
+}
+
+func newWriteResult(accepted document.Accepted, lost *document.LostRaceError, err error) writeResult {
+	if err == nil {
+		return writeResult{Accepted: &accepted}
+	}
+	r := writeResult{Error: err.Error()}
+	if lost != nil {
+		r.Lost = &lostRace{Base: lost.Base, Version: lost.Version, Actor: lost.Actor, Time: lost.Time, Changes: lost.Changes}
+	}
+	return r
+}
--- a/config/document_check.go
+++ b/config/document_check.go
@@ -114,7 +114,8 @@
 	atLeast(c, path+".concurrency", m.Concurrency, 1)
 	u, ok := d.upstream(m.Upstream, KindEngine)
 	c.reference(path+".upstream", string(m.Upstream), "engine upstream", ok)
-	if !ok {
+	if !ok || u.Replicas < 1 || u.MemoryMB < 1 {
+		// A group with problems of its own bounds nothing.
 		atLeast(c, path+".max_replicas", m.MaxReplicas, 1)
 		return
 	}
