--- a/cmd/laureltally-agent/main.go
+++ b/cmd/laureltally-agent/main.go
@@ -21,8 +21,8 @@
 func main() { os.Exit(daemon.Main("laureltally-agent", run)) }
 
 func run(ctx context.Context, a daemon.Arguments) error {
-	var s config.AgentSettings
-	if err := daemon.ReadSettings(a.Settings, &s); err != nil {
+	s, err := config.ReadAgentSettingsFile(a.Settings)
+	if err != nil {
 		return err
 	}
 	logger, err := daemon.NewLogger(os.Stderr, s.Log, s.VM)
--- a/cmd/laureltally-router/main.go
+++ b/cmd/laureltally-router/main.go
@@ -19,8 +19,8 @@
 func main() { os.Exit(daemon.Main("laureltally-router", run)) }
 
 func run(ctx context.Context, a daemon.Arguments) error {
-	var s config.RouterSettings
-	if err := daemon.ReadSettings(a.Settings, &s); err != nil {
+	s, err := config.ReadRouterSettingsFile(a.Settings)
+	if err != nil {
 		return err
 	}
 	logger, err := daemon.NewLogger(os.Stderr, s.Log, s.VM)
--- a/daemon/doc.go
+++ b/daemon/doc.go
@@ -1,3 +1,3 @@
-// Package daemon holds what the programs share: logs, metrics, settings files,
+// Package daemon holds what the programs share: logs, metrics,
 // credentials and the handling of signals.
 package daemon
--- a/dev/cluster.go
+++ b/dev/cluster.go
@@ -10,10 +10,9 @@
 	"sync"
 	"time"
 
-	"github.com/tailscale/hujson"
-
 	"github.com/laureltally/laureltally/agent"
 	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/document"
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/engine/enginehttp"
 	"github.com/laureltally/laureltally/ident"
@@ -26,7 +25,7 @@
 )
 
 //go:embed document.jsonc
-var document []byte
+var documentText []byte
 
 // Environment, Key and the rest of the embedded environment.
 const (
@@ -34,6 +33,9 @@
 	// Key is the caller's key.
 	Key = "dev-key"
 
+	// actor stores the embedded document.
+	actor = "dev"
+
 	region   ident.Region   = "local"
 	zone     ident.Zone     = "local-a"
 	drafting ident.Upstream = "drafting"
@@ -116,14 +118,16 @@
 	if err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
-	plain, err := hujson.Standardize(document)
-	if err != nil {
+	return storeDocument(store)
+}
+
+// storeDocument brings the embedded document to production.
+func storeDocument(s platform.Store) error {
+	r := document.New(document.Options{Store: s})
+	u := document.Update{Environment: Environment, Slot: document.SlotProduction, Text: documentText, Actor: actor}
+	if _, err := r.Apply(context.Background(), u); err != nil {
 		return fmt.Errorf("embedded document: %w", err)
 	}
-	_, err = store.Put(context.Background(), "config/"+string(Environment)+"/production", plain, 0)
-	if err != nil {
-		return fmt.Errorf("store document: %w", err)
-	}
 	return nil
 }
 
