membership: who is there, from the list, reports and connections

A lagging list, late reports and reused addresses must not bring a leaving or ended instance back. What is known of an instance only moves one way; an incarnation that was superseded stays so. Incarnations are random, so that hearsay alone cannot tell an older one from a newer: Report gets Started, the VM's own start time, which orders them (weighed: trusting the last word heard, which a stale peer can turn back for good).

--- /dev/null
+++ b/membership/rank.go
@@ -0,0 +1,64 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// Numbers of VMs that share a duty.
+const (
+	// SubscribersPerRegion is how many routers of a region take an agent's
+	// reports from itself.
+	SubscribersPerRegion = 3
+	// WatchersPerZone is how many processes of an availability zone hold the
+	// platform's watches.
+	WatchersPerZone = 2
+)
+
+// Rank orders VMs for a key by rendezvous hashing, the preferred first. All who
+// know the same VMs get the same order; a VM that comes or goes leaves the order
+// of the others as it was.
+func Rank(key string, vms []ident.VM) []ident.VM {
+	type scored struct {
+		vm    ident.VM
+		score uint64
+	}
+	list := make([]scored, len(vms))
+	for i, vm := range vms {
+		list[i] = scored{vm: vm, score: xxhash.Sum64String(key + "\x00" + string(vm))}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm, b.vm))
+	})
+	out := make([]ident.VM, len(list))
+	for i, s := range list {
+		out[i] = s.vm
+	}
+	return out
+}
+
+// Top returns the first n of Rank, or all if there are fewer.
+func Top(key string, vms []ident.VM, n int) []ident.VM {
+	ranked := Rank(key, vms)
+	return ranked[:min(n, len(ranked))]
+}
+
+// Subscribes tells whether a router is among those of its region that take an
+// agent's reports from itself.
+func Subscribes(router, agent ident.VM, routers []ident.VM) bool {
+	return slices.Contains(Top(string(agent), routers, SubscribersPerRegion), router)
+}
+
+// Home returns the router that does the common work for a key, and false if
+// there is none. Nothing but speed may depend on it.
+func Home(key string, routers []ident.VM) (ident.VM, bool) {
+	top := Top(key, routers, 1)
+	if len(top) == 0 {
+		return "", false
+	}
+	return top[0], true
+}
--- a/wire/digest_request.go
+++ b/wire/digest_request.go
@@ -3,9 +3,13 @@
 import "github.com/laureltally/laureltally/ident"
 
 // DigestRequest asks a peer router for the reports that are newer than those
-// the sender holds.
+// the sender holds: all that changed at the peer after Position of its Log, or,
+// with a Log of zero, all that differ from Have.
 type DigestRequest struct {
-	Have []DigestEntry `cbor:"1,keyasint"`
+	Have []DigestEntry `cbor:"1,keyasint,omitempty"`
+	// Log is the incarnation of the peer's log that Position is in.
+	Log      ident.Incarnation `cbor:"2,keyasint,omitempty"`
+	Position uint64            `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind implements Message.
--- a/wire/report.go
+++ b/wire/report.go
@@ -29,6 +29,13 @@
 	Concurrency int `cbor:"15,keyasint,omitempty"`
 	// PrefixHashes lists prompt prefixes that are probably cached, a hint.
 	PrefixHashes []uint64 `cbor:"16,keyasint,omitempty"`
+	// Started is when the incarnation started by its VM's own clock, in Unix
+	// milliseconds. It orders the incarnations of one VM.
+	Started int64 `cbor:"17,keyasint,omitempty"`
+	// Delta is set if the report leaves out what has not changed: the fields
+	// that are fixed for an incarnation, and models. A model with neither phase
+	// nor tier nor fence is one that is no longer reported.
+	Delta bool `cbor:"18,keyasint,omitempty"`
 }
 
 // Kind implements Message.
