digest: reports among routers by deltas of a log

360 routers cannot each take the reports of 1,600 agents, nor repeat what they know. Each router keeps a log of changes by position; a peer names how far it has read and gets what changed since.

--- /dev/null
+++ b/digest/main_test.go
@@ -0,0 +1,13 @@
+package digest
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	// A fixed seed unless the command line names another.
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/digest/view_test.go
@@ -0,0 +1,215 @@
+package digest
+
+import (
+	"fmt"
+	"math/bits"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// process makes the reports of one agent.
+type process struct {
+	wire.Report
+	models map[ident.Model]wire.ModelReport
+}
+
+func newProcess(n int) *process {
+	p := &process{models: make(map[ident.Model]wire.ModelReport)}
+	p.VM = ident.VM(fmt.Sprintf("drafting-uusimaa-%04d", n))
+	p.Role, p.Region, p.Zone, p.Upstream = platform.RoleAgent, "uusimaa", "uusimaa-1", "drafting"
+	p.Address = fmt.Sprintf("10.20.%d.%d:7400", n/250, n%250)
+	p.restart()
+	return p
+}
+
+func (p *process) restart() {
+	p.Started++
+	p.Incarnation = ident.Incarnation(0x6000000000000000 + uint64(p.Started))
+	p.Seq, p.Draining = 0, false
+	clear(p.models)
+}
+
+func (p *process) set(m ident.Model, phase engine.Phase, tier engine.Tier) {
+	if phase == "" && tier == "" {
+		delete(p.models, m)
+		return
+	}
+	p.models[m] = wire.ModelReport{Model: m, Phase: phase, Tier: tier}
+}
+
+func (p *process) next() wire.Report {
+	p.Seq++
+	r := p.Report
+	r.Models = nil
+	for _, m := range p.models {
+		r.Models = append(r.Models, m)
+	}
+	return r
+}
+
+// agrees tells whether a view knows what is to be told of p.
+func agrees(v *View, p *process) bool {
+	r, ok := v.records[p.VM]
+	return ok && r.report.Incarnation == p.Incarnation && r.report.Draining == p.Draining &&
+		r.report.Address == p.Address && reflect.DeepEqual(r.models, p.models)
+}
+
+// pull lets one view ask another, as a driver does.
+func pull(from, to *View, peer ident.VM) []wire.Report {
+	req := to.Request(peer)
+	return to.Apply(peer, req, from.Reply(req))
+}
+
+func peerName(i int) ident.VM { return ident.VM(fmt.Sprintf("router-uusimaa-%d", i)) }
+
+// TestViewsConverge changes processes and restarts routers, loses replies and
+// delivers old ones, and then lets all routers pull.
+func TestViewsConverge(t *testing.T) {
+	const views, processes, models = 4, 3, 3
+	rapid.Check(t, func(t *rapid.T) {
+		var vs [views]*View
+		var ps [processes]*process
+		logs := ident.Incarnation(0)
+		fresh := func() *View {
+			logs++
+			return New(Options{Log: logs, MaxReplyBytes: rapid.SampledFrom([]int{1, 200, 0}).Draw(t, "limit")})
+		}
+		for i := range vs {
+			vs[i] = fresh()
+		}
+		for i := range ps {
+			ps[i] = newProcess(i)
+		}
+		type old struct {
+			to    *View
+			peer  ident.VM
+			req   wire.DigestRequest
+			reply wire.DigestReply
+		}
+		var late []old
+		for range rapid.IntRange(0, 60).Draw(t, "events") {
+			p := ps[rapid.IntRange(0, processes-1).Draw(t, "process")]
+			a, b := rapid.IntRange(0, views-1).Draw(t, "a"), rapid.IntRange(0, views-1).Draw(t, "b")
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			case 0, 1:
+				m := ident.Model(fmt.Sprint("m", rapid.IntRange(0, models-1).Draw(t, "model")))
+				p.set(m, rapid.SampledFrom([]engine.Phase{"", engine.PhaseLoading, engine.PhaseLoaded}).Draw(t, "phase"), "")
+				vs[a].Learn(p.next())
+			case 2:
+				p.Draining = true
+				vs[a].Learn(p.next())
+			case 3:
+				p.restart()
+			case 4:
+				vs[a] = fresh()
+			case 5:
+				req := vs[a].Request(peerName(b))
+				late = append(late, old{vs[a], peerName(b), req, vs[b].Reply(req)})
+			case 6:
+				if len(late) > 0 {
+					o := late[rapid.IntRange(0, len(late)-1).Draw(t, "late")]
+					o.to.Apply(o.peer, o.req, o.reply)
+				}
+			case 7:
+				pull(vs[b], vs[a], peerName(b))
+			}
+		}
+		for _, p := range ps {
+			vs[0].Learn(p.next())
+		}
+		for range 4 * views * processes {
+			for i := range vs {
+				for j := range vs {
+					pull(vs[j], vs[i], peerName(j))
+				}
+			}
+		}
+		for i, v := range vs {
+			for _, p := range ps {
+				if !agrees(v, p) {
+					t.Fatalf("view %d: %+v, want %+v with %v", i, v.records[p.VM], p.Report, p.models)
+				}
+			}
+		}
+	})
+}
+
+func TestCountsAloneAreNotTold(t *testing.T) {
+	v, p := New(Options{Log: 1}), newProcess(1)
+	p.set("m", engine.PhaseLoaded, "")
+	if !v.Learn(p.next()) {
+		t.Fatal("first report not told")
+	}
+	p.Running = 9
+	if v.Learn(p.next()) {
+		t.Fatal("counts told")
+	}
+	withLoads := New(Options{Log: 1, LoadClasses: true})
+	withLoads.Learn(p.next())
+	p.Running = 15
+	if withLoads.Learn(p.next()) {
+		t.Fatal("load told within its class")
+	}
+	p.Running = 16
+	if !withLoads.Learn(p.next()) {
+		t.Fatal("load class not told")
+	}
+}
+
+func TestSecondPullCarriesOnlyTheChange(t *testing.T) {
+	from, to, p := New(Options{Log: 1}), New(Options{Log: 2}), newProcess(1)
+	p.set("m1", engine.PhaseLoaded, "")
+	p.set("m2", "", engine.TierDisk)
+	from.Learn(p.next())
+	pull(from, to, "r")
+	p.set("m3", engine.PhaseLoading, "")
+	from.Learn(p.next())
+	req := to.Request("r")
+	reply := from.Reply(req)
+	if len(reply.Reports) != 1 || len(reply.Reports[0].Bases) != 1 || len(reply.Reports[0].Models) != 1 || reply.Reports[0].Address != "" {
+		t.Fatalf("got %+v", reply)
+	}
+	to.Apply("r", req, reply)
+	if !agrees(to, p) {
+		t.Fatalf("got %+v", to.records[p.VM])
+	}
+	if again := from.Reply(to.Request("r")); len(again.Reports) != 0 {
+		t.Fatalf("told twice: %+v", again)
+	}
+}
+
+func TestEveryRouterIsReachedInLogSteps(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 4, 8, 30, 120, 360} {
+		routers := make([]ident.VM, n)
+		for i := range routers {
+			routers[i] = peerName(i)
+		}
+		for _, source := range []int{0, n / 2, n - 1} {
+			knows := map[ident.VM]bool{routers[source]: true}
+			steps := 0
+			for ; len(knows) < n && steps <= n; steps++ {
+				var told []ident.VM
+				for _, r := range routers {
+					for _, peer := range Peers(r, routers) {
+						if knows[peer] {
+							told = append(told, r)
+						}
+					}
+				}
+				for _, r := range told {
+					knows[r] = true
+				}
+			}
+			if limit := bits.Len(uint(n - 1)); steps > limit {
+				t.Errorf("%d routers: %d steps, limit %d", n, steps, limit)
+			}
+		}
+	}
+}
--- a/wire/report.go
+++ b/wire/report.go
@@ -32,10 +32,11 @@
 	// Started is when the incarnation started by its VM's own clock, in Unix
 	// milliseconds. It orders the incarnations of one VM.
 	Started int64 `cbor:"17,keyasint,omitempty"`
-	// Delta is set if the report leaves out what has not changed: the fields
-	// that are fixed for an incarnation, and models. A model with neither phase
-	// nor tier nor fence is one that is no longer reported.
-	Delta bool `cbor:"18,keyasint,omitempty"`
+	// Bases makes the report a delta: it leaves out what is fixed for an
+	// incarnation and the models that are as they were in each of the states
+	// with these numbers, and can be laid over any of them. A model with
+	// neither phase nor tier nor fence is one that is no longer reported.
+	Bases []uint64 `cbor:"18,keyasint,omitempty"`
 }
 
 // Kind implements Message.
