--- a/bench/hotpath/router.go
+++ b/bench/hotpath/router.go
@@ -36,7 +36,7 @@
 func newRouter(w *world, index, region int) *router {
 	r := &router{w: w, index: index, region: region, known: make(map[ident.VM]*wire.Report)}
 	r.rand = rand.New(rand.NewPCG(w.s.Seed, uint64(2000+index)))
-	chooser, err := routing.New(routing.Options{Rand: r.rand, Routers: r.peers(), LoadBound: w.s.Policy.LoadBound, CrossingShare: w.s.Policy.CrossingShare})
+	chooser, err := routing.New(routing.Options{Rand: r.rand, Routers: r.peers(), LoadBound: w.s.Policy.LoadBound, CrossingShare: w.s.Policy.CrossingShare, Choices: w.s.Policy.Choices, FreeShare: w.s.Policy.FreeShare})
 	must(err)
 	r.table = routing.NewTable(chooser)
 	r.ejector, err = eject.New(eject.Options{Rand: r.rand})
--- a/bench/hotpath/scenario.go
+++ b/bench/hotpath/scenario.go
@@ -97,6 +97,9 @@
 	WaitShare float64
 	// CrossingShare replaces the default of the chooser.
 	CrossingShare float64
+	// Choices and FreeShare replace defaults of the chooser.
+	Choices   int
+	FreeShare float64
 	// LoadBound replaces the default of the chooser.
 	LoadBound float64
 }
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -79,7 +79,7 @@
 	if p.req.Affinity != 0 {
 		return c.affine(p)
 	}
-	return c.twoChoices(p), false
+	return c.leastLoaded(p), false
 }
 
 // affine takes the first VM in the order of the affinity's rendezvous hash whose
@@ -97,7 +97,7 @@
 		if first < 0 || h > firstHash {
 			first, firstHash = i, h
 		}
-		if float64(cand.load(c.opts.Routers)+1) > max(1, bound*cand.places()) {
+		if float64(cand.load(c.opts.Routers)+1) > max(1, c.opts.FreeShare*cand.places(), bound*cand.places()) {
 			continue
 		}
 		if within < 0 || h > withinHash {
@@ -105,24 +105,47 @@
 		}
 	}
 	if within < 0 {
-		return c.twoChoices(p), false
+		return c.leastLoaded(p), false
 	}
 	return within, within == first
 }
 
-// twoChoices takes the better of two random candidates.
-func (c *Chooser) twoChoices(p *pool) int {
-	a := p.nth(c.opts.Rand.IntN(p.n))
-	if p.n == 1 {
-		return a
+// leastLoaded takes the best of some random candidates.
+func (c *Chooser) leastLoaded(p *pool) int {
+	if p.n <= c.opts.Choices {
+		return c.best(p)
 	}
-	b := p.nth(c.opts.Rand.IntN(p.n))
-	if c.score(&p.all[b]) < c.score(&p.all[a]) {
-		return b
+	a := p.nth(c.opts.Rand.IntN(p.n))
+	for range c.opts.Choices - 1 {
+		b := p.nth(c.opts.Rand.IntN(p.n))
+		if c.score(&p.all[b]) < c.score(&p.all[a]) {
+			a = b
+		}
 	}
 	return a
 }
 
+// best takes the best of all candidates, and of equals a random one.
+func (c *Chooser) best(p *pool) int {
+	best, least, ties := -1, 0.0, 0
+	for i := range p.all {
+		if !p.has(&p.all[i]) {
+			continue
+		}
+		s := c.score(&p.all[i])
+		switch {
+		case best < 0 || s < least:
+			best, least, ties = i, s, 1
+		case s == least:
+			ties++
+			if c.opts.Rand.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
 // score orders candidates: the time in which a request would pass at an even
 // rate.
 func (c *Chooser) score(cand *Candidate) float64 {
--- a/routing/options.go
+++ b/routing/options.go
@@ -14,6 +14,8 @@
 	DefaultAdapterDelay  = 15 * time.Millisecond
 	DefaultPrefixSavings = 0.3
 	DefaultRouters       = 1
+	DefaultChoices       = 2
+	DefaultFreeShare     = 1
 )
 
 // Options configures a Chooser.
@@ -29,6 +31,12 @@
 	// LoadBound is how many times the mean load a VM may have and still be chosen
 	// for its affinity. It is over 1.
 	LoadBound float64
+	// FreeShare is the part of a VM's places up to which it may be chosen for its
+	// affinity whatever the mean load.
+	FreeShare float64
+	// Choices is how many random candidates are compared when affinity does not
+	// decide. If there are no more candidates, all are.
+	Choices int
 	// AdapterDelay is the time to load a missing adapter.
 	AdapterDelay time.Duration
 	// PrefixSavings is the part of the service time that a cached prefix saves.
@@ -59,6 +67,12 @@
 	if o.PrefixSavings == 0 {
 		o.PrefixSavings = DefaultPrefixSavings
 	}
+	if o.FreeShare == 0 {
+		o.FreeShare = DefaultFreeShare
+	}
+	if o.Choices == 0 {
+		o.Choices = DefaultChoices
+	}
 	if o.Routers == 0 {
 		o.Routers = DefaultRouters
 	}
@@ -79,6 +93,10 @@
 		return &OptionError{Field: "AdapterDelay"}
 	case o.PrefixSavings < 0 || o.PrefixSavings >= 1:
 		return &OptionError{Field: "PrefixSavings"}
+	case o.FreeShare < 0 || o.FreeShare > 1:
+		return &OptionError{Field: "FreeShare"}
+	case o.Choices < 1:
+		return &OptionError{Field: "Choices"}
 	case o.Routers < 1:
 		return &OptionError{Field: "Routers"}
 	case o.Rand == nil:
