Retry-After that holds, a choice that sorts once, a quieter search for the limit

Cause, Retry-After: a burst of 3x for 10 s leaves 20 s of the whole capacity to be made up for, which takes 40 s at half load, but Retry-After ended at 30 s: refused clients came back within 15 s of each other, above what was free, and 3 in 10 were refused again. Cause, choice: each pass over the candidates compared names of regions again: 175 ns for each further replica of the model. Cause, limit: with windows of 96 requests, 1 probe in 5 below the best limit was taken for a gain, and a probe up followed only after 3 minutes. Cause, late answers: the fake agents cut runs at the client's deadline less the way to the router, but not the way from there to the client.

Change: Retry-After up to a minute; candidates are sorted by region once and region names are shared; windows of 192 and a lower limit must lose nothing; the fakes count the whole way back.

--- a/admission/concurrency_limit.go
+++ b/admission/concurrency_limit.go
@@ -8,11 +8,11 @@
 // Parameters of the adaptive concurrency limit.
 const (
 	// limitWindow is how many finished requests make one measurement.
-	limitWindow = 96
+	limitWindow = 192
 	// limitStep is the part by which a probe changes the limit.
 	limitStep = 0.25
 	// noLoss is the part of the throughput that a lower limit has to keep.
-	noLoss = 0.97
+	noLoss = 1.0
 	// limitBackoff is the factor of a decrease after the upstream turned work
 	// away.
 	limitBackoff = 0.8
@@ -20,7 +20,7 @@
 	suspicion = 1.3
 	// minProbeGap and maxProbeGap bound the windows between probes. The gap
 	// doubles after each probe that showed no gain.
-	minProbeGap = 32
+	minProbeGap = 16
 	maxProbeGap = 256
 )
 
--- a/admission/options.go
+++ b/admission/options.go
@@ -13,7 +13,7 @@
 	DefaultMaxWaiting     = 256
 	DefaultCost           = 100 * time.Millisecond
 	DefaultMinRetryAfter  = 250 * time.Millisecond
-	DefaultMaxRetryAfter  = 30 * time.Second
+	DefaultMaxRetryAfter  = time.Minute
 	DefaultWaitShare      = 0.5
 	DefaultPriorityLag    = 2 * time.Second
 )
--- a/bench/hotpath/result.go
+++ b/bench/hotpath/result.go
@@ -31,6 +31,8 @@
 	RefusedPerSecond, AskedPerSecond, AttemptsPerSecond []int
 	// Served counts the answers by how often the client came back before.
 	Served []int
+	// CameBack counts the clients that came back, by how often.
+	CameBack []int
 	// ClassAsked and ClassAnswered count by priority.
 	ClassAsked, ClassAnswered map[ident.Priority]int
 	// PeakWaiting is the longest queue of each VM.
@@ -54,6 +56,7 @@
 		AskedPerSecond:    make([]int, seconds),
 		AttemptsPerSecond: make([]int, seconds),
 		Served:            make([]int, s.Comebacks+1),
+		CameBack:          make([]int, s.Comebacks+1),
 		ClassAsked:        make(map[ident.Priority]int),
 		ClassAnswered:     make(map[ident.Priority]int),
 		Codes:             make(map[string]int),
--- a/bench/hotpath/upstream.go
+++ b/bench/hotpath/upstream.go
@@ -78,7 +78,7 @@
 	}
 	u.attempts[a.id] = a
 	r := a.req
-	back := u.w.delay(u.region, a.router.region)
+	back := u.wayBack(a)
 	u.act(u.queue.Offer(u.w.clock(), admission.Item{
 		ID:          a.id,
 		Environment: "e",
@@ -88,6 +88,11 @@
 	}))
 }
 
+// wayBack is the delay of an answer to the client.
+func (u *upstream) wayBack(a *attempt) time.Duration {
+	return u.w.delay(u.region, a.router.region) + localDelay
+}
+
 // act carries out the actions of the queue.
 func (u *upstream) act(actions []admission.Action) {
 	for _, action := range actions {
@@ -127,7 +132,7 @@
 	a.running, a.begun = true, u.w.now
 	took := u.runTime(a.req)
 	life := u.life
-	due := a.req.deadline - u.w.delay(u.region, a.router.region)
+	due := a.req.deadline - u.wayBack(a)
 	if u.w.s.Policy.Queue != FIFO && u.w.now+took > due {
 		u.w.after(due-u.w.now, func() { u.end(a, life, false) })
 		return
--- a/bench/hotpath/world.go
+++ b/bench/hotpath/world.go
@@ -168,6 +168,7 @@
 		return
 	}
 	q.comebacks++
+	w.result.CameBack[q.comebacks]++
 	wait := o.retryAfter
 	if w.s.Policy.FixedRetryAfter > 0 {
 		wait = w.s.Policy.FixedRetryAfter
--- a/bench/section.go
+++ b/bench/section.go
@@ -8,5 +8,10 @@
 	return []section{
 		overloadSection,
 		outageSection,
+		herdSection,
+		prefixSection,
+		limitSection,
+		comebackSection,
+		routingCostSection,
 	}
 }
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -43,10 +43,12 @@
 
 	// hash orders VMs for a key without hashing the name again.
 	hash uint64
+	// load is the estimated number of requests at the VM.
+	load int
 }
 
-// load is the estimated number of requests at the VM.
-func (c *Candidate) load(routers int) int {
+// estimate is the number of requests at the VM.
+func (c *Candidate) estimate(routers int) int {
 	return max(c.InFlight, c.Running+c.Waiting+c.Unseen*routers, 0)
 }
 
--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -12,6 +12,9 @@
 // and it allocates nothing.
 type Chooser struct {
 	opts Options
+	// own and other are scratch space for the candidates of the request's region
+	// and of the others.
+	own, other pool
 }
 
 // New returns a Chooser. It fails with an *OptionError.
@@ -20,7 +23,7 @@
 	if err := o.validate(); err != nil {
 		return nil, err
 	}
-	return &Chooser{opts: o}, nil
+	return &Chooser{opts: o, other: pool{crossing: true}}, nil
 }
 
 // SetRouters changes Options.Routers when membership changes.
@@ -29,117 +32,109 @@
 // Choose picks the VM for a request. It fails with a *NoCandidateError if every
 // candidate is leaving or excluded.
 func (c *Chooser) Choose(req Request, all []Candidate) (Choice, error) {
-	if ch, ok := c.choose(req, all, false); ok {
+	if ch, ok := c.choose(&req, all, false); ok {
 		return ch, nil
 	}
-	if ch, ok := c.choose(req, all, true); ok {
+	if ch, ok := c.choose(&req, all, true); ok {
 		return ch, nil
 	}
 	return Choice{}, noCandidate(all)
 }
 
 // choose picks among all candidates, or among those that are not ejected.
-func (c *Chooser) choose(req Request, all []Candidate, ejected bool) (Choice, bool) {
-	own, n := c.pick(pool{req: req, all: all, ejected: ejected})
-	if n > 0 && !req.AllowCrossing {
-		return own, true
+func (c *Chooser) choose(req *Request, all []Candidate, ejected bool) (Choice, bool) {
+	c.sort(req, all, ejected)
+	n, m := len(c.own.members), len(c.other.members)
+	if n == 0 && m == 0 {
+		return Choice{}, false
 	}
-	other, m := c.pick(pool{req: req, all: all, ejected: ejected, crossing: true})
 	if n == 0 {
-		return other, m > 0
+		return c.pick(req, all, &c.other), true
+	}
+	own := c.pick(req, all, &c.own)
+	if m == 0 || !req.AllowCrossing || own.Wait <= c.gain(req) {
+		return own, true
 	}
-	if m > 0 && other.Wait+c.gain(req) < own.Wait {
+	if other := c.pick(req, all, &c.other); other.Wait+c.gain(req) < own.Wait {
 		return other, true
 	}
 	return own, true
 }
 
 // gain is how much sooner a request must start in another region.
-func (c *Chooser) gain(req Request) time.Duration {
+func (c *Chooser) gain(req *Request) time.Duration {
 	return max(c.opts.CrossingGain, time.Duration(c.opts.CrossingShare*float64(req.Remaining)))
 }
 
-// pick chooses within one pool and returns its size.
-func (c *Chooser) pick(p pool) (Choice, int) {
-	p.count(c.opts.Routers)
-	if p.n == 0 {
-		return Choice{}, 0
+// pick chooses within one pool.
+func (c *Chooser) pick(req *Request, all []Candidate, p *pool) Choice {
+	i, affine := -1, false
+	if req.Affinity != 0 {
+		i, affine = c.affine(req.Affinity, all, p)
+	}
+	if i < 0 {
+		i = c.leastLoaded(all, p)
 	}
-	i, affine := c.pickFrom(&p)
 	return Choice{
 		Index:       i,
-		Wait:        c.wait(&p.all[i], p.crossing),
-		ServiceTime: p.all[i].ServiceTime,
+		Wait:        c.wait(&all[i], p.crossing),
+		ServiceTime: all[i].ServiceTime,
 		Crosses:     p.crossing,
 		Affine:      affine,
-	}, p.n
-}
-
-func (c *Chooser) pickFrom(p *pool) (int, bool) {
-	if p.req.Affinity != 0 {
-		return c.affine(p)
 	}
-	return c.leastLoaded(p), false
 }
 
-// affine takes the first VM in the order of the affinity's rendezvous hash whose
-// load is within the bound.
-func (c *Chooser) affine(p *pool) (int, bool) {
-	bound := c.opts.LoadBound * (p.load + 1) / p.places
-	first, within := -1, -1
+// affine takes the first VM in the order of the key's rendezvous hash whose load
+// is within the bound, and tells whether it is the first of all. It returns -1 if
+// there is none.
+func (c *Chooser) affine(key uint64, all []Candidate, p *pool) (int, bool) {
+	bound := max(c.opts.FreeShare, c.opts.LoadBound*(p.load+1)/p.places)
+	within := -1
 	var firstHash, withinHash uint64
-	for i := range p.all {
-		cand := &p.all[i]
-		if !p.has(cand) {
-			continue
-		}
-		h := rendezvous(p.req.Affinity, cand)
-		if first < 0 || h > firstHash {
-			first, firstHash = i, h
-		}
-		if float64(cand.load(c.opts.Routers)+1) > max(1, c.opts.FreeShare*cand.places(), bound*cand.places()) {
+	for _, i := range p.members {
+		cand := &all[i]
+		h := rendezvous(key, cand)
+		firstHash = max(firstHash, h)
+		if float64(cand.load+1) > max(1, bound*cand.places()) {
 			continue
 		}
 		if within < 0 || h > withinHash {
-			within, withinHash = i, h
+			within, withinHash = int(i), h
 		}
 	}
-	if within < 0 {
-		return c.leastLoaded(p), false
-	}
-	return within, within == first
+	return within, within >= 0 && withinHash == firstHash
 }
 
 // leastLoaded takes the best of some random candidates.
-func (c *Chooser) leastLoaded(p *pool) int {
-	if p.n <= c.opts.Choices {
-		return c.best(p)
+func (c *Chooser) leastLoaded(all []Candidate, p *pool) int {
+	if len(p.members) <= c.opts.Choices {
+		return c.best(all, p)
 	}
-	a := p.nth(c.opts.Rand.IntN(p.n))
+	a := c.random(p)
 	for range c.opts.Choices - 1 {
-		b := p.nth(c.opts.Rand.IntN(p.n))
-		if c.score(&p.all[b]) < c.score(&p.all[a]) {
+		if b := c.random(p); c.score(&all[b]) < c.score(&all[a]) {
 			a = b
 		}
 	}
 	return a
 }
 
+func (c *Chooser) random(p *pool) int {
+	return int(p.members[c.opts.Rand.IntN(len(p.members))])
+}
+
 // best takes the best of all candidates, and of equals a random one.
-func (c *Chooser) best(p *pool) int {
+func (c *Chooser) best(all []Candidate, p *pool) int {
 	best, least, ties := -1, 0.0, 0
-	for i := range p.all {
-		if !p.has(&p.all[i]) {
-			continue
-		}
-		s := c.score(&p.all[i])
+	for _, i := range p.members {
+		s := c.score(&all[i])
 		switch {
 		case best < 0 || s < least:
-			best, least, ties = i, s, 1
+			best, least, ties = int(i), s, 1
 		case s == least:
 			ties++
 			if c.opts.Rand.IntN(ties) == 0 {
-				best = i
+				best = int(i)
 			}
 		}
 	}
@@ -153,7 +148,7 @@
 	if cand.PrefixLikely {
 		per *= 1 - c.opts.PrefixSavings
 	}
-	s := per * float64(cand.load(c.opts.Routers)+1) / cand.places()
+	s := per * float64(cand.load+1) / cand.places()
 	if !cand.AdapterLoaded {
 		s += c.opts.AdapterDelay.Seconds()
 	}
@@ -163,7 +158,7 @@
 // wait is the expected time until a request would start, with the links.
 func (c *Chooser) wait(cand *Candidate, crossing bool) time.Duration {
 	var w time.Duration
-	if over := float64(cand.load(c.opts.Routers)+1) - cand.places(); over > 0 {
+	if over := float64(cand.load+1) - cand.places(); over > 0 {
 		w = time.Duration(over / cand.places() * float64(cand.ServiceTime))
 	}
 	if !cand.AdapterLoaded {
--- a/routing/member.go
+++ b/routing/member.go
@@ -14,6 +14,9 @@
 }
 
 func (m *member) hasAdapter(a ident.Adapter) bool {
+	if a == "" {
+		return true
+	}
 	_, ok := m.adapters[a]
-	return ok || a == ""
+	return ok
 }
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -1,44 +1,35 @@
 package routing
 
-// pool is the candidates that one pick may take.
+// pool is the candidates that one pick may take, with sums over them.
 type pool struct {
-	req      Request
-	all      []Candidate
+	members  []int32
 	crossing bool
-	// ejected admits ejected candidates, as a last resort.
-	ejected bool
-	n       int
-	load    float64
-	places  float64
+	load     float64
+	places   float64
 }
 
-func (p *pool) has(c *Candidate) bool {
-	if c.Leaving || c.Ejected && !p.ejected || c.VM == p.req.Exclude {
-		return false
-	}
-	return (c.Region != p.req.Region) == p.crossing
-}
+func (p *pool) reset() { p.members, p.load, p.places = p.members[:0], 0, 0 }
 
-func (p *pool) count(routers int) {
-	for i := range p.all {
-		if c := &p.all[i]; p.has(c) {
-			p.n++
-			p.load += float64(c.load(routers))
-			p.places += c.places()
-		}
-	}
+func (p *pool) add(i int, c *Candidate) {
+	p.members = append(p.members, int32(i))
+	p.load += float64(c.load)
+	p.places += c.places()
 }
 
-// nth is the index of the k-th member.
-func (p *pool) nth(k int) int {
-	for i := range p.all {
-		if !p.has(&p.all[i]) {
+// sort files the candidates that may be taken by whether they cross regions.
+func (c *Chooser) sort(req *Request, all []Candidate, ejected bool) {
+	c.own.reset()
+	c.other.reset()
+	for i := range all {
+		cand := &all[i]
+		if cand.Leaving || cand.Ejected && !ejected || cand.VM == req.Exclude {
 			continue
 		}
-		if k == 0 {
-			return i
+		cand.load = cand.estimate(c.opts.Routers)
+		if cand.Region == req.Region {
+			c.own.add(i, cand)
+		} else {
+			c.other.add(i, cand)
 		}
-		k--
 	}
-	return -1
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -25,6 +25,7 @@
 	vms     map[ident.VM]*vmState
 	members map[Target][]*member
 	scratch []Candidate
+	regions map[ident.Region]ident.Region
 }
 
 // NewTable returns an empty Table that chooses with c.
@@ -33,6 +34,7 @@
 		chooser: c,
 		vms:     make(map[ident.VM]*vmState),
 		members: make(map[Target][]*member),
+		regions: make(map[ident.Region]ident.Region),
 	}
 }
 
@@ -51,10 +53,20 @@
 		t.vms[r.VM] = s
 	}
 	s.take(now, r, age)
+	s.region = t.intern(r.Region)
 	t.index(s, r)
 	return true
 }
 
+// intern keeps one copy of a region's name, which is quick to compare.
+func (t *Table) intern(r ident.Region) ident.Region {
+	if known, ok := t.regions[r]; ok {
+		return known
+	}
+	t.regions[r] = r
+	return r
+}
+
 // Remove forgets a VM that has left the membership.
 func (t *Table) Remove(vm ident.VM) {
 	s := t.vms[vm]
@@ -118,7 +130,10 @@
 	m.state.candidate(now, l.Priority, c)
 	c.ServiceTime = m.serviceTime
 	c.AdapterLoaded = m.hasAdapter(l.Adapter)
-	_, c.PrefixLikely = m.state.prefixes[l.Prefix]
+	c.PrefixLikely = false
+	if l.Prefix != 0 {
+		_, c.PrefixLikely = m.state.prefixes[l.Prefix]
+	}
 	c.Ejected, c.Share = false, 0
 	if l.Health != nil {
 		h := l.Health(now, c.VM)
@@ -129,11 +144,15 @@
 // take copies the fields of a report.
 func (s *vmState) take(now time.Time, r *wire.Report, age time.Duration) {
 	s.incarnation, s.seq = r.Incarnation, r.Seq
-	s.region, s.zone = r.Region, r.Zone
+	s.zone = r.Zone
 	s.running, s.waiting, s.concurrency = r.Running, r.Waiting, r.Concurrency
 	s.draining = r.Draining
 	s.madeAt = now.Add(-age)
-	s.waitingBy = append(s.waitingBy[:0], r.WaitingByPriority...)
+	s.byPriority = len(r.WaitingByPriority) > 0
+	s.waitingBy = [levels]int{}
+	for p, n := range r.WaitingByPriority {
+		s.waitingBy[level(ident.Priority(p))] += n
+	}
 	for i := range s.unseen {
 		s.unseen[i] = 0
 		if age > 0 {
--- a/routing/vm_state.go
+++ b/routing/vm_state.go
@@ -19,12 +19,13 @@
 	concurrency int
 	draining    bool
 	madeAt      time.Time
-	waitingBy   []int
+	waitingBy   [levels]int
+	byPriority  bool
 	inFlight    [levels]int
 	unseen      [levels]int
-	recent      [levels]recent
 	prefixes    map[uint64]struct{}
 	targets     map[Target]struct{}
+	recent      [levels]recent
 }
 
 // candidate fills out all that does not depend on the target.
@@ -38,12 +39,8 @@
 
 // waitingFor counts the waiting requests that are as urgent as p or more.
 func (s *vmState) waitingFor(p ident.Priority) int {
-	if len(s.waitingBy) == 0 {
+	if !s.byPriority {
 		return s.waiting
 	}
-	n := 0
-	for _, w := range s.waitingBy[:min(len(s.waitingBy), max(0, int(p))+1)] {
-		n += w
-	}
-	return n
+	return upTo(&s.waitingBy, p)
 }
