--- a/admission/entry.go
+++ b/admission/entry.go
@@ -11,11 +11,6 @@
 	started time.Time
 }
 
-// latestStart is when the item has to start to make its deadline.
-func (e *entry) latestStart(inflation float64) time.Time {
-	return e.Deadline.Add(-scale(e.Cost, inflation))
-}
-
 func scale(d time.Duration, by float64) time.Duration {
 	return time.Duration(float64(d) * by)
 }
--- a/admission/queue_order.go
+++ b/admission/queue_order.go
@@ -24,7 +24,7 @@
 	})
 }
 
-// start fills free places.
+// start fills free places. Items that would be too late have been swept before.
 func (q *Queue) start(now time.Time, actions []Action) []Action {
 	for !q.held && len(q.running) < q.limit.current() {
 		at, ok := q.backlog.next()
@@ -38,9 +38,6 @@
 
 func (q *Queue) startNext(now time.Time, at place) Action {
 	e := q.backlog.remove(at, 0)
-	if !q.mayProbe(now, e) && now.After(e.latestStart(q.ratio.value)) {
-		return q.refuse(now, e, wire.CodeDeadline)
-	}
 	e.started = now
 	q.running[e.ID] = e
 	q.backlog.charge(now, at, e)
--- /dev/null
+++ b/admission/queue_property_test.go
@@ -0,0 +1,142 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// queueModel checks a Queue against what must hold after each event.
+type queueModel struct {
+	q       *Queue
+	opts    Options
+	now     time.Time
+	next    int
+	waiting map[ident.Attempt]Item
+	running map[ident.Attempt]Item
+}
+
+func (m *queueModel) take(t *rapid.T, actions []Action) {
+	for _, a := range actions {
+		switch x := a.(type) {
+		case Admit:
+			it := m.known(t, x.ID)
+			if m.now.Add(it.Cost).After(it.Deadline) {
+				t.Fatalf("%s admitted %v before its deadline, cost %v", x.ID, it.Deadline.Sub(m.now), it.Cost)
+			}
+			m.running[x.ID] = it
+		case Refuse:
+			m.known(t, x.ID)
+			if x.RetryAfter < m.opts.MinRetryAfter {
+				t.Fatalf("RetryAfter %v under %v", x.RetryAfter, m.opts.MinRetryAfter)
+			}
+		}
+	}
+}
+
+// known removes an item that waits.
+func (m *queueModel) known(t *rapid.T, id ident.Attempt) Item {
+	it, ok := m.waiting[id]
+	if !ok {
+		t.Fatalf("action for %s, which does not wait", id)
+	}
+	delete(m.waiting, id)
+	return it
+}
+
+func (m *queueModel) check(t *rapid.T) {
+	st := m.q.Stats()
+	if st.Running != len(m.running) || st.Waiting != len(m.waiting) {
+		t.Fatalf("stats %+v, want running %d waiting %d", st, len(m.running), len(m.waiting))
+	}
+	if st.Running > m.opts.Concurrency || st.Limit > m.opts.Concurrency || st.Waiting > m.opts.MaxWaiting {
+		t.Fatalf("stats %+v over the bounds", st)
+	}
+	for id, it := range m.waiting {
+		if m.now.Add(it.Cost - sweepInterval).After(it.Deadline) {
+			t.Fatalf("%s still waits but can no longer make its deadline", id)
+		}
+	}
+}
+
+func (m *queueModel) offer(t *rapid.T) {
+	m.next++
+	it := Item{
+		ID:          ident.Attempt(fmt.Sprint(m.next)),
+		Environment: rapid.SampledFrom([]ident.Environment{"a", "b"}).Draw(t, "environment"),
+		Region:      rapid.SampledFrom([]ident.Region{"r1", "r2", "r3"}).Draw(t, "region"),
+		Priority:    ident.Priority(rapid.IntRange(0, 3).Draw(t, "priority")),
+		Deadline:    m.now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "due")) * time.Millisecond),
+		Cost:        time.Duration(rapid.IntRange(1, 2000).Draw(t, "cost")) * time.Millisecond,
+	}
+	m.waiting[it.ID] = it
+	m.take(t, m.q.Offer(m.now, it))
+}
+
+func (m *queueModel) finish(t *rapid.T) {
+	for id := range m.running {
+		delete(m.running, id)
+		r := rapid.SampledFrom([]Result{Succeeded, Failed, Rejected}).Draw(t, "result")
+		m.take(t, m.q.Finish(m.now, id, r))
+		return
+	}
+}
+
+func (m *queueModel) cancel(t *rapid.T) {
+	for id := range m.waiting {
+		delete(m.waiting, id)
+		m.take(t, m.q.Cancel(m.now, id))
+		return
+	}
+}
+
+func (m *queueModel) pass(t *rapid.T) {
+	steps := rapid.IntRange(1, 20).Draw(t, "steps")
+	for range steps {
+		m.now = m.now.Add(sweepInterval)
+		m.take(t, m.q.Tick(m.now))
+	}
+}
+
+func TestQueueProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := Options{
+			Region:      "r1",
+			Concurrency: rapid.IntRange(1, 4).Draw(t, "concurrency"),
+			MaxWaiting:  rapid.IntRange(1, 6).Draw(t, "waiting"),
+			Rand:        rand.New(rand.NewPCG(1, 2)),
+		}.withDefaults()
+		q, err := New(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &queueModel{q: q, opts: o, now: start, waiting: map[ident.Attempt]Item{}, running: map[ident.Attempt]Item{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer":  m.offer,
+			"finish": m.finish,
+			"cancel": m.cancel,
+			"pass":   m.pass,
+			"hold":   func(t *rapid.T) { m.take(t, q.Hold(m.now, m.now.Add(time.Second))) },
+			"resume": func(t *rapid.T) { m.take(t, q.Resume(m.now)) },
+			"":       m.check,
+		})
+		m.take(t, q.Drain(m.now))
+		if len(m.waiting) > 0 {
+			t.Fatalf("%d wait after Drain", len(m.waiting))
+		}
+	})
+}
+
+func TestDrainingQueueRefuses(t *testing.T) {
+	q := newQueue(t, nil)
+	q.Drain(start)
+	if got := refused(q.Offer(start, item("x", 0, "r1", time.Hour))); got["x"] != wire.CodeDraining {
+		t.Errorf("refused %v, want draining", got)
+	}
+}
--- a/eject/ejector.go
+++ b/eject/ejector.go
@@ -71,12 +71,12 @@
 		return
 	}
 	e.advance(now, r)
-	r.probing = max(0, r.probing-1)
 	switch r.phase {
 	case Ejected:
 	case Probing:
 		e.probed(now, r, ok)
 	default:
+		r.probing = max(0, r.probing-1)
 		r.count(now, ok, e.opts.Window)
 		if !ok && e.bad(r) && e.mayEject() {
 			e.eject(now, r)
@@ -96,7 +96,13 @@
 	}
 }
 
+// probed takes the result of a probe. With none under way it is that of a request
+// from before the ejection, which says nothing new.
 func (e *Ejector) probed(now time.Time, r *record, ok bool) {
+	if r.probing == 0 {
+		return
+	}
+	r.probing--
 	if !ok {
 		e.eject(now, r)
 		return
