--- a/bench/comeback.go
+++ b/bench/comeback.go
@@ -64,7 +64,7 @@
 		for i, v := range names {
 			all = append(all, named{v.name, get(base[i])})
 		}
-		t.add(row{"burst of 3x for 10 s, refused come back", figure, target, baselines(format, all...), get(own).text(format), reached(get(own))})
+		t.add(row{"burst of 3x for 10 s, refused come back", figure, target, baselineSpreads(format, all...), get(own).text(format), reached(get(own))})
 	}
 	put("served at the first return", ">= 0.9", "%.3f", func(f figures) spread { return f.first },
 		func(s spread) verdict { return judge(s.least() >= minServedAtFirst) })
--- a/bench/herd.go
+++ b/bench/herd.go
@@ -66,7 +66,7 @@
 			base = append(base, named{v.name, get(figures[i+1])})
 		}
 		own := get(figures[0])
-		t.add(row{name, figure, target, baselines(format, base...), own.text(format), reached(own, base[1].spread)})
+		t.add(row{name, figure, target, baselineSpreads(format, base...), own.text(format), reached(own, base[1].spread)})
 	}
 	put("longest queue / mean queue", "<= random", "%.2f", func(f herdFigures) spread { return f.herd },
 		func(own, random spread) verdict { return judge(own.most() <= random.most()) })
@@ -99,7 +99,7 @@
 			for i, v := range variants[1:] {
 				base = append(base, named{v.name, get(figures[i+1])})
 			}
-			t.add(row{name, figure, "", baselines(format, base...), get(figures[0]).text(format), info})
+			t.add(row{name, figure, "", baselineSpreads(format, base...), get(figures[0]).text(format), info})
 		}
 		put("hit rate", "%.3f", func(f herdFigures) spread { return f.hits })
 		put("longest queue / mean queue", "%.2f", func(f herdFigures) spread { return f.herd })
--- a/bench/limit.go
+++ b/bench/limit.go
@@ -39,6 +39,6 @@
 	}
 	own, ownLate := measure(ours.change)
 	base, baseLate := measure(fixed)
-	t.add(row{name, "goodput / capacity, 300 to 600 s, 2x offered", "", baselines("%.3f", named{"fixed limit", base}), own.text("%.3f"), info})
-	t.add(row{name, "answers after their deadline", "0", baselines("%.0f", named{"fixed limit", baseLate}), ownLate.text("%.0f"), judge(ownLate.most() == 0)})
+	t.add(row{name, "goodput / capacity, 300 to 600 s, 2x offered", "", baselineSpreads("%.3f", named{"fixed limit", base}), own.text("%.3f"), info})
+	t.add(row{name, "answers after their deadline", "0", baselineSpreads("%.0f", named{"fixed limit", baseLate}), ownLate.text("%.0f"), judge(ownLate.most() == 0)})
 }
