--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -191,6 +191,14 @@
 
 func hashVM(vm ident.VM) uint64 { return xxhash.Sum64String(string(vm)) | 1 }
 
+// hashAdapter is zero only for the empty name.
+func hashAdapter(a ident.Adapter) uint64 {
+	if a == "" {
+		return 0
+	}
+	return xxhash.Sum64String(string(a)) | 1
+}
+
 // mix spreads the bits of x evenly, by the finalizer of SplitMix64.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/routing/level.go
+++ b/routing/level.go
@@ -9,10 +9,10 @@
 func level(p ident.Priority) int { return min(max(0, int(p)), levels-1) }
 
 // upTo sums the counts of the priorities that are as urgent as p or more.
-func upTo(counts *[levels]int, p ident.Priority) int {
+func upTo(counts *[levels]int32, p ident.Priority) int {
 	n := 0
 	for _, c := range counts[:level(p)+1] {
-		n += c
+		n += int(c)
 	}
 	return n
 }
--- a/routing/member.go
+++ b/routing/member.go
@@ -1,22 +1,14 @@
 package routing
 
-import (
-	"time"
-
-	"github.com/laureltally/laureltally/ident"
-)
+import "time"
 
 // member is one VM as a candidate for one target.
 type member struct {
 	state       *vmState
-	adapters    map[ident.Adapter]struct{}
 	serviceTime time.Duration
+	// adapters holds the hashes of the loaded adapters.
+	adapters hashSet
 }
 
-func (m *member) hasAdapter(a ident.Adapter) bool {
-	if a == "" {
-		return true
-	}
-	_, ok := m.adapters[a]
-	return ok
-}
+// hasAdapter tells whether the adapter with a hash is loaded; zero names none.
+func (m *member) hasAdapter(hash uint64) bool { return hash == 0 || m.adapters.has(hash) }
--- a/routing/recent.go
+++ b/routing/recent.go
@@ -12,7 +12,7 @@
 // recent counts the router's own starts less its ends in time slots.
 type recent struct {
 	slot [recentSlots]int64
-	net  [recentSlots]int
+	net  [recentSlots]int32
 }
 
 func (r *recent) add(now time.Time, n int) {
@@ -21,13 +21,13 @@
 	if r.slot[i] != id {
 		r.slot[i], r.net[i] = id, 0
 	}
-	r.net[i] += n
+	r.net[i] += int32(n)
 }
 
 // since sums the slots from t on.
-func (r *recent) since(t time.Time) int {
+func (r *recent) since(t time.Time) int32 {
 	id := t.UnixNano() / int64(recentSlot)
-	sum := 0
+	var sum int32
 	for i := range r.slot {
 		if r.slot[i] >= id {
 			sum += r.net[i]
--- a/routing/table.go
+++ b/routing/table.go
@@ -23,7 +23,7 @@
 type Table struct {
 	chooser *Chooser
 	vms     map[ident.VM]*vmState
-	members map[Target][]*member
+	members map[Target][]member
 	scratch []Candidate
 	regions map[ident.Region]ident.Region
 }
@@ -33,7 +33,7 @@
 	return &Table{
 		chooser: c,
 		vms:     make(map[ident.VM]*vmState),
-		members: make(map[Target][]*member),
+		members: make(map[Target][]member),
 		regions: make(map[ident.Region]ident.Region),
 	}
 }
@@ -49,7 +49,7 @@
 		return false
 	}
 	if s == nil {
-		s = &vmState{vm: r.VM, hash: hashVM(r.VM), prefixes: make(map[uint64]struct{}), targets: make(map[Target]struct{})}
+		s = &vmState{vm: r.VM, hash: hashVM(r.VM), targets: make(map[Target]struct{})}
 		t.vms[r.VM] = s
 	}
 	s.take(now, r, age)
@@ -101,10 +101,8 @@
 	if took <= 0 {
 		return
 	}
-	for _, m := range t.members[target] {
-		if m.state == s {
-			m.serviceTime += time.Duration(float64(took-m.serviceTime) * serviceTimeWeight)
-		}
+	if m := t.find(target, s); m != nil {
+		m.serviceTime += time.Duration(float64(took-m.serviceTime) * serviceTimeWeight)
 	}
 }
 
@@ -113,8 +111,9 @@
 func (t *Table) Choose(now time.Time, l Lookup) (ident.VM, Choice, error) {
 	members := t.members[l.Target]
 	t.scratch = slices.Grow(t.scratch[:0], len(members))[:len(members)]
-	for i, m := range members {
-		t.fill(now, &l, m, &t.scratch[i])
+	adapter := hashAdapter(l.Adapter)
+	for i := range members {
+		t.fill(now, &l, adapter, &members[i], &t.scratch[i])
 	}
 	ch, err := t.chooser.Choose(l.Request, t.scratch)
 	if err != nil {
@@ -126,14 +125,11 @@
 // Candidates counts the VMs that hold a target.
 func (t *Table) Candidates(target Target) int { return len(t.members[target]) }
 
-func (t *Table) fill(now time.Time, l *Lookup, m *member, c *Candidate) {
+func (t *Table) fill(now time.Time, l *Lookup, adapter uint64, m *member, c *Candidate) {
 	m.state.candidate(now, l.Priority, c)
 	c.ServiceTime = m.serviceTime
-	c.AdapterLoaded = m.hasAdapter(l.Adapter)
-	c.PrefixLikely = false
-	if l.Prefix != 0 {
-		_, c.PrefixLikely = m.state.prefixes[l.Prefix]
-	}
+	c.AdapterLoaded = m.hasAdapter(adapter)
+	c.PrefixLikely = l.Prefix != 0 && m.state.prefixes.has(l.Prefix)
 	c.Ejected, c.Share = false, 0
 	if l.Health != nil {
 		h := l.Health(now, c.VM)
@@ -149,9 +145,9 @@
 	s.draining = r.Draining
 	s.madeAt = now.Add(-age)
 	s.byPriority = len(r.WaitingByPriority) > 0
-	s.waitingBy = [levels]int{}
+	s.waitingBy = [levels]int32{}
 	for p, n := range r.WaitingByPriority {
-		s.waitingBy[level(ident.Priority(p))] += n
+		s.waitingBy[level(ident.Priority(p))] += int32(n)
 	}
 	for i := range s.unseen {
 		s.unseen[i] = 0
@@ -159,10 +155,7 @@
 			s.unseen[i] = s.recent[i].since(s.madeAt)
 		}
 	}
-	clear(s.prefixes)
-	for _, h := range r.PrefixHashes {
-		s.prefixes[h] = struct{}{}
-	}
+	s.prefixes = append(s.prefixes[:0], r.PrefixHashes...).sorted()
 }
 
 // index makes s a member of exactly the targets that its report names.
@@ -192,26 +185,35 @@
 
 func (t *Table) join(target Target, s *vmState, adapters []ident.Adapter) {
 	m := t.member(target, s)
-	clear(m.adapters)
+	m.adapters = m.adapters[:0]
 	for _, a := range adapters {
-		m.adapters[a] = struct{}{}
+		m.adapters = append(m.adapters, hashAdapter(a))
 	}
+	m.adapters = m.adapters.sorted()
 }
 
 func (t *Table) member(target Target, s *vmState) *member {
-	for _, m := range t.members[target] {
-		if m.state == s {
-			return m
-		}
+	if m := t.find(target, s); m != nil {
+		return m
 	}
-	m := &member{state: s, adapters: make(map[ident.Adapter]struct{}), serviceTime: initialServiceTime}
-	t.members[target] = append(t.members[target], m)
+	t.members[target] = append(t.members[target], member{state: s, serviceTime: initialServiceTime})
 	s.targets[target] = struct{}{}
-	return m
+	return t.find(target, s)
+}
+
+// find returns a member until the members of the target change.
+func (t *Table) find(target Target, s *vmState) *member {
+	members := t.members[target]
+	for i := range members {
+		if members[i].state == s {
+			return &members[i]
+		}
+	}
+	return nil
 }
 
 func (t *Table) leave(target Target, s *vmState) {
-	left := slices.DeleteFunc(t.members[target], func(m *member) bool { return m.state == s })
+	left := slices.DeleteFunc(t.members[target], func(m member) bool { return m.state == s })
 	if len(left) == 0 {
 		delete(t.members, target)
 	} else {
--- a/routing/vm_state.go
+++ b/routing/vm_state.go
@@ -8,22 +8,24 @@
 
 // vmState is what a Table knows of one VM.
 type vmState struct {
+	// The fields that every choice reads come first and lie together.
 	vm          ident.VM
-	incarnation ident.Incarnation
-	seq         uint64
 	region      ident.Region
-	zone        ident.Zone
 	hash        uint64
+	madeAt      time.Time
 	running     int
 	waiting     int
 	concurrency int
-	draining    bool
-	madeAt      time.Time
-	waitingBy   [levels]int
+	inFlight    [levels]int32
+	unseen      [levels]int32
+	waitingBy   [levels]int32
 	byPriority  bool
-	inFlight    [levels]int
-	unseen      [levels]int
-	prefixes    map[uint64]struct{}
+	draining    bool
+
+	zone        ident.Zone
+	prefixes    hashSet
+	incarnation ident.Incarnation
+	seq         uint64
 	targets     map[Target]struct{}
 	recent      [levels]recent
 }
