--- a/bench/section.go
+++ b/bench/section.go
@@ -11,5 +11,10 @@
 		memoryless,
 		overloadSection,
 		outageSection,
+		herdSection,
+		prefixSection,
+		limitSection,
+		comebackSection,
+		routingCostSection,
 	}
 }
