--- a/keepalive/keeper.go
+++ b/keepalive/keeper.go
@@ -15,7 +15,7 @@
 	// priorWeight is how many exposures the prior counts for.
 	priorWeight = 4
 	// dayPoolWeight and dayPriorWeight are the same for the slots of the day.
-	dayPoolWeight  = 2
+	dayPoolWeight  = 1
 	dayPriorWeight = 4
 	// nearPart is the part of a load from the store that a load of weights takes
 	// at most that were still near.
--- a/keepalive/prewarm.go
+++ b/keepalive/prewarm.go
@@ -13,7 +13,7 @@
 	stageHorizon = 2 * 3600
 	// stageThreshold is how many requests must be expected to be spared a long
 	// load for weights to be brought nearer.
-	stageThreshold = 0.5
+	stageThreshold = 0.2
 )
 
 // Prewarm returns the keys that are worth loading at now although no request
