--- a/bench/section.go
+++ b/bench/section.go
@@ -9,6 +9,7 @@
 		muotiennuste,
 		nordfjell,
 		memoryless,
+		burst,
 		overloadSection,
 		outageSection,
 	}
--- a/coldstart/candidate.go
+++ b/coldstart/candidate.go
@@ -1,6 +1,8 @@
 package coldstart
 
 import (
+	"time"
+
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
 )
@@ -13,6 +15,10 @@
 	Zone   ident.Zone
 	// Tier is where the weights are cached. Empty means TierRemote.
 	Tier engine.Tier
+	// TierBefore is where they were before TierSince, by the clock of the VM.
+	// A zero TierSince means that Tier has been the same for long.
+	TierBefore engine.Tier
+	TierSince  time.Time
 	// Phase is empty while the model is not in the engine.
 	Phase engine.Phase
 	// FreeMB is the accelerator memory that could be reserved at once.
@@ -24,3 +30,12 @@
 	// Reachable is false if the VM does not answer or is leaving.
 	Reachable bool
 }
+
+// settledTier returns the tier as it was some time ago. Routers that all know
+// it agree, whatever the age of their reports.
+func (c Candidate) settledTier(now time.Time, ago time.Duration) engine.Tier {
+	if !c.TierSince.IsZero() && now.Sub(c.TierSince) < ago {
+		return c.TierBefore
+	}
+	return c.Tier
+}
--- a/coldstart/chooser.go
+++ b/coldstart/chooser.go
@@ -30,7 +30,7 @@
 	if q.ServiceTime == 0 {
 		q.ServiceTime = c.cfg.ServiceTime
 	}
-	opts := options(q)
+	opts := options(q, c.cfg.ReportLag)
 	if len(opts) == 0 {
 		return Choice{}, fmt.Errorf("choose: %w", &NoSlotError{Model: q.Model, Slots: len(q.Slots)})
 	}
--- a/coldstart/chooser_test.go
+++ b/coldstart/chooser_test.go
@@ -263,3 +263,14 @@
 		t.Errorf("median from disk = %v, moved by loads from the store", d)
 	}
 }
+
+func TestChangeOfTierCountsOnceAllRoutersKnow(t *testing.T) {
+	stays, changed := cold("v1", "a", engine.TierDisk), cold("v2", "a", engine.TierMemory)
+	stale := changed
+	stale.Tier = engine.TierRemote
+	changed.TierBefore, changed.TierSince = engine.TierRemote, t0.Add(-DefaultReportLag/2)
+	expect(t, choose(t, newChooser(t, "a"), query(t0, stays, changed)), "v1", Wake)
+	expect(t, choose(t, newChooser(t, "b"), query(t0, stays, stale)), "v1", Wake)
+	later := t0.Add(DefaultReportLag)
+	expect(t, choose(t, newChooser(t, "a"), query(later, stays, changed)), "v2", Wake)
+}
--- a/coldstart/order.go
+++ b/coldstart/order.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -41,14 +42,17 @@
 type option struct {
 	slot Slot
 	cand Candidate
+	// tier is the rank of the tier that the order goes by.
+	tier int
 	// home is 0 in the model's home region and 1 elsewhere.
 	home int
 	rank uint64
 }
 
 // options joins the slots that can be reached with their candidates, in the
-// order in which every router wakes them.
-func options(q Query) []option {
+// order in which every router wakes them. Changes of tier count once they are
+// older than lag, so that a report of that age at most shows them.
+func options(q Query, lag time.Duration) []option {
 	out := make([]option, 0, len(q.Slots))
 	for _, s := range q.Slots {
 		i := slices.IndexFunc(q.Candidates, func(c Candidate) bool { return c.VM == s.VM })
@@ -56,6 +60,7 @@
 			continue
 		}
 		o := option{slot: s, cand: q.Candidates[i], rank: Rank(q.Model, s.VM)}
+		o.tier = tierRank(o.cand.settledTier(q.Now, lag))
 		if o.cand.Region != q.Home {
 			o.home = 1
 		}
@@ -70,7 +75,7 @@
 // routers would then disagree.
 func wakeOrder(a, b option) int {
 	return cmp.Or(
-		cmp.Compare(tierRank(a.cand.Tier), tierRank(b.cand.Tier)),
+		cmp.Compare(a.tier, b.tier),
 		cmp.Compare(a.home, b.home),
 		cmp.Compare(b.rank, a.rank),
 		cmp.Compare(a.slot.VM, b.slot.VM),
