--- a/bench/comeback.go
+++ b/bench/comeback.go
@@ -23,7 +23,7 @@
 	maxWave          = 2.0
 )
 
-func burst(seed uint64) hotpath.Scenario {
+func refusedBurst(seed uint64) hotpath.Scenario {
 	s := drafting(seed)
 	s.End = comebackEnd
 	s.Comebacks = comebacks
@@ -43,7 +43,7 @@
 	type figures struct{ first, wave, refused spread }
 	measure := func(v variant) figures {
 		var f figures
-		over(burst, v, func(r *hotpath.Result) {
+		over(refusedBurst, v, func(r *hotpath.Result) {
 			f.first.add(1 - float64(r.CameBack[2])/float64(max(1, r.CameBack[1])))
 			f.wave.add(wave(r))
 			f.refused.add(float64(hotpath.Between(r.RefusedPerSecond, burstUntil, comebackEnd)))
