--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -20,6 +20,7 @@
 	c, err := harness.Start(t.Context(), harness.Options{Bin: bin, Routers: 2, Engines: 2})
 	defer c.Close()
 	if err != nil {
+		logTails(t, c)
 		t.Fatal(err)
 	}
 	monitor := c.StartMonitor()
@@ -64,3 +65,12 @@
 		t.Error("nothing was answered or sampled")
 	}
 }
+
+const tailBytes = 2000
+
+func logTails(t *testing.T, c *harness.Cluster) {
+	t.Helper()
+	for name, tail := range c.LogTail(tailBytes) {
+		t.Logf("%s:\n%s", name, tail)
+	}
+}
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -143,12 +143,12 @@
 
 func (c *Cluster) startAgents(ctx context.Context) error {
 	for i, url := range c.EngineURLs {
-		s := config.AgentSettings{Upstream: drafting, Kind: config.KindEngine, UpstreamURL: url, MemoryMB: engineMemoryMB}
+		s := config.AgentSettings{Upstream: drafting, Kind: config.KindEngine, UpstreamURL: url, MemoryMB: engineMemoryMB, Concurrency: engineCalls}
 		if err := c.startAgent(ctx, fmt.Sprintf("agent-%d", i), s); err != nil {
 			return err
 		}
 	}
-	s := config.AgentSettings{Upstream: portal, Kind: config.KindService, UpstreamURL: c.ServiceURL, Concurrency: 64}
+	s := config.AgentSettings{Upstream: portal, Kind: config.KindService, UpstreamURL: c.ServiceURL, Concurrency: serviceCalls}
 	return c.startAgent(ctx, "agent-portal", s)
 }
 
--- a/internal/harness/document.go
+++ b/internal/harness/document.go
@@ -24,6 +24,8 @@
 	engineMemoryMB = 80000
 	modelMemoryMB  = 24000
 	kvCacheMB      = 6000
+	engineCalls    = 64
+	serviceCalls   = 64
 )
 
 // Models of the environment. An engine has room for two at a time.
