faults: failures alone and in pairs against separate processes

One untrue refusal, with lost service connections and silent connections together: an order was called not run that had run once. Its cause is looked for next.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,7 @@
 
 bench:
 	$(GO) run ./bench
+
+.PHONY: faults
+faults: build
+	$(GO) run ./faults
--- /dev/null
+++ b/faults/result.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// result is what one run has shown.
+type result struct {
+	name                   string
+	requests               int
+	answered, refused      int
+	lost, doubled, crossed int
+	untrue                 int
+	over                   int
+	overcommits            int64
+	samples                int
+	answeredAfter          int
+	problems               []string
+	err                    error
+	logs                   map[string]string
+}
+
+// bad tells whether anything happened that must not.
+func (r result) bad() bool {
+	return r.err != nil || r.lost+r.doubled+r.crossed+r.untrue+r.over > 0 || r.overcommits > 0 || r.answeredAfter == 0
+}
+
+func printTable(w io.Writer, results []result) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "fault\trequests\tanswered\trefused\tlost\tdoubled\tcrossed\tuntrue\treplicas over\tmemory over\tanswered after\t")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n",
+			r.name, r.requests, r.answered, r.refused, r.lost, r.doubled, r.crossed, r.untrue, r.over, r.overcommits, r.answeredAfter)
+	}
+	_ = t.Flush()
+	for _, r := range results {
+		if !r.bad() {
+			continue
+		}
+		_, _ = fmt.Fprintf(w, "%s: %v\n", r.name, r.err)
+		for _, p := range r.problems {
+			_, _ = fmt.Fprintln(w, " ", p)
+		}
+		for name, tail := range r.logs {
+			_, _ = fmt.Fprintf(w, "--- %s\n%s\n", name, tail)
+		}
+	}
+}
--- /dev/null
+++ b/internal/harness/apply.go
@@ -0,0 +1,49 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/document"
+	"github.com/laureltally/laureltally/platform/objecthttp"
+)
+
+// Apply changes the document as an operator does: read, edit, apply, and again
+// after a lost race.
+func (c *Cluster) Apply(ctx context.Context, actor string, edit func(*config.Document)) error {
+	client, err := objecthttp.New(objecthttp.Options{BaseURL: c.PlatformURL})
+	if err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	repository := document.New(document.Options{Store: client})
+	for {
+		err := applyOnce(ctx, repository, actor, edit)
+		var lost *document.LostRaceError
+		if !errors.As(err, &lost) {
+			return err
+		}
+	}
+}
+
+func applyOnce(ctx context.Context, r *document.Repository, actor string, edit func(*config.Document)) error {
+	stored, err := r.Read(ctx, Environment, document.SlotProduction)
+	if err != nil {
+		return fmt.Errorf("read document: %w", err)
+	}
+	d, err := stored.Parse()
+	if err != nil {
+		return fmt.Errorf("parse document: %w", err)
+	}
+	edit(&d)
+	text, err := json.Marshal(d)
+	if err != nil {
+		return fmt.Errorf("encode document: %w", err)
+	}
+	_, err = r.Apply(ctx, document.Update{
+		Environment: Environment, Slot: document.SlotProduction, Text: text, Actor: actor, Base: stored.Version, Reason: "harness",
+	})
+	return err
+}
--- a/internal/harness/load.go
+++ b/internal/harness/load.go
@@ -57,9 +57,9 @@
 		switch {
 		case base == "":
 		case id%3 == 0:
-			l.chat(base, mark, Models[r.IntN(len(Models))], true)
+			l.chat(r, base, mark, Models[r.IntN(len(Models))], true)
 		case id%3 == 1:
-			l.chat(base, mark, Models[r.IntN(len(Models))], false)
+			l.chat(r, base, mark, Models[r.IntN(len(Models))], false)
 		default:
 			l.placeOrder(mark, r)
 		}
@@ -124,10 +124,29 @@
 	return r, err == nil && r.Error.Code != "" && (r.Error.Run == "not_run" || r.Error.Run == "unknown")
 }
 
-func (l *Load) chat(base, mark, model string, stream bool) {
+func (l *Load) chat(r *rand.Rand, base, mark, model string, stream bool) {
 	body := fmt.Sprintf(`{"model":%q,"stream":%v,"max_tokens":24,"messages":[{"role":"user","content":%q}]}`, model, stream, mark)
-	r := l.send(base+"/v1/chat/completions", body, "")
-	l.Tally.add(judgeChat(r, mark, stream))
+	got := l.send(base+"/v1/chat/completions", body, "")
+	if got.err != nil && l.gone(base) {
+		// The entry VM died with the connection. The request is idempotent and
+		// is sent again through the balancer.
+		if base = l.router(r); base == "" {
+			return
+		}
+		got = l.send(base+"/v1/chat/completions", body, "")
+	}
+	l.Tally.add(judgeChat(got, mark, stream))
+}
+
+// gone tells whether the router behind base has ended or restarted under the
+// caller, which only a kill brings about.
+func (l *Load) gone(base string) bool {
+	for i, url := range l.c.RouterURLs {
+		if url == base {
+			return l.c.killed(l.c.Routers[i])
+		}
+	}
+	return false
 }
 
 // judgeChat tells how a chat request ended. Every answer echoes the request, so
@@ -196,6 +215,10 @@
 			continue
 		}
 		got := l.send(base+"/services/"+string(Environment)+"/portal/orders", body, "key-"+id)
+		if got.err != nil && l.gone(base) {
+			l.Tally.order(id, order{})
+			continue
+		}
 		outcome, state, detail := judgeOrder(got, id)
 		l.Tally.order(id, state)
 		l.Tally.add(outcome, detail)
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -21,6 +22,9 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	err  error
+
+	mu     sync.Mutex
+	killed bool
 }
 
 // exitGrace is how long a process may take to end before it is killed.
@@ -67,6 +71,9 @@
 
 // Kill ends the process without notice and waits for it.
 func (p *Process) Kill() {
+	p.mu.Lock()
+	p.killed = true
+	p.mu.Unlock()
 	_ = p.cmd.Process.Kill()
 	<-p.done
 }
@@ -95,6 +102,13 @@
 	}
 }
 
+// killed tells whether the process was ever killed.
+func (c *Cluster) killed(p *Process) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.killed
+}
+
 func (c *Cluster) process(name, program string, args ...string) *Process {
 	return &Process{
 		Name: name,
