--- a/admission/entry.go
+++ b/admission/entry.go
@@ -6,14 +6,11 @@
 // replaced.
 type entry struct {
 	Item
+	// guessed is set when Cost is the average of other requests.
+	guessed bool
 	started time.Time
 }
 
-// latestStart is when the item has to start to make its deadline.
-func (e *entry) latestStart(inflation float64) time.Time {
-	return e.Deadline.Add(-scale(e.Cost, inflation))
-}
-
 func scale(d time.Duration, by float64) time.Duration {
 	return time.Duration(float64(d) * by)
 }
--- /dev/null
+++ b/internal/harness/cluster.go
@@ -0,0 +1,328 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/document"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/keys"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/platform/objecthttp"
+	"github.com/laureltally/laureltally/standin"
+)
+
+// Cluster is a set of running processes.
+type Cluster struct {
+	o   Options
+	dir string
+	ca  *keys.Authority
+
+	Platform *Process
+	Engines  []*Process
+	Service  *Process
+	Agents   []*Process
+	Routers  []*Process
+	Boxes    []*Middlebox
+
+	// PlatformURL, EngineURLs and ServiceURL are base URLs of the stand-ins,
+	// RouterURLs those for callers and AdminURLs those for operators.
+	PlatformURL string
+	EngineURLs  []string
+	ServiceURL  string
+	RouterURLs  []string
+	AdminURLs   []string
+}
+
+// readyTimeout bounds the start of the whole cluster.
+const readyTimeout = 30 * time.Second
+
+// Start runs the stand-ins and the programs and waits until every router can
+// serve. The caller calls Close in any case.
+func Start(ctx context.Context, o Options) (*Cluster, error) {
+	dir, err := os.MkdirTemp("", "laureltally-harness-")
+	if err != nil {
+		return nil, fmt.Errorf("directory: %w", err)
+	}
+	c := &Cluster{o: o, dir: dir}
+	for _, step := range []func(context.Context) error{
+		c.startAuthority, c.startPlatform, c.startUpstreams, c.startAgents, c.startRouters, c.awaitReady,
+	} {
+		if err := step(ctx); err != nil {
+			return c, err
+		}
+	}
+	return c, nil
+}
+
+// Dir is where the logs are.
+func (c *Cluster) Dir() string { return c.dir }
+
+// Close ends all processes and removes the files.
+func (c *Cluster) Close() {
+	for _, p := range c.processes() {
+		if p != nil && p.cmd != nil && p.Running() {
+			p.Kill()
+		}
+	}
+	for _, b := range c.Boxes {
+		b.Close()
+	}
+	_ = os.RemoveAll(c.dir)
+}
+
+func (c *Cluster) processes() []*Process {
+	all := []*Process{c.Platform, c.Service}
+	all = append(all, c.Engines...)
+	all = append(all, c.Agents...)
+	return append(all, c.Routers...)
+}
+
+func (c *Cluster) startAuthority(context.Context) error {
+	ca, err := keys.NewAuthority(keys.AuthorityOptions{Name: "harness"})
+	if err != nil {
+		return fmt.Errorf("authority: %w", err)
+	}
+	c.ca = ca
+	return ca.Pair().Write(c.dir, "ca")
+}
+
+func (c *Cluster) startPlatform(ctx context.Context) error {
+	c.Platform = c.process("platform", "laureltally-standin", "platform")
+	address, err := c.Platform.start(true)
+	if err != nil {
+		return err
+	}
+	c.PlatformURL = "http://" + address
+	client, err := objecthttp.New(objecthttp.Options{BaseURL: c.PlatformURL})
+	if err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	text, err := documentText(c.o.Engines)
+	if err != nil {
+		return err
+	}
+	_, err = document.New(document.Options{Store: client}).Apply(ctx, document.Update{
+		Environment: Environment, Slot: document.SlotProduction, Text: text, Actor: "harness", Reason: "start",
+	})
+	if err != nil {
+		return fmt.Errorf("apply document: %w", err)
+	}
+	return nil
+}
+
+func (c *Cluster) startUpstreams(context.Context) error {
+	for i := range c.o.Engines {
+		args := []string{"engine", "--memory-mb", fmt.Sprint(engineMemoryMB), "--tokens-per-second", "4000", "--first-token", "20ms", "--load-remote", "800ms"}
+		if !c.o.IgnoreFences {
+			args = append(args, "--checks-fences")
+		}
+		p := c.process(fmt.Sprintf("engine-%d", i), "laureltally-standin", args...)
+		address, err := p.start(true)
+		if err != nil {
+			return err
+		}
+		c.Engines = append(c.Engines, p)
+		c.EngineURLs = append(c.EngineURLs, "http://"+address)
+	}
+	c.Service = c.process("service", "laureltally-standin", "service")
+	address, err := c.Service.start(true)
+	if err != nil {
+		return err
+	}
+	c.ServiceURL = "http://" + address
+	return nil
+}
+
+func (c *Cluster) startAgents(ctx context.Context) error {
+	for i, url := range c.EngineURLs {
+		s := config.AgentSettings{Upstream: drafting, Kind: config.KindEngine, UpstreamURL: url, MemoryMB: engineMemoryMB, Concurrency: engineCalls}
+		if err := c.startAgent(ctx, fmt.Sprintf("agent-%d", i), s); err != nil {
+			return err
+		}
+	}
+	s := config.AgentSettings{Upstream: portal, Kind: config.KindService, UpstreamURL: c.ServiceURL, Concurrency: serviceCalls}
+	return c.startAgent(ctx, "agent-portal", s)
+}
+
+func (c *Cluster) startAgent(ctx context.Context, name string, s config.AgentSettings) error {
+	udp, err := freePort("udp")
+	if err != nil {
+		return err
+	}
+	tcp, err := freePort("tcp")
+	if err != nil {
+		return err
+	}
+	box, err := NewMiddlebox(udp)
+	if err != nil {
+		return err
+	}
+	c.Boxes = append(c.Boxes, box)
+	s.VM, s.Region, s.Zone, s.Environment = ident.VM(name), Region, Zone, Environment
+	s.PeerListen, s.AdminListen, s.Platform = udp, tcp, c.PlatformURL
+	s.TLS, err = c.issue(name)
+	if err != nil {
+		return err
+	}
+	s.Log = config.LogSettings{Format: "text", Level: "info"}
+	s.ReportInterval = config.Duration(100 * time.Millisecond)
+	s.ShutdownTimeout = config.Duration(20 * time.Second)
+	p, err := c.daemon(name, "laureltally-agent", s)
+	if err != nil {
+		return err
+	}
+	c.Agents = append(c.Agents, p)
+	return c.PutVM(ctx, platform.VM{ID: s.VM, Role: platform.RoleAgent, Region: Region, Zone: Zone, Address: box.Address(), Upstream: s.Upstream})
+}
+
+func (c *Cluster) startRouters(ctx context.Context) error {
+	for i := range c.o.Routers {
+		name := fmt.Sprintf("router-%d", i)
+		addresses, err := freePorts("tcp", "tcp", "udp")
+		if err != nil {
+			return err
+		}
+		s := config.RouterSettings{
+			VM: ident.VM(name), Region: Region, Zone: Zone,
+			Listen: addresses[0], AdminListen: addresses[1], PeerListen: addresses[2],
+			Platform: c.PlatformURL, Environments: []ident.Environment{Environment},
+			Log:             config.LogSettings{Format: "text", Level: "info"},
+			ShutdownTimeout: config.Duration(20 * time.Second),
+		}
+		s.TLS, err = c.issue(name)
+		if err != nil {
+			return err
+		}
+		p, err := c.daemon(name, "laureltally-router", s)
+		if err != nil {
+			return err
+		}
+		c.Routers = append(c.Routers, p)
+		c.RouterURLs = append(c.RouterURLs, "http://"+addresses[0])
+		c.AdminURLs = append(c.AdminURLs, "http://"+addresses[1])
+		if err := c.PutVM(ctx, platform.VM{ID: s.VM, Role: platform.RoleRouter, Region: Region, Zone: Zone, Address: addresses[2]}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// daemon writes the settings and starts a program with them.
+func (c *Cluster) daemon(name, program string, settings any) (*Process, error) {
+	text, err := json.Marshal(settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings of %s: %w", name, err)
+	}
+	path := filepath.Join(c.dir, name+".json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, fmt.Errorf("settings of %s: %w", name, err)
+	}
+	p := c.process(name, program, path)
+	_, err = p.start(false)
+	return p, err
+}
+
+// Restart starts a process again that has ended.
+func (c *Cluster) Restart(p *Process) error {
+	_, err := p.start(false)
+	return err
+}
+
+func (c *Cluster) issue(vm string) (config.TLSSettings, error) {
+	pair, err := c.ca.Issue(keys.IssueOptions{VM: ident.VM(vm)})
+	if err != nil {
+		return config.TLSSettings{}, fmt.Errorf("certificate of %s: %w", vm, err)
+	}
+	if err := pair.Write(c.dir, vm); err != nil {
+		return config.TLSSettings{}, fmt.Errorf("certificate of %s: %w", vm, err)
+	}
+	return config.TLSSettings{
+		CA:   keys.CertificateFile(c.dir, "ca"),
+		Cert: keys.CertificateFile(c.dir, vm),
+		Key:  keys.KeyFile(c.dir, vm),
+	}, nil
+}
+
+// PutVM adds or replaces a VM in the platform's list.
+func (c *Cluster) PutVM(ctx context.Context, vm platform.VM) error {
+	return c.Post(ctx, c.PlatformURL+"/control/vms", standin.VMChange{Put: &vm})
+}
+
+// awaitReady waits until every router reaches every agent and every model has
+// its replicas decided.
+func (c *Cluster) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, url := range c.AdminURLs {
+		for !c.routerReady(ctx, url) {
+			if ctx.Err() != nil {
+				return &ReadyError{Part: url}
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+	return nil
+}
+
+// pollInterval is how often a condition is looked at.
+const pollInterval = 20 * time.Millisecond
+
+func (c *Cluster) routerReady(ctx context.Context, url string) bool {
+	st, err := c.Status(ctx, url)
+	if err != nil || len(st.Agents) < len(c.Agents) {
+		return false
+	}
+	slots := make(map[ident.Model]bool)
+	for _, a := range st.Agents {
+		if !a.Reachable {
+			return false
+		}
+		for _, m := range a.Models {
+			slots[m.Model] = slots[m.Model] || m.Fence != 0
+		}
+	}
+	for _, m := range Models {
+		if !slots[ident.Model(m)] {
+			return false
+		}
+	}
+	return true
+}
+
+func freePorts(networks ...string) ([]string, error) {
+	var all []string
+	for _, n := range networks {
+		a, err := freePort(n)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, a)
+	}
+	return all, nil
+}
+
+// freePort returns a loopback address whose port was free just now.
+func freePort(network string) (string, error) {
+	if network == "udp" {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return "", fmt.Errorf("find a port: %w", err)
+		}
+		defer func() { _ = conn.Close() }()
+		return conn.LocalAddr().String(), nil
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("find a port: %w", err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String(), nil
+}
--- a/wire/report.go
+++ b/wire/report.go
@@ -29,6 +29,17 @@
 	Concurrency int `cbor:"15,keyasint,omitempty"`
 	// PrefixHashes lists prompt prefixes that are probably cached, a hint.
 	PrefixHashes []uint64 `cbor:"16,keyasint,omitempty"`
+	// Started is when the incarnation started by its VM's own clock, in Unix
+	// milliseconds. It orders the incarnations of one VM.
+	Started int64 `cbor:"17,keyasint,omitempty"`
+	// Bases makes the report a delta: it leaves out what is fixed for an
+	// incarnation and the models that are as they were in each of the states
+	// with these numbers, and can be laid over any of them. A model with
+	// neither phase nor tier nor fence is one that is no longer reported.
+	Bases []uint64 `cbor:"18,keyasint,omitempty"`
+	// WaitingByPriority counts the waiting requests of each priority, the most
+	// urgent first. Empty means that only Waiting is known.
+	WaitingByPriority []int `cbor:"19,keyasint,omitempty"`
 }
 
 // Kind implements Message.
