grant: tests of plan, roster and planners; a listing of a new store counts

The planner took a listing at version zero for none, so in a store that had never been written nobody planned anything: TestSteadyStateMakesNoCalls failed with "model 0 has 0 slots" and so did the two others on virtual time. The view now notes that it was listed.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,7 @@
 .PHONY: faults
 faults: build
 	$(GO) run ./faults
+
+.PHONY: spec
+spec:
+	spec/run
--- /dev/null
+++ b/grant/planner_test.go
@@ -0,0 +1,220 @@
+package grant
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/platform/memstore"
+)
+
+// fleet is a list of two routers and n agents in three regions.
+func fleet(n int) []platform.VM {
+	vms := []platform.VM{{ID: "r0", Role: platform.RoleRouter}, {ID: "r1", Role: platform.RoleRouter}}
+	for i := range n {
+		region := ident.Region(fmt.Sprint("region", i%3))
+		vms = append(vms, platform.VM{ID: ident.VM(fmt.Sprint("vm", i)), Role: platform.RoleAgent, Upstream: "u", Region: region, Zone: ident.Zone(region)})
+	}
+	return vms
+}
+
+func document(models, replicas int) config.Document {
+	var d config.Document
+	for i := range models {
+		d.Models = append(d.Models, config.Model{Name: ident.Model(fmt.Sprint("m", i)), Upstream: "u", MaxReplicas: replicas})
+	}
+	return d
+}
+
+// withPlanners runs f on virtual time beside one planner on each router.
+func withPlanners(t *testing.T, f func(*memstore.Store, []*Planner)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		var planners []*Planner
+		done := make(chan error)
+		for i := range 2 {
+			p, err := NewPlanner(Options{Environment: "env", Self: ident.VM(fmt.Sprint("r", i)), Incarnation: 1, Store: store, Rand: func() float64 { return 0.5 }})
+			if err != nil {
+				t.Fatal(err)
+			}
+			planners = append(planners, p)
+			go func() { done <- p.Run(ctx) }()
+		}
+		defer func() {
+			cancel()
+			for range planners {
+				if err := <-done; !errors.Is(err, context.Canceled) {
+					t.Errorf("Run ended with %v", err)
+				}
+			}
+		}()
+		f(store, planners)
+	})
+}
+
+func give(planners []*Planner, version platform.Version, d config.Document, vms []platform.VM) {
+	for _, p := range planners {
+		p.SetDocument(version, d)
+		p.SetVMs(vms)
+	}
+}
+
+func TestSteadyStateMakesNoCalls(t *testing.T) {
+	withPlanners(t, func(store *memstore.Store, planners []*Planner) {
+		const models, replicas = 140, 3
+		give(planners, 1, document(models, replicas), fleet(60))
+		time.Sleep(time.Minute)
+		for i := range models {
+			if n := len(planners[1].Slots(ident.Model(fmt.Sprint("m", i)))); n != replicas {
+				t.Fatalf("model %d has %d slots", i, n)
+			}
+		}
+		before := store.Counters()
+		for range 300 {
+			give(planners, 1, document(models, replicas), fleet(60))
+			time.Sleep(time.Second)
+		}
+		after := store.Counters()
+		if after.Writes != before.Writes || after.Reads != before.Reads || after.Watches != 2 {
+			t.Errorf("calls in a steady state: before %+v, after %+v", before, after)
+		}
+		t.Logf("%d writes and %d reads for %d models", before.Writes, before.Reads, models)
+	})
+}
+
+func TestPlannersSurviveLostLateAndMissingAnswers(t *testing.T) {
+	withPlanners(t, func(store *memstore.Store, planners []*Planner) {
+		store.SetFaults(memstore.Faults{Outage: true})
+		give(planners, 1, document(10, 2), fleet(12))
+		time.Sleep(time.Minute)
+		store.SetFaults(memstore.Faults{LoseAnswers: 3, LateWrites: 3, LateBy: time.Minute, StaleMax: 5})
+		time.Sleep(10 * time.Minute)
+		for i := range 10 {
+			if n := len(planners[0].Slots(ident.Model(fmt.Sprint("m", i)))); n != 2 {
+				t.Errorf("model %d has %d slots", i, n)
+			}
+		}
+	})
+}
+
+func TestSlotsOfAGoneVMMoveAndThoseOfAnUnseenOneStay(t *testing.T) {
+	withPlanners(t, func(store *memstore.Store, planners []*Planner) {
+		g := Grant{Document: 1, Limit: 2, Last: 2, Slots: []Slot{{VM: "vm0", Fence: 1, State: Held}, {VM: "unseen", Fence: 2, State: Held}}}
+		value, err := g.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.Put(t.Context(), Key("env", "m0"), value, 0); err != nil {
+			t.Fatal(err)
+		}
+		give(planners, 1, document(1, 2), fleet(3))
+		time.Sleep(time.Minute)
+		without := append(fleet(3)[:2:2], fleet(3)[3:]...)
+		for range 60 {
+			give(planners, 1, document(1, 2), without)
+			time.Sleep(time.Second)
+		}
+		slots := planners[0].Slots("m0")
+		if len(slots) != 2 || slots[0].VM != "unseen" || slots[1].VM == "vm0" || slots[1].Fence <= 2 {
+			t.Errorf("slots %+v", slots)
+		}
+	})
+}
+
+func TestPlan(t *testing.T) {
+	vms := make(map[ident.VM]platform.VM)
+	for _, v := range fleet(6) {
+		vms[v.ID] = v
+	}
+	vms["old"] = platform.VM{ID: "old", Role: platform.RoleAgent, Upstream: "u", Leaving: true}
+	vms["other"] = platform.VM{ID: "other", Role: platform.RoleAgent, Upstream: "w"}
+	in := Input{Model: "m", Document: 5, Limit: 3, Upstream: "u", VMs: vms, Gone: func(v ident.VM) bool { return v == "gone" }}
+	held := func(vm ident.VM, f ident.Fence) Slot { return Slot{VM: vm, Fence: f, State: Held} }
+	revoking := func(vm ident.VM, f ident.Fence) Slot { return Slot{VM: vm, Fence: f, State: Revoking} }
+	for name, c := range map[string]struct {
+		grant Grant
+		check func(Grant, bool) bool
+	}{
+		"spreads over regions": {Grant{}, func(g Grant, _ bool) bool {
+			regions := make(map[ident.Region]bool)
+			for _, s := range g.Slots {
+				regions[vms[s.VM].Region] = true
+			}
+			return len(g.Slots) == 3 && len(regions) == 3 && g.Document == 5
+		}},
+		"leaves a newer document's grant alone": {Grant{Document: 6, Limit: 9}, func(g Grant, changed bool) bool { return !changed && len(g.Slots) == 0 }},
+		"lowers by revoking only": {Grant{Limit: 4, Last: 4, Slots: []Slot{held("vm0", 1), held("vm1", 2), held("vm2", 3), held("vm3", 4)}}, func(g Grant, _ bool) bool {
+			return len(g.Slots) == 4 && g.count(Revoking) == 1
+		}},
+		"gives nothing while slots are over the limit": {Grant{Limit: 3, Last: 4, Slots: []Slot{revoking("old", 1), revoking("other", 2), revoking("unseen", 3), held("vm3", 4)}}, func(g Grant, changed bool) bool {
+			return !changed && len(g.Slots) == 4
+		}},
+		"revokes what leaves or is misplaced": {Grant{Limit: 3, Last: 2, Slots: []Slot{held("old", 1), held("other", 2)}}, func(g Grant, _ bool) bool {
+			return g.Slots[0].State == Revoking && g.Slots[1].State == Revoking && len(g.Slots) == 3
+		}},
+		"restores under a new fence, not what was returned": {Grant{Limit: 3, Last: 3, Slots: []Slot{revoking("vm0", 1), {VM: "vm1", Fence: 2, State: Revoking, Returned: true}, held("vm2", 3)}}, func(g Grant, _ bool) bool {
+			return g.Slots[0] == held("vm0", 4) && g.Slots[1].State == Revoking && len(g.Slots) == 3
+		}},
+		"replaces what is gone": {Grant{Limit: 3, Last: 3, Slots: []Slot{held("gone", 1), held("vm1", 2), held("vm2", 3)}}, func(g Grant, _ bool) bool {
+			_, left := g.Slot("gone")
+			return !left && len(g.Slots) == 3 && g.Last == 4
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if g, changed := Plan(c.grant, in); !c.check(g, changed) {
+				t.Errorf("plan %+v, changed %v", g, changed)
+			}
+		})
+	}
+}
+
+func TestReleaseNeedsARevokingSlot(t *testing.T) {
+	g := Grant{Slots: []Slot{{VM: "vm0", Fence: 3, State: Held}}}
+	if _, ok := Release(g, "vm0", 3); ok {
+		t.Error("a held slot was released")
+	}
+	g, ok := Revoke(g, "vm0", 3)
+	if !ok || !g.Slots[0].Returned {
+		t.Fatal("not revoked")
+	}
+	if _, ok := Release(g, "vm0", 2); ok {
+		t.Error("released under another fence")
+	}
+	if g, ok = Release(g, "vm0", 3); !ok || len(g.Slots) != 0 {
+		t.Error("not released")
+	}
+}
+
+func TestKeysRoundTrip(t *testing.T) {
+	key := Key("env", "a/b ø")
+	if m, ok := ModelOf("env", key); !ok || m != "a/b ø" {
+		t.Errorf("got %q, %v", m, ok)
+	}
+	if _, ok := ModelOf("other", key); ok {
+		t.Error("key of another environment taken")
+	}
+}
+
+func TestAListWithoutTheReaderItselfIsNotUsed(t *testing.T) {
+	r := NewRoster("r0", time.Second, 0)
+	now := time.Unix(1, 0)
+	r.Update(fleet(1), now)
+	if r.Update(nil, now.Add(time.Minute)) || r.Gone("vm0") {
+		t.Error("an empty list made a VM gone")
+	}
+	r.Update(fleet(0), now.Add(time.Minute))
+	if r.Gone("vm0") {
+		t.Error("gone after one list")
+	}
+	r.Update(fleet(0), now.Add(2*time.Minute))
+	if !r.Gone("vm0") || r.Gone("never") {
+		t.Error("gone is wrong")
+	}
+}
--- a/grant/view.go
+++ b/grant/view.go
@@ -14,7 +14,9 @@
 type View struct {
 	env ident.Environment
 
-	mu     sync.RWMutex
+	mu sync.RWMutex
+	// known is set by the first listing, which is at version zero in a new store.
+	known  bool
 	listed platform.Version
 	grants map[ident.Model]versioned
 }
@@ -38,7 +40,7 @@
 	if v < w.listed {
 		return false
 	}
-	w.listed = v
+	w.known, w.listed = true, v
 	for _, o := range objects {
 		w.apply(o)
 	}
@@ -70,7 +72,7 @@
 func (w *View) Listed() bool {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
-	return w.listed != 0
+	return w.known
 }
 
 // Grant returns the grant of m and the version of its object, both zero if
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,60 @@
+package ledger
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+func TestReservationsNeverExceedTheCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const capacityMB = 100
+		l := New(capacityMB)
+		want := make(map[Key]int64)
+		key := func() Key {
+			return Key{Model: ident.Model(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "model")), Adapter: ident.Adapter(rapid.SampledFrom([]string{"", "x"}).Draw(t, "adapter"))}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				var sum int64
+				for _, mb := range want {
+					sum += mb
+				}
+				if l.UsedMB() != sum || l.FreeMB() != capacityMB-sum || sum > capacityMB {
+					t.Fatalf("used %d, free %d, want used %d of %d", l.UsedMB(), l.FreeMB(), sum, capacityMB)
+				}
+			},
+			"reserve": func(t *rapid.T) {
+				k, mb := key(), rapid.Int64Range(0, capacityMB+1).Draw(t, "mb")
+				free, held := l.FreeMB(), l.HeldMB(k)
+				err := l.Reserve(k, mb)
+				var short *ShortError
+				if fits := mb-held <= free; (err == nil) != fits || (err != nil && !errors.As(err, &short)) {
+					t.Fatalf("reserve %d with %d held and %d free: %v", mb, held, free, err)
+				}
+				if err == nil {
+					want[k] = max(held, mb)
+				}
+			},
+			"free": func(t *rapid.T) {
+				k := key()
+				l.Free(k)
+				delete(want, k)
+			},
+		})
+	})
+}
+
+func TestAdoptedMemoryMayExceedTheCapacity(t *testing.T) {
+	l := New(10)
+	l.Adopt(Key{Model: "a"}, 15)
+	if l.FreeMB() != 0 || l.UsedMB() != 15 {
+		t.Errorf("free %d, used %d", l.FreeMB(), l.UsedMB())
+	}
+	if err := l.Reserve(Key{Model: "b"}, 1); err == nil {
+		t.Error("reserved over the capacity")
+	}
+}
