replica, grant: no sorting or counting that stands still

Each event of the machine sorted all models several times, and a plan counted a model's slots anew for each pair of VMs. Models are kept in order, and slots are tallied once a choice.

--- /dev/null
+++ b/grant/bench_test.go
@@ -0,0 +1,56 @@
+package grant
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// BenchmarkPass looks for changes over 140 models with 11 slots each on 1,600
+// VMs, none of which needs a write.
+func BenchmarkPass(b *testing.B) {
+	const models, replicas = 140, 11
+	p, err := NewPlanner(Options{Environment: "env", Self: "r0", Incarnation: 1, Store: unusedStore{}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	p.SetDocument(1, document(models, replicas))
+	p.SetVMs(fleet(1600))
+	p.view.Replace(nil, 1)
+	bytes := 0
+	for i := range models {
+		m := ident.Model(fmt.Sprint("m", i))
+		g, _, _ := p.plan(m)
+		value, err := g.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		bytes = max(bytes, len(value))
+		p.view.Apply(platform.Object{Key: Key("env", m), Value: value, Version: 2})
+	}
+	for b.Loop() {
+		if due, next := p.dueModels(); len(due) != 0 || !next.IsZero() {
+			b.Fatal("a write is due")
+		}
+	}
+	b.ReportMetric(float64(bytes), "B/grant")
+}
+
+// BenchmarkFirstPlan plans one model of 11 replicas on 1,600 VMs.
+func BenchmarkFirstPlan(b *testing.B) {
+	vms := make(map[ident.VM]platform.VM)
+	for _, v := range fleet(1600) {
+		vms[v.ID] = v
+	}
+	in := Input{Model: "m", Document: 1, Limit: 11, Upstream: "u", VMs: vms, Gone: func(ident.VM) bool { return false }}
+	for b.Loop() {
+		if _, changed := Plan(Grant{}, in); !changed {
+			b.Fatal("nothing planned")
+		}
+	}
+}
+
+// unusedStore is a store that is never called.
+type unusedStore struct{ platform.Store }
--- a/grant/plan.go
+++ b/grant/plan.go
@@ -36,6 +36,9 @@
 	g       Grant
 	in      Input
 	changed bool
+	// regions and zones count the held slots of the model, as of the last tally.
+	regions map[ident.Region]int
+	zones   map[ident.Zone]int
 }
 
 func (p *planner) setLimit() {
@@ -76,6 +79,7 @@
 }
 
 func (p *planner) leastWanted() int {
+	p.tally()
 	best := -1
 	for i, s := range p.g.Slots {
 		if s.State == Held && (best < 0 || p.compare(s.VM, p.g.Slots[best].VM) > 0) {
@@ -117,6 +121,7 @@
 }
 
 func (p *planner) bestVM() (ident.VM, bool) {
+	p.tally()
 	var best ident.VM
 	for _, v := range p.in.VMs {
 		if !p.suits(v) || p.g.index(v.ID) >= 0 {
@@ -129,12 +134,13 @@
 	return best, best != ""
 }
 
-// compare puts the VM first that serves the spread better.
+// compare puts the VM first that serves the spread better. Either both VMs hold
+// a slot or neither does, so their own slots need no discount.
 func (p *planner) compare(a, b ident.VM) int {
 	va, vb := p.in.VMs[a], p.in.VMs[b]
 	return cmp.Or(
-		cmp.Compare(p.slotsIn(va, sameRegion), p.slotsIn(vb, sameRegion)),
-		cmp.Compare(p.slotsIn(va, sameZone), p.slotsIn(vb, sameZone)),
+		cmp.Compare(p.regions[va.Region], p.regions[vb.Region]),
+		cmp.Compare(p.zones[va.Zone], p.zones[vb.Zone]),
 		cmp.Compare(p.lacksMemory(a), p.lacksMemory(b)),
 		cmp.Compare(p.in.Slots[a], p.in.Slots[b]),
 		cmp.Compare(rank(p.in.Model, a), rank(p.in.Model, b)),
@@ -142,21 +148,17 @@
 	)
 }
 
-// slotsIn counts the other slots of the model near v.
-func (p *planner) slotsIn(v platform.VM, near func(a, b platform.VM) bool) int {
-	n := 0
+// tally counts the held slots of the model by region and availability zone.
+func (p *planner) tally() {
+	p.regions, p.zones = make(map[ident.Region]int), make(map[ident.Zone]int)
 	for _, s := range p.g.Slots {
-		if w, ok := p.in.VMs[s.VM]; ok && s.State == Held && w.ID != v.ID && near(v, w) {
-			n++
+		if v, ok := p.in.VMs[s.VM]; ok && s.State == Held {
+			p.regions[v.Region]++
+			p.zones[v.Zone]++
 		}
 	}
-	return n
 }
 
-func sameRegion(a, b platform.VM) bool { return a.Region == b.Region }
-
-func sameZone(a, b platform.VM) bool { return a.Zone == b.Zone }
-
 func (p *planner) lacksMemory(vm ident.VM) int {
 	if free, ok := p.in.FreeMB[vm]; ok && free < p.in.NeedMB {
 		return 1
--- /dev/null
+++ b/replica/bench_test.go
@@ -0,0 +1,34 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/grant"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/ledger"
+)
+
+// BenchmarkWarmNeed takes and ends a lease on a loaded model beside 140 models
+// with rights.
+func BenchmarkWarmNeed(b *testing.B) {
+	now := time.Unix(1000, 0)
+	m := newMachine(machineOptions{vm: "vm", spec: simSpec, policy: simPolicy{}, memoryMB: simMemoryMB}, now)
+	slots := make(map[ident.Model]grant.Slot)
+	for i := range 140 {
+		slots[ident.Model(fmt.Sprint("m", i))] = grant.Slot{VM: "vm", Fence: 1, State: grant.Held}
+	}
+	m.barrierWritten(1)
+	m.listing(1, slots, now)
+	m.observed(engine.State{Models: []engine.ModelState{{Model: "m7", Phase: engine.PhaseLoaded}}}, now, now)
+	k := ledger.Key{Model: "m7"}
+	for b.Loop() {
+		m.acquire(Need{Model: "m7"}, now)
+		if len(m.take()) != 1 {
+			b.Fatal("no lease")
+		}
+		m.released(k, now)
+	}
+}
--- a/replica/machine.go
+++ b/replica/machine.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -20,6 +21,7 @@
 	book    *orderbook.Book
 	ledger  *ledger.Ledger
 	models  map[ident.Model]*modelState
+	order   []*modelState
 	waiters []*waiter
 	place   *place
 	// failures holds the failed orders that are not to be repeated yet.
@@ -63,23 +65,15 @@
 	if s == nil {
 		s = &modelState{name: name, adapters: make(map[ident.Adapter]*adapterState)}
 		m.models[name] = s
+		i, _ := slices.BinarySearchFunc(m.order, name, func(s *modelState, n ident.Model) int { return cmp.Compare(s.name, n) })
+		m.order = slices.Insert(m.order, i, s)
 	}
 	return s
 }
 
 // sorted returns the known models by name, so that decisions are reproducible.
-func (m *machine) sorted() []*modelState {
-	names := make([]ident.Model, 0, len(m.models))
-	for n := range m.models {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	states := make([]*modelState, len(names))
-	for i, n := range names {
-		states[i] = m.models[n]
-	}
-	return states
-}
+// The caller must not keep the slice while models are added.
+func (m *machine) sorted() []*modelState { return m.order }
 
 // drain begins to give up every right.
 func (m *machine) drain(now time.Time) {
