--- a/faults/result.go
+++ b/faults/result.go
@@ -18,6 +18,7 @@
 	samples                int
 	answeredAfter          int
 	problems               []string
+	codes                  map[string]int
 	err                    error
 	logs                   map[string]string
 }
@@ -35,6 +36,10 @@
 			r.name, r.requests, r.answered, r.refused, r.lost, r.doubled, r.crossed, r.untrue, r.over, r.overcommits, r.answeredAfter)
 	}
 	_ = t.Flush()
+	_, _ = fmt.Fprintln(w, "\nreasons for refusals")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(w, "%s: %v\n", r.name, r.codes)
+	}
 	for _, r := range results {
 		if !r.bad() {
 			continue
--- a/faults/run.go
+++ b/faults/run.go
@@ -99,4 +99,5 @@
 	r.lost = l.Tally.Count(harness.Lost)
 	r.crossed = l.Tally.Count(harness.Crossed)
 	r.problems = l.Tally.Problems()
+	r.codes = l.Tally.Codes()
 }
--- a/internal/harness/load.go
+++ b/internal/harness/load.go
@@ -135,7 +135,15 @@
 		}
 		got = l.send(base+"/v1/chat/completions", body, "")
 	}
-	l.Tally.add(judgeChat(got, mark, stream))
+	l.add(got, mark, stream)
+}
+
+func (l *Load) add(got reply, mark string, stream bool) {
+	outcome, detail := judgeChat(got, mark, stream)
+	l.Tally.add(outcome, detail)
+	if f, ok := parseRefusal(got.body); ok && outcome == Refused {
+		l.Tally.refused(f.Error.Code + "/" + f.Error.Run)
+	}
 }
 
 // gone tells whether the router behind base has ended or restarted under the
@@ -222,6 +230,9 @@
 		outcome, state, detail := judgeOrder(got, id)
 		l.Tally.order(id, state)
 		l.Tally.add(outcome, detail)
+		if f, ok := parseRefusal(got.body); ok {
+			l.Tally.refused("order: " + f.Error.Code + "/" + f.Error.Run)
+		}
 		if outcome == Answered || state.notRun {
 			return
 		}
@@ -243,5 +254,5 @@
 	if !ok {
 		return Lost, order{}, detail
 	}
-	return Refused, order{notRun: f.Error.Run == "not_run"}, detail
+	return Refused, order{notRun: f.Error.Run == "not_run", word: r.body}, detail
 }
--- a/internal/harness/tally.go
+++ b/internal/harness/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 )
 
@@ -9,6 +10,7 @@
 type Tally struct {
 	mu       sync.Mutex
 	counts   map[Outcome]int
+	codes    map[string]int
 	orders   map[string]order
 	problems []string
 }
@@ -18,6 +20,8 @@
 	answered bool
 	// notRun is set when the last word was "not run".
 	notRun bool
+	// word is the last refusal.
+	word string
 }
 
 // maxProblems bounds the details that are kept.
@@ -25,7 +29,7 @@
 
 // NewTally returns an empty tally.
 func NewTally() *Tally {
-	return &Tally{counts: make(map[Outcome]int), orders: make(map[string]order)}
+	return &Tally{counts: make(map[Outcome]int), codes: make(map[string]int), orders: make(map[string]order)}
 }
 
 func (t *Tally) add(o Outcome, detail string) {
@@ -43,6 +47,19 @@
 	t.orders[id] = o
 }
 
+func (t *Tally) refused(code string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.codes[code]++
+}
+
+// Codes returns how often each code was the reason for a refusal.
+func (t *Tally) Codes() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.codes)
+}
+
 // Count returns how many requests ended so.
 func (t *Tally) Count(o Outcome) int {
 	t.mu.Lock()
