Processes that lost their watches together come back spread out

A watch that failed at once after a good listing used to begin its pauses anew, which would have made every process poll ten times a second while only watches are broken. Pauses now grow until a watch has lasted, vary by nine tenths, and none is shorter than the platform asked for. The stand-in program shares the parsing of command lines.

--- a/cmd/laureltally-standin/arguments.go
+++ b/cmd/laureltally-standin/arguments.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"io"
-	"runtime/debug"
+
+	"github.com/laureltally/laureltally/daemon"
 )
 
 // arguments is the command line.
@@ -25,13 +26,7 @@
 }
 
 // Version implements arg.Versioned.
-func (arguments) Version() string {
-	version := "(devel)"
-	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
-		version = info.Main.Version
-	}
-	return "laureltally-standin " + version
-}
+func (arguments) Version() string { return "laureltally " + daemon.Version }
 
 // chosen returns the subcommand, or nil if none was given.
 func (a *arguments) chosen() command {
--- a/cmd/laureltally-standin/main.go
+++ b/cmd/laureltally-standin/main.go
@@ -8,21 +8,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/alexflint/go-arg"
-)
-
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"github.com/laureltally/laureltally/daemon"
 )
 
 func main() {
@@ -34,32 +26,17 @@
 // run carries out one command line and returns the exit code.
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	var a arguments
-	p, err := arg.NewParser(arg.Config{Program: "laureltally-standin", Out: stderr}, &a)
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitFailed
-	}
-	err = p.Parse(args)
-	switch {
-	case errors.Is(err, arg.ErrHelp):
-		p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
-		return exitOK
-	case errors.Is(err, arg.ErrVersion):
-		fmt.Fprintln(stdout, a.Version())
-		return exitOK
-	case err != nil:
-		p.WriteUsageForSubcommand(stderr, p.SubcommandNames()...)
-		fmt.Fprintln(stderr, "error:", err)
-		return exitUsage
+	if code, done := daemon.Parse("laureltally-standin", args, &a, stdout, stderr); done {
+		return code
 	}
 	c := a.chosen()
 	if c == nil {
-		p.WriteHelp(stderr)
-		return exitUsage
+		fmt.Fprintln(stderr, "error: a command is needed, see --help")
+		return daemon.ExitUsage
 	}
 	if err := c.run(ctx, stdout); err != nil {
 		fmt.Fprintln(stderr, "error:", err)
-		return exitFailed
+		return daemon.ExitFailed
 	}
-	return exitOK
+	return daemon.ExitOK
 }
--- a/cmd/laureltally-standin/main_test.go
+++ b/cmd/laureltally-standin/main_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/laureltally/laureltally/daemon"
 )
 
 func TestExitCodes(t *testing.T) {
@@ -16,21 +18,21 @@
 		code   int
 		stdout string
 	}{
-		{[]string{"--help"}, exitOK, "Commands:"},
-		{[]string{"engine", "--help"}, exitOK, "--checks-fences"},
-		{[]string{"--version"}, exitOK, "laureltally-standin "},
-		{nil, exitUsage, ""},
-		{[]string{"bogus"}, exitUsage, ""},
-		{[]string{"engine", "--memory-mb", "much"}, exitUsage, ""},
-		{[]string{"service", "--listen", "nowhere"}, exitFailed, ""},
-		{[]string{"platform", "--vms", "missing.json"}, exitFailed, ""},
+		{[]string{"--help"}, daemon.ExitOK, "Commands:"},
+		{[]string{"engine", "--help"}, daemon.ExitOK, "--checks-fences"},
+		{[]string{"--version"}, daemon.ExitOK, "laureltally " + daemon.Version},
+		{nil, daemon.ExitUsage, ""},
+		{[]string{"bogus"}, daemon.ExitUsage, ""},
+		{[]string{"engine", "--memory-mb", "much"}, daemon.ExitUsage, ""},
+		{[]string{"service", "--listen", "nowhere"}, daemon.ExitFailed, ""},
+		{[]string{"platform", "--vms", "missing.json"}, daemon.ExitFailed, ""},
 	}
 	for _, tt := range tests {
 		var stdout, stderr bytes.Buffer
 		if code := run(t.Context(), tt.args, &stdout, &stderr); code != tt.code {
 			t.Errorf("%v: exit code %d, want %d: %s", tt.args, code, tt.code, &stderr)
 		}
-		if !strings.Contains(stdout.String(), tt.stdout) || (tt.code != exitOK) != (stderr.Len() > 0) {
+		if !strings.Contains(stdout.String(), tt.stdout) || (tt.code != daemon.ExitOK) != (stderr.Len() > 0) {
 			t.Errorf("%v: printed %q and %q", tt.args, &stdout, &stderr)
 		}
 	}
@@ -62,7 +64,7 @@
 				t.Errorf("status %d", resp.StatusCode)
 			}
 			stop()
-			if c := <-code; c != exitOK {
+			if c := <-code; c != daemon.ExitOK {
 				t.Errorf("exit code %d", c)
 			}
 		})
--- a/document/watcher.go
+++ b/document/watcher.go
@@ -73,25 +73,38 @@
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval = minRetry
 	pauses.MaxInterval = w.o.MaxRetry
+	pauses.RandomizationFactor = retryJitter
 	for ctx.Err() == nil {
-		listed, err := w.follow(ctx)
-		if listed {
-			pauses.Reset()
+		start := time.Now()
+		err := w.follow(ctx)
+		if err == nil || ctx.Err() != nil {
+			continue
 		}
-		if err != nil && ctx.Err() == nil {
-			w.o.Logger.WithError(err).Debug("document not watched")
-			sleep(ctx, pauses.NextBackOff())
+		// A watch that lasted is no reason to keep away for long.
+		if time.Since(start) > w.o.MaxRetry {
+			pauses.Reset()
 		}
+		w.o.Logger.WithError(err).Debug("document not watched")
+		sleep(ctx, max(pauses.NextBackOff(), retryAfter(err)))
 	}
 	return ctx.Err()
 }
 
+// retryAfter returns when the platform asks to come back.
+func retryAfter(err error) time.Duration {
+	var unavailable *platform.UnavailableError
+	if errors.As(err, &unavailable) {
+		return unavailable.RetryAfter
+	}
+	return 0
+}
+
 // follow lists once and watches until the next listing is due or the watch
 // fails.
-func (w *Watcher) follow(ctx context.Context) (listed bool, err error) {
+func (w *Watcher) follow(ctx context.Context) error {
 	objects, version, err := w.o.Store.List(ctx, w.key)
 	if err != nil {
-		return false, err
+		return err
 	}
 	for _, o := range objects {
 		w.take(platform.Event{Object: o})
@@ -100,9 +113,9 @@
 	defer cancel()
 	err = w.o.Store.Watch(ctx, w.key, version, w.take)
 	if errors.Is(err, context.DeadlineExceeded) {
-		return true, nil
+		return nil
 	}
-	return true, err
+	return err
 }
 
 // relist draws the time until the next listing, so that processes that started
--- a/document/watcher_options.go
+++ b/document/watcher_options.go
@@ -14,8 +14,11 @@
 	DefaultRelist   = time.Minute
 	DefaultMaxRetry = 5 * time.Second
 
-	// minRetry is the first pause after a failure.
-	minRetry = 100 * time.Millisecond
+	// minRetry is the mean of the first pause after a failure, and retryJitter
+	// the share by which pauses vary, so that processes that lost their watches
+	// together come back spread out.
+	minRetry    = time.Second
+	retryJitter = 0.9
 	// relistJitter is the share by which the time between listings varies.
 	relistJitter = 0.5
 )
--- a/document/watcher_test.go
+++ b/document/watcher_test.go
@@ -131,6 +131,7 @@
 		a := mustApply(t, newRepository(s, "x"), 7, 0)
 		w, used := watching(t, s)
 		time.Sleep(10 * DefaultRelist)
+		synctest.Wait()
 		want, err := config.ReadDocument(text(7))
 		if err != nil {
 			t.Fatal(err)
--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -32,7 +32,7 @@
 	}
 	c := &Client{base: strings.TrimSuffix(o.BaseURL, "/"), http: o.HTTP, timeout: o.Timeout}
 	if c.http == nil {
-		c.http = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+		c.http = &http.Client{Transport: newTransport()}
 	}
 	if c.timeout == 0 {
 		c.timeout = DefaultTimeout
@@ -40,6 +40,14 @@
 	return c, nil
 }
 
+// newTransport returns a pool that keeps as many idle connections as a busy
+// process uses.
+func newTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxIdleConnsPerHost = maxIdleConns
+	return t
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/engine/enginehttp/options.go
+++ b/engine/enginehttp/options.go
@@ -9,6 +9,8 @@
 const (
 	DefaultTimeout = 5 * time.Second
 
+	// maxIdleConns is how many idle connections are kept.
+	maxIdleConns = 8
 	// maxAnswerBytes bounds an answer of the admin API.
 	maxAnswerBytes = 8 << 20
 )
