--- a/bench/section.go
+++ b/bench/section.go
@@ -9,7 +9,13 @@
 		muotiennuste,
 		nordfjell,
 		memoryless,
+		burst,
 		overloadSection,
 		outageSection,
+		herdSection,
+		prefixSection,
+		limitSection,
+		comebackSection,
+		routingCostSection,
 	}
 }
--- a/dev/cluster.go
+++ b/dev/cluster.go
@@ -25,7 +25,7 @@
 )
 
 //go:embed document.jsonc
-var documentText []byte
+var text []byte
 
 // Environment, Key and the rest of the embedded environment.
 const (
@@ -33,9 +33,6 @@
 	// Key is the caller's key.
 	Key = "dev-key"
 
-	// actor stores the embedded document.
-	actor = "dev"
-
 	region   ident.Region   = "local"
 	zone     ident.Zone     = "local-a"
 	drafting ident.Upstream = "drafting"
@@ -118,14 +115,14 @@
 	if err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
-	return storeDocument(store)
-}
-
-// storeDocument brings the embedded document to production.
-func storeDocument(s platform.Store) error {
-	r := document.New(document.Options{Store: s})
-	u := document.Update{Environment: Environment, Slot: document.SlotProduction, Text: documentText, Actor: actor}
-	if _, err := r.Apply(context.Background(), u); err != nil {
+	_, err = document.New(document.Options{Store: store, Logger: c.o.Logger}).Apply(context.Background(), document.Update{
+		Environment: Environment,
+		Slot:        document.SlotProduction,
+		Text:        text,
+		Actor:       "dev",
+		Reason:      "embedded document",
+	})
+	if err != nil {
 		return fmt.Errorf("embedded document: %w", err)
 	}
 	return nil
--- a/routing/vm_state.go
+++ b/routing/vm_state.go
@@ -8,23 +8,26 @@
 
 // vmState is what a Table knows of one VM.
 type vmState struct {
+	// The fields that every choice reads come first and lie together.
 	vm          ident.VM
-	incarnation ident.Incarnation
-	seq         uint64
 	region      ident.Region
-	zone        ident.Zone
 	hash        uint64
+	madeAt      time.Time
 	running     int
 	waiting     int
 	concurrency int
+	inFlight    [levels]int32
+	unseen      [levels]int32
+	waitingBy   [levels]int32
+	byPriority  bool
 	draining    bool
-	madeAt      time.Time
-	waitingBy   []int
-	inFlight    [levels]int
-	unseen      [levels]int
-	recent      [levels]recent
-	prefixes    map[uint64]struct{}
+
+	zone        ident.Zone
+	prefixes    hashSet
+	incarnation ident.Incarnation
+	seq         uint64
 	targets     map[Target]struct{}
+	recent      [levels]recent
 }
 
 // candidate fills out all that does not depend on the target.
@@ -38,12 +41,8 @@
 
 // waitingFor counts the waiting requests that are as urgent as p or more.
 func (s *vmState) waitingFor(p ident.Priority) int {
-	if len(s.waitingBy) == 0 {
+	if !s.byPriority {
 		return s.waiting
 	}
-	n := 0
-	for _, w := range s.waitingBy[:min(len(s.waitingBy), max(0, int(p))+1)] {
-		n += w
-	}
-	return n
+	return upTo(&s.waitingBy, p)
 }
