status: several routers, and how far a version is in force

One router knows its agents but not the other routers, so the question whether a document is in force everywhere takes them all, and the stored version where the platform is named.

--- a/cmd/laureltally/main_test.go
+++ b/cmd/laureltally/main_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -164,17 +165,9 @@
 	}
 }
 
-func TestStatus(t *testing.T) {
-	s := newShell(t)
-	status := router.Status{
-		VM:      "entry-1",
-		Configs: map[ident.Environment]platform.Version{"e": 7},
-		Agents: []router.AgentStatus{
-			{VM: "b", Upstream: "u", Reachable: true, Models: []wire.ModelReport{{Model: "m2", Fence: 3}}},
-			{VM: "a", Upstream: "u", Reachable: true, Leaving: true, Models: []wire.ModelReport{{Model: "m1"}}},
-			{VM: "c", Upstream: "u"},
-		},
-	}
+// serveStatus runs a router's admin address and returns its base URL.
+func serveStatus(t *testing.T, status router.Status) string {
+	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != statusPath {
 			http.NotFound(w, r)
@@ -183,15 +176,57 @@
 		_ = json.NewEncoder(w).Encode(status)
 	}))
 	t.Cleanup(server.Close)
-	if got := decode[router.Status](s, daemon.ExitOK, "status", "--json", "--router", server.URL); len(got.Agents) != 3 {
-		t.Fatalf("got %+v", got)
-	}
-	var words [][]string
-	for line := range strings.Lines(s.run(daemon.ExitOK, "status", "--router", server.URL+"/")) {
-		words = append(words, strings.Fields(line))
-	}
-	if words[1][2] != "e@7" || words[2][0] != "a" || words[2][3] != "leaving" || words[4][3] != "unreachable" || words[7][0] != "m1" || words[8][2] != "3" {
-		t.Fatalf("printed %q", words)
+	return server.URL
+}
+
+func TestStatus(t *testing.T) {
+	s := newShell(t)
+	at := func(v platform.Version) map[ident.Environment]platform.Version {
+		return map[ident.Environment]platform.Version{"muotiennuste": v}
 	}
-	s.run(daemon.ExitFailed, "status", "--router", server.URL+"/elsewhere")
+	first := serveStatus(t, router.Status{
+		VM:      "entry-1",
+		Configs: at(2),
+		Agents: []router.AgentStatus{
+			{VM: "b", Upstream: "u", Reachable: true, Configs: at(1), Models: []wire.ModelReport{{Model: "m2", Fence: 3}}},
+			{VM: "a", Upstream: "u", Reachable: true, Leaving: true, Configs: at(2), Models: []wire.ModelReport{{Model: "m1"}}},
+			{VM: "c", Upstream: "u", Configs: at(1)},
+		},
+	})
+	second := serveStatus(t, router.Status{VM: "entry-2", Configs: at(2), Agents: []router.AgentStatus{{VM: "b", Upstream: "u"}}})
+
+	var lines []string
+	for line := range strings.Lines(s.run(daemon.ExitOK, "status", "--router", first+"/", "--router", second)) {
+		lines = append(lines, strings.Join(strings.Fields(line), " "))
+	}
+	want := []string{
+		"VM ROLE UPSTREAM REGION STATE VERSIONS RUNNING WAITING FREE MIB",
+		"entry-1 router serving muotiennuste@2",
+		"entry-2 router serving muotiennuste@2",
+		"a agent u leaving muotiennuste@2 0 0 0",
+		"b agent u serving muotiennuste@1 0 0 0",
+		"c agent u unreachable muotiennuste@1 0 0 0",
+		"",
+		"MODEL VM PHASE TIER FENCE RUNNING WAITING ADAPTERS",
+		"m1 a 0 0 0 0",
+		"m2 b 3 0 0 0",
+		"",
+		"muotiennuste: version 2 in force in 3 of 4 processes",
+	}
+	if !slices.Equal(lines, want) {
+		t.Fatalf("printed\n%s", strings.Join(lines, "\n"))
+	}
+	report := decode[statusReport](s, daemon.ExitOK, "status", "--json", "--router", first, "--router", second)
+	if f := (forceReport{Environment: "muotiennuste", Version: 2, Processes: 3, Of: 4}); len(report.Routers) != 2 || report.InForce[0] != f {
+		t.Fatalf("got %+v", report)
+	}
+	file := s.file("1.jsonc", examples.Muotiennuste)
+	for range 3 { // Each apply is two writes: the document and its audit record.
+		s.run(daemon.ExitOK, "apply", file)
+	}
+	report = decode[statusReport](s, daemon.ExitOK, "status", "--json", "--router", first)
+	if f := report.InForce[0]; f.Processes != 0 || f.Of != 3 || f.Version < 5 {
+		t.Fatalf("got %+v", f)
+	}
+	s.run(daemon.ExitFailed, "status", "--router", first+"/elsewhere")
 }
--- a/cmd/laureltally/status_command.go
+++ b/cmd/laureltally/status_command.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/laureltally/laureltally/document"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/platform"
 	"github.com/laureltally/laureltally/router"
@@ -24,58 +25,87 @@
 	maxStatusBytes = 32 << 20
 )
 
-// statusCommand shows what a router knows.
+// statusCommand shows what routers know.
 type statusCommand struct {
 	jsonFlag
-	Router string `arg:"--router,required,env:LAURELTALLY_ROUTER" placeholder:"URL" help:"base URL of the router's admin address"`
+	Routers  []string `arg:"--router,separate,required,env:LAURELTALLY_ROUTER" placeholder:"URL" help:"base URL of a router's admin address, repeatable"`
+	Platform string   `arg:"--platform,env:LAURELTALLY_PLATFORM" placeholder:"URL" help:"base URL of the object API, to compare with the stored versions"`
 }
 
 func (c *statusCommand) run(ctx context.Context, stdout, _ io.Writer) error {
 	out := &output{w: stdout}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	raw, err := fetchStatus(ctx, strings.TrimSuffix(c.Router, "/")+statusPath)
+	var r statusReport
+	for _, base := range c.Routers {
+		s, err := fetchStatus(ctx, strings.TrimSuffix(base, "/")+statusPath)
+		if err != nil {
+			return err
+		}
+		r.Routers = append(r.Routers, s)
+	}
+	stored, err := c.storedVersions(ctx, r.environments())
 	if err != nil {
 		return err
 	}
+	r.InForce = r.inForce(stored)
 	if c.JSON {
-		return out.json(json.RawMessage(raw))
+		return out.json(r)
 	}
-	var s router.Status
-	if err := json.Unmarshal(raw, &s); err != nil {
-		return fmt.Errorf("status: %w", err)
+	return printStatus(out, r)
+}
+
+// storedVersions reads the version of each environment's document in production.
+func (c *statusCommand) storedVersions(ctx context.Context, names []ident.Environment) (map[ident.Environment]platform.Version, error) {
+	stored := make(map[ident.Environment]platform.Version)
+	if c.Platform == "" {
+		return stored, nil
+	}
+	client, err := platformFlags{Platform: c.Platform}.client()
+	if err != nil {
+		return nil, err
+	}
+	defer client.Close()
+	repository := document.New(document.Options{Store: client})
+	for _, e := range names {
+		d, err := repository.Read(ctx, e, document.SlotProduction)
+		if err != nil {
+			return nil, err
+		}
+		stored[e] = d.Version
 	}
-	return printStatus(out, s)
+	return stored, nil
 }
 
-func fetchStatus(ctx context.Context, target string) ([]byte, error) {
+func fetchStatus(ctx context.Context, target string) (router.Status, error) {
+	var s router.Status
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return nil, fmt.Errorf("status: %w", err)
+		return s, fmt.Errorf("status: %w", err)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("status: %w", err)
+		return s, fmt.Errorf("status: %w", err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, &statusError{url: target, status: resp.StatusCode}
+		return s, &statusError{url: target, status: resp.StatusCode}
 	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
-	if err != nil {
-		return nil, fmt.Errorf("status: %w", err)
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&s); err != nil {
+		return s, fmt.Errorf("status: %w", err)
 	}
-	return raw, nil
+	return s, nil
 }
 
-// printStatus prints the processes with the versions in force, and the models.
-func printStatus(out *output, s router.Status) error {
-	slices.SortFunc(s.Agents, func(a, b router.AgentStatus) int {
-		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.VM, b.VM))
-	})
+// printStatus prints the processes with the versions in force, the models, and
+// how far each document is in force.
+func printStatus(out *output, r statusReport) error {
+	agents := r.agents()
 	processes := [][]string{{"VM", "ROLE", "UPSTREAM", "REGION", "STATE", "VERSIONS", "RUNNING", "WAITING", "FREE MIB"}}
-	processes = append(processes, []string{string(s.VM), string(platform.RoleRouter), "", "", "", versions(s.Configs), "", "", ""})
-	for _, a := range s.Agents {
+	for _, s := range r.Routers {
+		processes = append(processes, []string{string(s.VM), string(platform.RoleRouter), "", "", "serving", versions(s.Configs), "", "", ""})
+	}
+	for _, a := range agents {
 		processes = append(processes, []string{
 			string(a.VM), string(platform.RoleAgent), string(a.Upstream), string(a.Region), agentState(a),
 			versions(a.Configs), fmt.Sprint(a.Running), fmt.Sprint(a.Waiting), fmt.Sprint(a.FreeMB),
@@ -85,7 +115,14 @@
 		return err
 	}
 	out.printf("\n")
-	return out.table(modelRows(s.Agents))
+	if err := out.table(modelRows(agents)); err != nil {
+		return err
+	}
+	out.printf("\n")
+	for _, f := range r.InForce {
+		out.printf("%s: version %d in force in %d of %d processes\n", f.Environment, f.Version, f.Processes, f.Of)
+	}
+	return nil
 }
 
 // agentState tells whether an agent takes work.
