--- a/document/watcher.go
+++ b/document/watcher.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/platform"
 )
 
@@ -85,7 +86,8 @@
 			pauses.Reset()
 		}
 		w.o.Logger.WithError(err).Debug("document not watched")
-		sleep(ctx, max(pauses.NextBackOff(), retryAfter(err)))
+		// The loop looks at ctx.
+		_ = wait.Sleep(ctx, max(pauses.NextBackOff(), retryAfter(err)))
 	}
 	return ctx.Err()
 }
@@ -172,12 +174,3 @@
 	}
 	return InForce{Document: d, Version: o.Version, Digest: e.Digest}, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -211,18 +210,3 @@
 		}
 	}
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/standin/engine_order.go
+++ b/standin/engine_order.go
@@ -11,6 +11,7 @@
 
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/wait"
 )
 
 // Submit accepts an order, which then runs whatever becomes of its caller, or
@@ -151,7 +152,7 @@
 		e.faults.FailLoads--
 	}
 	e.mu.Unlock()
-	err := sleep(life, time.Duration(float64(e.o.LoadTimes[tier])*slowdown))
+	err := wait.Sleep(life, time.Duration(float64(e.o.LoadTimes[tier])*slowdown))
 	if err == nil && tier == engine.TierRemote {
 		query := url.Values{"mb": {strconv.FormatInt(o.MemoryMB, 10)}}
 		err = e.fetch(life, "/weights/"+string(o.Model), query)
@@ -187,7 +188,7 @@
 	if err := e.await(life, idle); err != nil {
 		return err
 	}
-	if err := sleep(life, e.o.UnloadTime); err != nil {
+	if err := wait.Sleep(life, e.o.UnloadTime); err != nil {
 		return err
 	}
 	e.mu.Lock()
@@ -215,7 +216,7 @@
 
 func (e *Engine) loadAdapter(life context.Context, o engine.Order) error {
 	query := url.Values{"ms": {strconv.FormatInt(e.o.AdapterTime.Milliseconds(), 10)}}
-	err := sleep(life, e.o.AdapterTime)
+	err := wait.Sleep(life, e.o.AdapterTime)
 	if e.o.WeightStore != "" {
 		err = e.fetch(life, "/adapters/"+string(o.Adapter), query)
 	}
--- a/standin/engine_serve.go
+++ b/standin/engine_serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/wait"
 )
 
 // minPause is the shortest pause between tokens that is slept; shorter ones are
@@ -171,7 +172,7 @@
 // pause waits until the next token is due and while streams are stalled.
 func (e *Engine) pause(ctx context.Context, next time.Time) error {
 	if d := time.Until(next); d >= minPause {
-		if err := sleep(ctx, d); err != nil {
+		if err := wait.Sleep(ctx, d); err != nil {
 			return err
 		}
 	}
--- a/standin/service.go
+++ b/standin/service.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/internal/wait"
 )
 
 // Service is a fake plain service. Posts carry an "id", under which their runs
@@ -71,7 +72,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		delay, fail := s.enter()
 		defer s.leave()
-		if sleep(r.Context(), delay) != nil {
+		if wait.Sleep(r.Context(), delay) != nil {
 			return
 		}
 		if fail {
--- a/standin/weight_store.go
+++ b/standin/weight_store.go
@@ -9,6 +9,8 @@
 
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
+
+	"github.com/laureltally/laureltally/internal/wait"
 )
 
 // transferSteps is how often the speed of a transfer is taken anew.
@@ -142,7 +144,7 @@
 		crowd := max(1, float64(*inFlight)/float64(parallel))
 		slowdown := max(1, s.faults.Slowdown)
 		s.mu.Unlock()
-		if err := sleep(ctx, time.Duration(float64(work)/transferSteps*crowd*slowdown)); err != nil {
+		if err := wait.Sleep(ctx, time.Duration(float64(work)/transferSteps*crowd*slowdown)); err != nil {
 			return err
 		}
 	}
