--- a/cmd/laureltally/diff_command.go
+++ b/cmd/laureltally/diff_command.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/document"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
 )
 
 // diffCommand compares a document with another file or with a stored one.
@@ -21,60 +23,90 @@
 // storedDocument stands for the stored document on the command line.
 const storedDocument = "-"
 
+// diffResult is what a comparison found.
+type diffResult struct {
+	// Stored is the stored document, if one was compared; its version is what
+	// apply takes as --base.
+	Stored  *storedInfo     `json:"stored,omitempty"`
+	Changes []config.Change `json:"changes"`
+}
+
+// storedInfo tells of a stored document.
+type storedInfo struct {
+	Version platform.Version `json:"version"`
+	Actor   string           `json:"actor"`
+	Time    time.Time        `json:"time"`
+	Digest  string           `json:"digest"`
+}
+
 func (c *diffCommand) run(ctx context.Context, stdout, _ io.Writer) error {
 	out := &output{w: stdout}
 	if c.Old == storedDocument && c.New == storedDocument {
 		return &usageError{detail: "one of the documents must be a file"}
 	}
-	before, after, err := c.documents(ctx)
+	r, err := c.compare(ctx)
 	if err != nil {
 		return err
 	}
-	changes := config.Diff(before, after)
 	if c.JSON {
-		return out.json(append([]config.Change{}, changes...))
+		return out.json(r)
+	}
+	if r.Stored != nil {
+		out.printf("stored: version %d by %s at %s, digest %s\n", r.Stored.Version, r.Stored.Actor, r.Stored.Time.Format(time.RFC3339), r.Stored.Digest)
 	}
-	printChanges(out, changes)
+	printChanges(out, r.Changes)
 	return nil
 }
 
-func (c *diffCommand) documents(ctx context.Context) (before, after config.Document, err error) {
-	if c.Old == storedDocument {
-		if after, err = config.ReadDocumentFile(c.New); err == nil {
-			before, err = c.stored(ctx, after.Environment)
+func (c *diffCommand) compare(ctx context.Context) (diffResult, error) {
+	var (
+		r             diffResult
+		before, after config.Document
+		err           error
+	)
+	switch {
+	case c.Old == storedDocument:
+		after, before, r.Stored, err = c.withStored(ctx, c.New)
+	case c.New == storedDocument:
+		before, after, r.Stored, err = c.withStored(ctx, c.Old)
+	default:
+		if before, err = config.ReadDocumentFile(c.Old); err == nil {
+			after, err = config.ReadDocumentFile(c.New)
 		}
-		return before, after, err
 	}
-	if before, err = config.ReadDocumentFile(c.Old); err != nil {
-		return before, after, err
+	r.Changes = append([]config.Change{}, config.Diff(before, after)...)
+	return r, err
+}
+
+// withStored reads a file and the stored document of the environment that the
+// file names.
+func (c *diffCommand) withStored(ctx context.Context, file string) (own, stored config.Document, info *storedInfo, err error) {
+	if own, err = config.ReadDocumentFile(file); err != nil {
+		return own, stored, nil, err
 	}
-	if c.New == storedDocument {
-		after, err = c.stored(ctx, before.Environment)
-	} else {
-		after, err = config.ReadDocumentFile(c.New)
+	s, err := c.read(ctx, own.Environment)
+	if err != nil {
+		return own, stored, nil, err
 	}
-	return before, after, err
+	stored, err = s.Parse()
+	return own, stored, &storedInfo{Version: s.Version, Actor: s.Actor, Time: s.Time, Digest: s.Digest}, err
 }
 
-// stored reads the stored document of the environment that the file names.
-func (c *diffCommand) stored(ctx context.Context, e ident.Environment) (config.Document, error) {
+func (c *diffCommand) read(ctx context.Context, e ident.Environment) (document.Stored, error) {
 	if c.Platform == "" {
-		return config.Document{}, &usageError{detail: "--platform is needed for the stored document"}
+		return document.Stored{}, &usageError{detail: "--platform is needed for the stored document"}
 	}
 	client, err := platformFlags{Platform: c.Platform}.client()
 	if err != nil {
-		return config.Document{}, err
+		return document.Stored{}, err
 	}
 	defer client.Close()
 	slot := slotOf(c.Trial)
-	stored, err := document.New(document.Options{Store: client}).Read(ctx, e, slot)
-	if err != nil {
-		return config.Document{}, err
-	}
-	if stored.Version == 0 {
-		return config.Document{}, &document.MissingError{Environment: e, Slot: slot}
+	s, err := document.New(document.Options{Store: client}).Read(ctx, e, slot)
+	if err == nil && s.Version == 0 {
+		err = &document.MissingError{Environment: e, Slot: slot}
 	}
-	return stored.Parse()
+	return s, err
 }
 
 func slotOf(trial bool) document.Slot {
--- a/cmd/laureltally/main_test.go
+++ b/cmd/laureltally/main_test.go
@@ -118,9 +118,12 @@
 	}
 	want := config.Change{Path: "limits.burst", Kind: config.ChangeChanged, Old: "400", New: "500"}
 	for _, args := range [][]string{{first, second}, {"-", second}} {
-		changes := decode[[]config.Change](s, daemon.ExitOK, append([]string{"diff", "--json"}, args...)...)
-		if len(changes) != 1 || changes[0] != want {
-			t.Fatalf("%v: got %+v", args, changes)
+		r := decode[diffResult](s, daemon.ExitOK, append([]string{"diff", "--json"}, args...)...)
+		if len(r.Changes) != 1 || r.Changes[0] != want {
+			t.Fatalf("%v: got %+v", args, r)
+		}
+		if stored := args[0] == storedDocument; stored != (r.Stored != nil) || (stored && r.Stored.Version != promoted.Accepted.Version) {
+			t.Fatalf("%v: got %+v", args, r.Stored)
 		}
 	}
 	s.run(daemon.ExitOK, "apply", second)
