--- a/document/watcher.go
+++ b/document/watcher.go
@@ -78,13 +78,13 @@
 	for ctx.Err() == nil {
 		start := time.Now()
 		err := w.follow(ctx)
-		if err == nil || ctx.Err() != nil {
-			continue
-		}
 		// A watch that lasted is no reason to keep away for long.
-		if time.Since(start) > w.o.MaxRetry {
+		if err == nil || time.Since(start) > w.o.MaxRetry {
 			pauses.Reset()
 		}
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
 		w.o.Logger.WithError(err).Debug("document not watched")
 		// The loop looks at ctx.
 		_ = wait.Sleep(ctx, max(pauses.NextBackOff(), retryAfter(err)))
--- a/document/watcher_options.go
+++ b/document/watcher_options.go
@@ -12,7 +12,7 @@
 // Defaults of a Watcher.
 const (
 	DefaultRelist   = time.Minute
-	DefaultMaxRetry = 5 * time.Second
+	DefaultMaxRetry = 3 * time.Second
 
 	// minRetry is the mean of the first pause after a failure, and retryJitter
 	// the share by which pauses vary, so that processes that lost their watches
