--- a/cmd/laureltally/check_command.go
+++ b/cmd/laureltally/check_command.go
@@ -24,14 +24,6 @@
 	Files []string `arg:"positional,required" placeholder:"FILE"`
 }
 
-// checkResult is what was found in one file.
-type checkResult struct {
-	File     string           `json:"file"`
-	Valid    bool             `json:"valid"`
-	Error    string           `json:"error,omitempty"`
-	Problems []config.Problem `json:"problems,omitempty"`
-}
-
 func (c *checkCommand) run(_ context.Context, stdout, _ io.Writer) error {
 	out := &output{w: stdout}
 	check, err := c.checker()
--- a/cmd/laureltally/diff_command.go
+++ b/cmd/laureltally/diff_command.go
@@ -8,7 +8,6 @@
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/document"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
 )
 
 // diffCommand compares a document with another file or with a stored one.
@@ -23,22 +22,6 @@
 // storedDocument stands for the stored document on the command line.
 const storedDocument = "-"
 
-// diffResult is what a comparison found.
-type diffResult struct {
-	// Stored is the stored document, if one was compared; its version is what
-	// apply takes as --base.
-	Stored  *storedInfo     `json:"stored,omitempty"`
-	Changes []config.Change `json:"changes"`
-}
-
-// storedInfo tells of a stored document.
-type storedInfo struct {
-	Version platform.Version `json:"version"`
-	Actor   string           `json:"actor"`
-	Time    time.Time        `json:"time"`
-	Digest  string           `json:"digest"`
-}
-
 func (c *diffCommand) run(ctx context.Context, stdout, _ io.Writer) error {
 	out := &output{w: stdout}
 	if c.Old == storedDocument && c.New == storedDocument {
--- a/cmd/laureltally/status_report.go
+++ b/cmd/laureltally/status_report.go
@@ -16,16 +16,6 @@
 	InForce []forceReport   `json:"in_force"`
 }
 
-// forceReport tells how far the newest version of a document is in force.
-type forceReport struct {
-	Environment ident.Environment `json:"environment"`
-	Version     platform.Version  `json:"version"`
-	// Processes have the version in force, of those that follow the document and
-	// can be reached.
-	Processes int `json:"processes"`
-	Of        int `json:"of"`
-}
-
 // agents lists the agents that any router knows, each as a router that reaches
 // it sees it.
 func (r statusReport) agents() []router.AgentStatus {
--- /dev/null
+++ b/cmd/laureltally/stored_info.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/platform"
+)
+
+// storedInfo tells of a stored document.
+type storedInfo struct {
+	Version platform.Version `json:"version"`
+	Actor   string           `json:"actor"`
+	Time    time.Time        `json:"time"`
+	Digest  string           `json:"digest"`
+}
--- a/cmd/laureltally/write_result.go
+++ b/cmd/laureltally/write_result.go
@@ -2,11 +2,8 @@
 
 import (
 	"errors"
-	"time"
 
-	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/document"
-	"github.com/laureltally/laureltally/platform"
 )
 
 // writeResult is what became of an apply or a promotion, for a script.
@@ -16,15 +13,6 @@
 	Error    string             `json:"error,omitempty"`
 }
 
-// lostRace tells who changed the document before.
-type lostRace struct {
-	Base    platform.Version `json:"base"`
-	Version platform.Version `json:"version"`
-	Actor   string           `json:"actor"`
-	Time    time.Time        `json:"time"`
-	Changes []config.Change  `json:"changes"`
-}
-
 // printAccepted prints the outcome of a write and returns its error.
 func printAccepted(out *output, asJSON bool, accepted document.Accepted, err error) error {
 	var lost *document.LostRaceError
--- a/standin/completion_request.go
+++ b/standin/completion_request.go
@@ -19,17 +19,6 @@
 	StreamOptions       streamOptions    `json:"stream_options"`
 }
 
-// requestMessage is one message of a chat.
-type requestMessage struct {
-	Role    string      `json:"role"`
-	Content requestText `json:"content"`
-}
-
-// streamOptions are the options of a streamed answer.
-type streamOptions struct {
-	IncludeUsage bool `json:"include_usage"`
-}
-
 // text returns the whole prompt.
 func (r *completionRequest) text() string {
 	if len(r.Messages) == 0 {
--- a/standin/engine_serve.go
+++ b/standin/engine_serve.go
@@ -21,19 +21,6 @@
 // cachedShare is the share of the first-token time that a cached prefix takes.
 const cachedShare = 0.2
 
-// openAIModelList is the answer of /v1/models.
-type openAIModelList struct {
-	Object string        `json:"object"`
-	Data   []openAIModel `json:"data"`
-}
-
-// openAIModel is one entry of an openAIModelList.
-type openAIModel struct {
-	ID      string `json:"id"`
-	Object  string `json:"object"`
-	OwnedBy string `json:"owned_by"`
-}
-
 func (e *Engine) serveModels(w http.ResponseWriter, _ *http.Request) {
 	list := openAIModelList{Object: "list", Data: []openAIModel{}}
 	for _, m := range e.State().Models {
@@ -179,12 +166,6 @@
 	return e.await(ctx, func() bool { return !e.faults.Stall })
 }
 
-// requestProblem is why a request is refused.
-type requestProblem struct {
-	status int
-	body   openAIErrorBody
-}
-
 func refuseRequest(w http.ResponseWriter, status int, body openAIErrorBody) {
 	respond(w, status, openAIError{Error: body})
 }
--- a/standin/openai_error.go
+++ b/standin/openai_error.go
@@ -4,11 +4,3 @@
 type openAIError struct {
 	Error openAIErrorBody `json:"error"`
 }
-
-// openAIErrorBody is the inner part of an openAIError.
-type openAIErrorBody struct {
-	Message string `json:"message"`
-	Type    string `json:"type"`
-	Param   string `json:"param,omitempty"`
-	Code    string `json:"code,omitempty"`
-}
--- /dev/null
+++ b/standin/openai_error_body.go
@@ -0,0 +1,9 @@
+package standin
+
+// openAIErrorBody is the inner part of an openAIError.
+type openAIErrorBody struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Param   string `json:"param,omitempty"`
+	Code    string `json:"code,omitempty"`
+}
--- /dev/null
+++ b/standin/openai_message.go
@@ -0,0 +1,7 @@
+package standin
+
+// openAIMessage is a message or a part of one.
+type openAIMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
--- /dev/null
+++ b/standin/openai_model_list.go
@@ -0,0 +1,7 @@
+package standin
+
+// openAIModelList is the answer of /v1/models.
+type openAIModelList struct {
+	Object string        `json:"object"`
+	Data   []openAIModel `json:"data"`
+}
--- a/standin/prefix_cache.go
+++ b/standin/prefix_cache.go
@@ -25,12 +25,6 @@
 	events []cacheRecord
 }
 
-// cacheRecord is an event with the time at which it is first seen.
-type cacheRecord struct {
-	event engine.CacheEvent
-	at    time.Time
-}
-
 // use notes a prompt prefix and tells whether it was cached.
 func (c *prefixCache) use(hash uint64) bool {
 	c.mu.Lock()
