--- a/admission/queue.go
+++ b/admission/queue.go
@@ -24,11 +24,10 @@
 type Queue struct {
 	opts     Options
 	limit    concurrencyLimit
-	classes  []*class
-	fair     fairness
+	backlog  backlog
 	running  map[ident.Attempt]*entry
-	waiting  int
 	average  time.Duration
+	seen     int
 	ratio    quantile
 	arrivals decayingRate
 	returns  schedule
@@ -46,7 +45,6 @@
 	return &Queue{
 		opts:    o,
 		limit:   newConcurrencyLimit(o.MinConcurrency, o.Concurrency, o.FixedConcurrency),
-		fair:    newFairness(),
 		running: make(map[ident.Attempt]*entry),
 		average: o.Cost,
 		ratio:   newQuantile(startQuantile, 1),
@@ -68,7 +66,7 @@
 	}
 	q.push(e)
 	actions := q.start(now, nil)
-	if q.waiting > q.opts.MaxWaiting {
+	if q.backlog.waiting > q.opts.MaxWaiting {
 		actions = append(actions, q.evict(now))
 	}
 	return actions
@@ -91,11 +89,7 @@
 	if q.running[id] != nil {
 		return q.Finish(now, id, Failed)
 	}
-	for _, c := range q.classes {
-		if q.removeID(c, id) {
-			break
-		}
-	}
+	q.removeID(id)
 	return q.Tick(now)
 }
 
@@ -107,7 +101,7 @@
 
 // Next returns when Tick is due, or false while nothing waits.
 func (q *Queue) Next(now time.Time) (time.Time, bool) {
-	if q.waiting == 0 {
+	if q.backlog.waiting == 0 {
 		return time.Time{}, false
 	}
 	return now.Add(sweepInterval), true
@@ -135,10 +129,8 @@
 // RefuseAll refuses all waiting items, for example because a load failed.
 func (q *Queue) RefuseAll(now time.Time, code wire.Code) []Action {
 	var actions []Action
-	for _, c := range q.classes {
-		for len(c.flows) > 0 {
-			actions = append(actions, q.refuse(now, q.remove(c, c.flows[0], 0), code))
-		}
+	for at, ok := q.backlog.next(); ok; at, ok = q.backlog.next() {
+		actions = append(actions, q.refuse(now, q.backlog.remove(at, 0), code))
 	}
 	return actions
 }
@@ -152,7 +144,7 @@
 
 // SetWeights sets each region's share of the upstream; see RegionWeights. Nil
 // shares it equally.
-func (q *Queue) SetWeights(w map[ident.Region]float64) { q.fair.weights = w }
+func (q *Queue) SetWeights(w map[ident.Region]float64) { q.backlog.setWeights(w) }
 
 // Estimate is what an item offered now would have to expect.
 func (q *Queue) Estimate(now time.Time, it Item) Estimate {
@@ -161,26 +153,31 @@
 
 // Stats returns a snapshot.
 func (q *Queue) Stats() Stats {
-	return Stats{Running: len(q.running), Waiting: q.waiting, Limit: q.limit.current(), Cost: q.average}
+	return Stats{Running: len(q.running), Waiting: q.backlog.waiting, Limit: q.limit.current(), Cost: q.average}
 }
 
-// WaitingAhead counts the waiting items that are as urgent as p or more.
-func (q *Queue) WaitingAhead(p ident.Priority) int {
-	n := 0
-	for _, c := range q.classes {
-		if c.priority <= p {
-			n += c.waiting
+// WaitingByPriority counts the waiting items of each priority from zero on, for
+// wire.Report.
+func (q *Queue) WaitingByPriority() []int {
+	var counts []int
+	q.backlog.each(func(at place) bool {
+		p := max(0, int(at.class.priority))
+		for len(counts) <= p {
+			counts = append(counts, 0)
 		}
-	}
-	return n
+		counts[p] += len(at.flow.items)
+		return true
+	})
+	return counts
 }
 
 func (q *Queue) entry(it Item) *entry {
-	if it.Cost <= 0 {
+	guessed := it.Cost <= 0
+	if guessed {
 		it.Cost = q.average
 	}
 	if it.Hold <= 0 {
 		it.Hold = it.Cost
 	}
-	return &entry{Item: it}
+	return &entry{Item: it, guessed: guessed}
 }
--- /dev/null
+++ b/e2e/processes_test.go
@@ -0,0 +1,66 @@
+package e2e
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/laureltally/laureltally/internal/harness"
+)
+
+const (
+	callers  = 12
+	loadSeed = 7
+	phase    = time.Second
+)
+
+// TestSeparateProcesses serves streamed and whole answers and orders through two
+// routers and three agents, and stops each of them under load.
+func TestSeparateProcesses(t *testing.T) {
+	c, err := harness.Start(t.Context(), harness.Options{Bin: bin, Routers: 2, Engines: 2})
+	defer c.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	monitor := c.StartMonitor()
+	load := c.StartLoad(callers, loadSeed)
+	time.Sleep(phase)
+	for _, p := range append(c.Agents, c.Routers...) {
+		if err := p.Terminate(); err != nil {
+			t.Errorf("%s: %v", p.Name, err)
+		}
+		if err := c.Restart(p); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(phase)
+	}
+	load.Stop()
+	check(t, c, load, monitor)
+}
+
+// check fails the test for everything that must never happen.
+func check(t *testing.T, c *harness.Cluster, l *harness.Load, m *harness.Monitor) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	over, overcommits := m.Stop(ctx)
+	runs, err := c.OrderRuns(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	doubled, untrue := l.Tally.CheckOrders(runs)
+	answered := l.Tally.Count(harness.Answered)
+	t.Logf("%d requests, %d answered, %d refused, %d looks at the engines", l.Tally.Total(), answered, l.Tally.Count(harness.Refused), m.Samples())
+	if lost, crossed := l.Tally.Count(harness.Lost), l.Tally.Count(harness.Crossed); lost+crossed+doubled+untrue > 0 {
+		t.Errorf("%d lost, %d crossed, %d doubled, %d untrue", lost, crossed, doubled, untrue)
+	}
+	for _, p := range l.Tally.Problems() {
+		t.Log(p)
+	}
+	if over > 0 || overcommits > 0 {
+		t.Errorf("%d replicas over the limit, %d loads without memory", over, overcommits)
+	}
+	if answered == 0 || m.Samples() == 0 {
+		t.Error("nothing was answered or sampled")
+	}
+}
--- /dev/null
+++ b/internal/harness/options.go
@@ -0,0 +1,12 @@
+package harness
+
+// Options configures a Cluster.
+type Options struct {
+	// Bin is the directory with the programs.
+	Bin string
+	// Routers and Engines are how many of each are started; there is one plain
+	// service.
+	Routers, Engines int
+	// IgnoreFences makes the engines take orders whatever their fence.
+	IgnoreFences bool
+}
--- a/wire/report.go
+++ b/wire/report.go
@@ -37,6 +37,9 @@
 	// with these numbers, and can be laid over any of them. A model with
 	// neither phase nor tier nor fence is one that is no longer reported.
 	Bases []uint64 `cbor:"18,keyasint,omitempty"`
+	// WaitingByPriority counts the waiting requests of each priority, the most
+	// urgent first. Empty means that only Waiting is known.
+	WaitingByPriority []int `cbor:"19,keyasint,omitempty"`
 }
 
 // Kind implements Message.
