agent: a non-idempotent request is sent to the upstream once

net/http repeats a request by itself when a connection that it has used before breaks, if the method is idempotent or the request has an Idempotency-Key and no body. The agent forwards that header, and a route may declare a GET non-idempotent, so an order could run twice although every record said once.

Weighed: dropping the header (upstreams may want it; does nothing for GET) and a body that is not empty (turns the request into a chunked one). Instead non-idempotent requests go over connections of their own, which net/http never repeats on.

answer: the tail is 2 MiB, twice the stream window of 1 MiB of package transport, as Options.TailBytes demands.

--- a/agent/execute.go
+++ b/agent/execute.go
@@ -71,6 +71,9 @@
 	}
 	req.Header.Set(headerRequestID, d.Request)
 	req.Header.Set(headerPriority, strconv.Itoa(int(d.Priority)))
+	if d.NonIdempotent {
+		return a.o.OnceHTTP.Do(req)
+	}
 	return a.o.HTTP.Do(req)
 }
 
--- /dev/null
+++ b/agent/http_client.go
@@ -0,0 +1,42 @@
+package agent
+
+import (
+	"net/http"
+	"time"
+)
+
+const (
+	// upstreamIdleConns is how many idle connections to the upstream are kept.
+	upstreamIdleConns = 64
+	// upstreamIdleTimeout closes idle connections to the upstream.
+	upstreamIdleTimeout = 30 * time.Second
+)
+
+// newHTTPClient returns a client that does not follow redirects. It may repeat a
+// request whose connection broke, if the request is idempotent by its method or
+// has an Idempotency-Key and no body.
+func newHTTPClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: upstreamIdleConns,
+			IdleConnTimeout:     upstreamIdleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: keepRedirect,
+	}
+}
+
+// newOnceClient returns a client that sends each request once. net/http repeats
+// requests only on connections that it has used before, so that this client
+// never does so.
+func newOnceClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		},
+		CheckRedirect: keepRedirect,
+	}
+}
+
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/agent/options.go
+++ b/agent/options.go
@@ -22,8 +22,10 @@
 	Credentials transport.Credentials
 	// Engine is the admin API of a model engine; nil beside a plain service.
 	Engine engine.Client
-	// HTTP sends requests to the upstream.
+	// HTTP sends idempotent requests to the upstream, and OnceHTTP the others:
+	// it must not send a request twice by itself.
 	HTTP        *http.Client
+	OnceHTTP    *http.Client
 	Incarnation ident.Incarnation
 	Logger      log.Interface
 	Metrics     tally.Scope
@@ -37,6 +39,9 @@
 	if o.HTTP == nil {
 		o.HTTP = newHTTPClient()
 	}
+	if o.OnceHTTP == nil {
+		o.OnceHTTP = newOnceClient()
+	}
 	if o.Logger == nil {
 		o.Logger = log.Log
 	}
@@ -54,23 +59,3 @@
 	}
 	return o
 }
-
-const (
-	// upstreamIdleConns is how many idle connections to the upstream are kept.
-	upstreamIdleConns = 64
-	// upstreamIdleTimeout closes idle connections to the upstream.
-	upstreamIdleTimeout = 30 * time.Second
-)
-
-// newHTTPClient returns a client that neither follows redirects nor repeats a
-// request by itself: a repetition could run a request twice.
-func newHTTPClient() *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			MaxIdleConnsPerHost: upstreamIdleConns,
-			IdleConnTimeout:     upstreamIdleTimeout,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
--- a/answer/options.go
+++ b/answer/options.go
@@ -8,7 +8,7 @@
 
 // Defaults of Options.
 const (
-	DefaultTailBytes  = 1 << 20
+	DefaultTailBytes  = 2 << 20
 	DefaultTotalBytes = 256 << 20
 	DefaultRetention  = time.Minute
 	DefaultStall      = 30 * time.Second
