bench: hedging measured, and left to where it pays

Cause: hedging had no figures.

Change: the replay can make second attempts after the 0.95 quantile from the retry budget; a section slows one VM of 12 down three times.

Routers do not hedge by default.

--- /dev/null
+++ b/bench/hedge.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/laureltally/laureltally/bench/hotpath"
+)
+
+// hedgeSection slows one VM of 12 down and makes second attempts at slow
+// idempotent requests.
+func hedgeSection(t *table) {
+	for _, load := range []float64{0.3, 0.6, 2} {
+		hedgeRows(t, load)
+	}
+}
+
+func hedgeRows(t *table, load float64) {
+	measure := func(hedging bool) (p99, attempts, answered spread) {
+		base := func(seed uint64) hotpath.Scenario {
+			s := drafting(seed, load/3, load/3, load/3)
+			s.Idempotent = 1
+			s.Policy.Hedging = hedging
+			s.Slowdown = &hotpath.Slowdown{From: warmUp, Until: overloadEnd, VMs: []int{0}, Factor: 3}
+			return s
+		}
+		over(base, ours, func(r *hotpath.Result) {
+			p99.add(min(99, r.Quantile(0, 0.99).Seconds()))
+			attempts.add(r.AttemptsPerRequest())
+			answered.add(float64(r.Answered) / float64(r.Asked))
+		})
+		return p99, attempts, answered
+	}
+	without, few, answeredWithout := measure(false)
+	with, more, answered := measure(true)
+	name := fmt.Sprintf("hedging, a VM of 12 three times slower, %.1f offered", load)
+	put := func(figure, target, format string, base, own spread, v verdict) {
+		t.add(row{name, figure, target, baselineSpreads(format, named{"not hedged", base}), own.text(format), v})
+	}
+	put("p99 of the top priority, s", "", "%.2f", without, with, info)
+	put("answered in time", "", "%.4f", answeredWithout, answered, info)
+	put("attempts for each request", "<= 1.1", "%.3f", few, more, judge(more.most() <= maxAttempts))
+}
--- a/bench/hotpath/request.go
+++ b/bench/hotpath/request.go
@@ -19,7 +19,9 @@
 	// work is the run time at full speed.
 	work     time.Duration
 	attempts int
-	exclude  ident.VM
+	// open counts the attempts that have not ended.
+	open    int
+	exclude ident.VM
 	// comebacks counts how often the client came back.
 	comebacks int
 	done      bool
--- a/bench/hotpath/router.go
+++ b/bench/hotpath/router.go
@@ -27,6 +27,7 @@
 	ejector *eject.Ejector
 	budget  *retry.Budget
 	policy  *retry.Policy
+	hedger  *retry.Hedger
 	turn    int
 	sent    int
 	// known holds the VMs in the router's list and their last report.
@@ -43,6 +44,8 @@
 	must(err)
 	r.budget, err = retry.NewBudget(retry.BudgetOptions{})
 	must(err)
+	r.hedger, err = retry.NewHedger(retry.HedgeOptions{Budget: r.budget})
+	must(err)
 	r.policy, err = retry.New(retry.Options{Budget: r.budget, Rand: r.rand})
 	must(err)
 	return r
@@ -85,6 +88,7 @@
 		return
 	}
 	q.attempts++
+	q.open++
 	r.sent++
 	r.w.result.attempt(r.w.now, r.w.measured(), crosses)
 	now := r.w.clock()
@@ -95,6 +99,7 @@
 	life := a.vm.life
 	r.w.after(r.w.delay(r.region, a.vm.region), func() { a.vm.offer(a) })
 	r.w.watch(a, life)
+	r.planHedge(a)
 }
 
 func (r *router) choose(q *request) (ident.VM, bool, bool) {
@@ -169,6 +174,7 @@
 		return
 	}
 	a.ended = true
+	a.req.open--
 	now := r.w.clock()
 	took := time.Duration(0)
 	if o.ok {
@@ -178,13 +184,34 @@
 	r.ejector.Ended(now, a.vm.name, o.code != wire.CodeUpstreamLost)
 	if o.ok {
 		r.budget.Success(now)
+		r.hedger.Answered(r.w.now - a.req.asked)
 		r.w.answered(a.req)
 		return
 	}
 	a.req.exclude = a.vm.name
+	if a.req.done || a.req.open > 0 {
+		return
+	}
 	r.failed(a.req, o)
 }
 
+// planHedge makes a second attempt later if the first has not ended by then.
+func (r *router) planHedge(a *attempt) {
+	wait, ok := r.hedger.Delay(a.req.idempotent)
+	if !r.w.s.Policy.Hedging || !ok || a.req.attempts > 1 {
+		return
+	}
+	r.w.after(wait, func() {
+		if a.ended || a.req.done {
+			return
+		}
+		if r.hedger.Hedge(r.w.clock(), epoch.Add(a.req.deadline), minNeed) {
+			a.req.exclude = a.vm.name
+			r.serve(a.req)
+		}
+	})
+}
+
 // failed repeats a request or gives it up.
 func (r *router) failed(q *request, o outcome) {
 	if r.w.s.Policy.Retry == ThreeRetries {
--- a/bench/hotpath/scenario.go
+++ b/bench/hotpath/scenario.go
@@ -81,6 +81,8 @@
 	Retry Retrying
 	// FixedLimit turns the adaptive concurrency limit off.
 	FixedLimit bool
+	// Hedging makes second attempts at slow idempotent requests.
+	Hedging bool
 	// NoEjection turns outlier ejection off.
 	NoEjection bool
 	// FixedRetryAfter sets every Retry-After to this time.
--- a/bench/hotpath/world.go
+++ b/bench/hotpath/world.go
@@ -147,7 +147,7 @@
 
 // ask sends a request to one of the region's routers.
 func (w *world) ask(q *request) {
-	q.asked, q.deadline, q.attempts, q.exclude = w.now, w.now+q.class.Deadline, 0, ""
+	q.asked, q.deadline, q.attempts, q.open, q.exclude = w.now, w.now+q.class.Deadline, 0, 0, ""
 	w.result.askedFor(w.measured(), q)
 	rs := w.routers[q.region]
 	r := rs[w.rand.IntN(len(rs))]
--- a/bench/section.go
+++ b/bench/section.go
@@ -15,6 +15,7 @@
 		prefixSection,
 		limitSection,
 		comebackSection,
+		hedgeSection,
 		routingCostSection,
 	}
 }
