routing: the two random choices differ

Cause: the second of two candidates was drawn from all again, so one time in four of four VMs it was the first, and a slow VM was taken without a comparison.

Change: the second is drawn from the others.

--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -105,22 +105,22 @@
 	return within, within >= 0 && withinHash == firstHash
 }
 
-// leastLoaded takes the best of some random candidates.
+// leastLoaded takes the best of some random candidates, of which the first is not
+// drawn again.
 func (c *Chooser) leastLoaded(all []Candidate, p *pool) int {
 	if len(p.members) <= c.opts.Choices {
 		return c.best(all, p)
 	}
-	a := c.random(p)
+	n := len(p.members)
+	first := c.opts.Rand.IntN(n)
+	best := int(p.members[first])
 	for range c.opts.Choices - 1 {
-		if b := c.random(p); c.score(&all[b]) < c.score(&all[a]) {
-			a = b
+		other := int(p.members[(first+1+c.opts.Rand.IntN(n-1))%n])
+		if c.score(&all[other]) < c.score(&all[best]) {
+			best = other
 		}
 	}
-	return a
-}
-
-func (c *Chooser) random(p *pool) int {
-	return int(p.members[c.opts.Rand.IntN(len(p.members))])
+	return best
 }
 
 // best takes the best of all candidates, and of equals a random one.
