--- /dev/null
+++ b/internal/harness/process.go
@@ -0,0 +1,105 @@
+package harness
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Process is one program that the harness has started.
+type Process struct {
+	Name string
+	args []string
+	bin  string
+	log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// exitGrace is how long a process may take to end before it is killed.
+const exitGrace = 30 * time.Second
+
+// start runs the program. Its standard error is appended to a log file.
+func (p *Process) start(readyLine bool) (string, error) {
+	logFile, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return "", fmt.Errorf("open log: %w", err)
+	}
+	cmd := exec.Command(p.bin, p.args...)
+	cmd.Stderr = logFile
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return "", fmt.Errorf("pipe: %w", err)
+	}
+	if err := cmd.Start(); err != nil {
+		return "", fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	p.cmd, p.done = cmd, make(chan struct{})
+	address := ""
+	in := bufio.NewReader(out)
+	if readyLine {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			_ = cmd.Process.Kill()
+			return "", fmt.Errorf("%s is not ready: %w", p.Name, err)
+		}
+		address = strings.TrimPrefix(strings.TrimSpace(line), "ready ")
+	}
+	done := p.done
+	go func() {
+		_, _ = io.Copy(io.Discard, in)
+		p.err = cmd.Wait()
+		_ = logFile.Close()
+		close(done)
+	}()
+	return address, nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Kill ends the process without notice and waits for it.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Terminate asks the process to end gracefully and returns how it ended.
+func (p *Process) Terminate() error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return fmt.Errorf("terminate %s: %w", p.Name, err)
+	}
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(exitGrace):
+		p.Kill()
+		return &HangError{Process: p.Name, After: exitGrace}
+	}
+}
+
+// Running tells whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (c *Cluster) process(name, program string, args ...string) *Process {
+	return &Process{
+		Name: name,
+		bin:  filepath.Join(c.o.Bin, program),
+		args: args,
+		log:  filepath.Join(c.dir, name+".log"),
+	}
+}
--- /dev/null
+++ b/internal/harness/status_error.go
@@ -0,0 +1,12 @@
+package harness
+
+import "fmt"
+
+// StatusError reports an unexpected HTTP status of a stand-in.
+type StatusError struct {
+	URL    string
+	Status string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("%s: %s", e.URL, e.Status) }
