Agents report the run time without the wait

Cause: a router's own measure of a VM includes the wait in its queue. At overload less urgent requests wait for seconds everywhere, so a VM three times slower looked like the others, got urgent requests and could not answer them in time.

Weighed: the router's own measure (before); wait subtracted at the router (it does not know it); the agent's measure in its report (taken).

Change: wire.Report carries RunTime; a choice uses it when it is there.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -153,7 +153,14 @@
 
 // Stats returns a snapshot.
 func (q *Queue) Stats() Stats {
-	return Stats{Running: len(q.running), Waiting: q.backlog.waiting, Limit: q.limit.current(), Cost: q.average}
+	return Stats{Running: len(q.running), Waiting: q.backlog.waiting, Limit: q.limit.current(), RunTime: q.runTime()}
+}
+
+func (q *Queue) runTime() time.Duration {
+	if q.seen == 0 {
+		return 0
+	}
+	return q.average
 }
 
 // WaitingByPriority counts the waiting items of each priority from zero on, for
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -8,6 +8,6 @@
 	Waiting int
 	// Limit is the adaptive concurrency limit.
 	Limit int
-	// Cost is the average run time of a request.
-	Cost time.Duration
+	// RunTime is the average run time of a request, or zero until one has finished.
+	RunTime time.Duration
 }
--- a/agent/reporter.go
+++ b/agent/reporter.go
@@ -140,6 +140,7 @@
 	for _, l := range lanes {
 		stats := l.stats()
 		r.Running += stats.Running
+		r.RunTime = max(r.RunTime, stats.RunTime)
 		r.Waiting += stats.Waiting
 		r.WaitingByPriority = addCounts(r.WaitingByPriority, l.waitingByPriority())
 		if l.model == "" {
--- a/bench/hotpath/upstream.go
+++ b/bench/hotpath/upstream.go
@@ -200,6 +200,7 @@
 		Running:      st.Running,
 		Waiting:      st.Waiting,
 		Concurrency:  st.Limit,
+		RunTime:      st.RunTime,
 		PrefixHashes: u.cache.sample(),
 	}
 	if q, ok := u.queue.(*admission.Queue); ok && !u.w.s.Policy.BlindReports {
--- a/routing/table.go
+++ b/routing/table.go
@@ -127,7 +127,7 @@
 
 func (t *Table) fill(now time.Time, l *Lookup, adapter uint64, m *member, c *Candidate) {
 	m.state.candidate(now, l.Priority, c)
-	c.ServiceTime = m.serviceTime
+	c.ServiceTime = m.runTime()
 	c.AdapterLoaded = m.hasAdapter(adapter)
 	c.PrefixLikely = l.Prefix != 0 && m.state.prefixes.has(l.Prefix)
 	c.Ejected, c.Share = false, 0
@@ -143,6 +143,7 @@
 	s.zone = r.Zone
 	s.running, s.waiting, s.concurrency = r.Running, r.Waiting, r.Concurrency
 	s.draining = r.Draining
+	s.runTime = r.RunTime
 	s.madeAt = now.Add(-age)
 	s.byPriority = len(r.WaitingByPriority) > 0
 	s.waitingBy = [levels]int32{}
--- a/routing/vm_state.go
+++ b/routing/vm_state.go
@@ -21,6 +21,7 @@
 	waitingBy   [levels]int32
 	byPriority  bool
 	draining    bool
+	runTime     time.Duration
 
 	zone        ident.Zone
 	prefixes    hashSet
--- a/wire/report.go
+++ b/wire/report.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"time"
+
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/platform"
 )
@@ -40,6 +42,9 @@
 	// WaitingByPriority counts the waiting requests of each priority, the most
 	// urgent first. Empty means that only Waiting is known.
 	WaitingByPriority []int `cbor:"19,keyasint,omitempty"`
+	// RunTime is how long a request takes on average once it has started. Zero
+	// means that none has finished yet.
+	RunTime time.Duration `cbor:"20,keyasint,omitempty"`
 }
 
 // Kind implements Message.
