replica: random runs also have to converge; gates and true adapter sizes

The runs showed only that nothing bad happens. Now each ends with all faults healed, and every model has to reach its limit, no slot may stay revoking, no need may wait for ever and idle models have to be unloaded.

--- a/replica/fake_client_test.go
+++ b/replica/fake_client_test.go
@@ -25,7 +25,7 @@
 
 func newFakeClient() *fakeClient {
 	return &fakeClient{takes: time.Second, engine: &simEngine{
-		models: make(map[ident.Model]*engine.ModelState), fences: make(map[ident.Model]ident.Fence), adapterMB: simAdapterMB,
+		models: make(map[ident.Model]*engine.ModelState), fences: make(map[ident.Model]ident.Fence),
 	}}
 }
 
--- a/replica/sim_actions_test.go
+++ b/replica/sim_actions_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -31,6 +32,7 @@
 	"drain":        (*world).drain,
 	"VM replaced":  (*world).replaceVM,
 	"time":         (*world).passTime,
+	"gate opens":   (*world).gateOpens,
 	"all read":     (*world).allRead,
 	"engine works": (*world).engineWorks,
 }
@@ -40,7 +42,10 @@
 }
 
 func (w *world) planModel(m ident.Model) {
-	r := w.routers[w.pick(len(w.routers))]
+	w.planAt(w.routers[w.pick(len(w.routers))], m)
+}
+
+func (w *world) planAt(r *simRouter, m ident.Model) {
 	r.list += w.pick(len(w.lists) - r.list)
 	r.document += w.pick(len(w.documents) - r.document)
 	r.roster.Update(w.lists[r.list], w.now)
@@ -209,9 +214,20 @@
 	}
 }
 
+func (w *world) gateOpens() { w.openGates(w.anyVM()) }
+
+func (w *world) openGates(v *simVM) {
+	for _, id := range slices.Clone(v.gates) {
+		v.machine.gateOpened(id, w.now)
+	}
+	w.settle(v)
+}
+
 // engineWorks carries the open order of one agent to its good end.
-func (w *world) engineWorks() {
-	v := w.anyVM()
+func (w *world) engineWorks() { w.work(w.anyVM()) }
+
+func (w *world) work(v *simVM) {
+	w.openGates(v)
 	if len(v.transit) > 0 {
 		w.deliver(v, 0)
 	}
@@ -233,3 +249,71 @@
 	}
 	w.allRead()
 }
+
+// heal ends all faults, lets everybody catch up and returns what does not
+// converge.
+func (w *world) heal() string {
+	const rounds = 40
+	w.pick = func(int) int { return 0 }
+	for range rounds {
+		w.now = w.now.Add(time.Second)
+		for _, v := range w.vms {
+			w.healVM(v)
+		}
+		for i := range w.routers {
+			w.healRouter(i)
+		}
+		if broken := w.check(); broken != "" {
+			return broken
+		}
+	}
+	return w.unhealed()
+}
+
+func (w *world) healVM(v *simVM) {
+	if v.machine.draining {
+		w.boot(v)
+	}
+	for len(v.transit) > 0 {
+		w.deliver(v, 0)
+	}
+	if v.awaiting != "" && v.answer == 0 {
+		w.tell(v, orderbook.AnswerLost)
+	}
+	w.work(v)
+	for _, k := range v.leases {
+		v.machine.released(k, w.now)
+	}
+	v.leases = nil
+	w.settle(v)
+	w.writeBarrier(v)
+	w.listAt(v, w.store.version)
+}
+
+// healRouter lets one router plan with all that is known. Both have to, since
+// a VM may have been seen by one of them only.
+func (w *world) healRouter(i int) {
+	r := w.routers[i]
+	r.list, r.document = len(w.lists)-1, len(w.documents)-1
+	for _, m := range simModels {
+		w.planAt(r, m)
+	}
+}
+
+func (w *world) unhealed() string {
+	for _, m := range simModels {
+		g := w.store.head(m).grant
+		if limit := w.documents[len(w.documents)-1][m]; len(g.Slots) != limit {
+			return fmt.Sprintf("model %s has %+v, want %d slots", m, g.Slots, limit)
+		}
+	}
+	for _, v := range w.vms {
+		if n := len(v.machine.waiters); n > 0 {
+			return fmt.Sprintf("%d needs wait at %s for ever", n, v.id)
+		}
+		if v.machine.ledger.UsedMB() != 0 || len(v.engine.models) != 0 {
+			return fmt.Sprintf("idle models stay at %s", v.id)
+		}
+	}
+	return ""
+}
--- a/replica/sim_engine_test.go
+++ b/replica/sim_engine_test.go
@@ -14,7 +14,6 @@
 type simEngine struct {
 	checksFences bool
 	models       map[ident.Model]*engine.ModelState
-	adapterMB    int64
 	fences       map[ident.Model]ident.Fence
 	running      *engine.Order
 }
@@ -58,10 +57,13 @@
 func (e *simEngine) usedMB() int64 {
 	var sum int64
 	for _, m := range e.models {
-		sum += m.MemoryMB + int64(len(m.Adapters))*e.adapterMB
+		sum += m.MemoryMB
+		for _, a := range m.Adapters {
+			sum += simAdapterMB[a]
+		}
 	}
 	if e.running != nil && e.running.Kind == engine.OrderLoadAdapter {
-		sum += e.adapterMB
+		sum += e.running.MemoryMB
 	}
 	return sum
 }
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -70,6 +70,8 @@
 	return names
 }
 
+func unbroken(f flaws, sf simFlaws) bool { return f == (flaws{}) && sf == (simFlaws{}) }
+
 // search runs the world with a flaw until an invariant breaks, and returns the
 // violation with the steps that led to it.
 func search(f flaws, sf simFlaws, runs int) (string, []string) {
@@ -92,6 +94,12 @@
 			}
 		}
 		leased += w.leased
+		if !unbroken(f, sf) {
+			continue
+		}
+		if v := w.heal(); v != "" {
+			return fmt.Sprintf("run %d does not converge: %s", run, v), trace
+		}
 	}
 	if leased < runs {
 		return fmt.Sprintf("%d runs gave %d leases, too few to show anything", runs, leased), nil
--- a/replica/sim_vm_test.go
+++ b/replica/sim_vm_test.go
@@ -26,5 +26,7 @@
 	awaiting string
 	answer   orderbook.Answer
 	needs    map[uint64]ledger.Key
-	leases   []ledger.Key
+	// gates holds the places at the weight store that are asked for or taken.
+	gates  []uint64
+	leases []ledger.Key
 }
--- a/replica/sim_world_test.go
+++ b/replica/sim_world_test.go
@@ -14,16 +14,18 @@
 )
 
 const (
-	simVMs       = 3
-	simSettle    = 2 * time.Second
-	simMemoryMB  = 100
-	simModelMB   = 60
-	simAdapterMB = 15
+	simVMs      = 3
+	simSettle   = 2 * time.Second
+	simMemoryMB = 100
+	simModelMB  = 60
 	// simStale is how many versions old a read may be.
 	simStale = 8
 )
 
-var simModels = []ident.Model{"a", "b"}
+var (
+	simModels    = []ident.Model{"a", "b"}
+	simAdapterMB = map[ident.Adapter]int64{"x": 15, "y": 30}
+)
 
 // simFlaws switches protections outside the machine off.
 type simFlaws struct {
@@ -79,7 +81,6 @@
 		checksFences: w.born%2 == 0,
 		models:       make(map[ident.Model]*engine.ModelState),
 		fences:       make(map[ident.Model]ident.Fence),
-		adapterMB:    simAdapterMB,
 	}
 	w.boot(v)
 	return v
@@ -94,14 +95,14 @@
 	}
 	v.machine = newMachine(machineOptions{
 		vm: v.id, incarnation: ident.Incarnation(w.lives), spec: simSpec, policy: simPolicy{}, memoryMB: simMemoryMB,
-		settle: settle, memoryWait: time.Second, loadRetry: time.Second, writeRetry: time.Second, flaws: w.flaws,
+		gated: w.lives%2 == 0, settle: settle, memoryWait: time.Second, loadRetry: time.Second, writeRetry: time.Second, flaws: w.flaws,
 	}, w.now)
 	v.awaiting, v.answer, v.leases = "", 0, nil
-	v.needs = make(map[uint64]ledger.Key)
+	v.needs, v.gates = make(map[uint64]ledger.Key), nil
 }
 
 func simSpec(m ident.Model) (config.Model, bool) {
-	return config.Model{Name: m, MemoryMB: simModelMB, Adapters: []config.Adapter{{Name: "x", MemoryMB: simAdapterMB}, {Name: "y", MemoryMB: 2 * simAdapterMB}}}, true
+	return config.Model{Name: m, MemoryMB: simModelMB, Adapters: []config.Adapter{{Name: "x", MemoryMB: simAdapterMB["x"]}, {Name: "y", MemoryMB: simAdapterMB["y"]}}}, true
 }
 
 // list appends the true list of VMs to what readers may come to see.
@@ -152,6 +153,10 @@
 		v.awaiting, v.answer = a.order.ID, 0
 	case writeGrant:
 		w.writeSlot(v, a)
+	case openGate:
+		v.gates = append(v.gates, a.id)
+	case closeGate:
+		v.gates = slices.DeleteFunc(v.gates, func(id uint64) bool { return id == a.id })
 	case resolveWaiter:
 		if a.err == nil {
 			v.leases = append(v.leases, v.needs[a.id])
