replica: an unload under a held slot keeps the slot's fence

An agent that drained raised the fence of its unload above that of a slot that the store still showed as held. If it died before it had marked the slot, its successor held a right whose every order an engine that checks fences refused. So did an unload before the grants were read.

The fence is now raised only for a slot that is revoking or gone, and never above that of a slot to come.

--- a/replica/model_state.go
+++ b/replica/model_state.go
@@ -45,14 +45,19 @@
 // giveUp makes the current slot unusable for this incarnation.
 func (s *modelState) giveUp() { s.gaveUp = max(s.gaveUp, s.slot.Fence) }
 
-// unloadFence returns the fence of an unload order. Without a right it is above
-// every fence that was given up, so that an engine that checks fences refuses a
-// load that arrives late; the next slot of the VM has at least that fence.
+// unloadFence returns the fence of an unload order. For a slot that is given up
+// it is one above, so that an engine that checks fences refuses a load that
+// arrives late. It is never above the fence of a slot that is still held, nor of
+// one to come, which is higher than all that were given up: the engine would
+// refuse every order under it.
 func (s *modelState) unloadFence() ident.Fence {
-	if f := s.right(); f != 0 {
-		return f
+	switch {
+	case s.slot.State == grant.Held:
+		return s.slot.Fence
+	case s.gaveUp == 0:
+		return s.fence
 	}
-	return max(s.gaveUp, s.fence) + 1
+	return max(s.gaveUp+1, s.fence)
 }
 
 func (s *modelState) loaded() bool { return s.phase == engine.PhaseLoaded }
