claim, router: a repeated key is never called not run while its claim may have run

Cause: Keeper.Begin asked choose for an upstream before it looked at the claim. With no upstream in reach its error was passed on as not run, although an earlier request with the key had run and its answer was lost. Ruled out: a wrong word of the agent (its log says unknown) and a moved claim (each order ran once).

Change: without an upstream the claim is looked up by a fresh read, and joined or called unknown. Where the claims cannot be read at all (the platform away), the refusal says unknown instead of not run: the router cannot rule out an earlier run. The callers of the harness come back when told.

--- a/Makefile
+++ b/Makefile
@@ -24,4 +24,4 @@
 
 .PHONY: faults
 faults: build
-	$(GO) run ./faults
+	$(GO) run ./faults $(FAULTS)
--- a/claim/call.go
+++ b/claim/call.go
@@ -23,6 +23,11 @@
 	return c.op
 }
 
+// look returns the op that asks who holds the key.
+func (c *call) look() op {
+	return op{kind: opLook, key: c.op.key, fingerprint: c.op.fingerprint}
+}
+
 // settled returns the outcome if the claim is this call's own.
 func (c *call) settled(r result) (Outcome, bool) {
 	if r.found != nil {
--- a/claim/machine.go
+++ b/claim/machine.go
@@ -30,6 +30,8 @@
 	batch  []op
 	staged table
 	busy   bool
+	// stale demands a read before the next op is settled.
+	stale bool
 
 	// retries counts the writes since the last one that took effect, and lost
 	// those of them that got no answer.
@@ -40,8 +42,12 @@
 
 func newMachine(o machineOptions) *machine { return &machine{opts: o} }
 
-// add queues an op.
-func (m *machine) add(o op) { m.queue = append(m.queue, o) }
+// add queues an op. A look has no write whose condition would show that the
+// table is old, so it demands a read.
+func (m *machine) add(o op) {
+	m.queue = append(m.queue, o)
+	m.stale = m.stale || o.kind == opLook
+}
 
 // drop forgets an op that nobody waits for any more. If its write is in flight
 // the claim may land all the same.
@@ -73,8 +79,8 @@
 	if m.busy || len(m.queue) == 0 {
 		return action{}
 	}
-	if !m.known {
-		m.busy = true
+	if !m.known || m.stale {
+		m.busy, m.stale = true, false
 		return action{read: true}
 	}
 	m.stage(now)
@@ -182,6 +188,9 @@
 	switch {
 	case o.kind == opRelease:
 		return m.applyRelease(o, e, ok)
+	case o.kind == opLook && (!ok || e.Phase == phaseReleased):
+		m.settle(o, nil, nil)
+		return false
 	case ok && e.Attempt == o.attempt && e.Phase == phaseClaimed:
 		m.settle(o, nil, nil)
 		return false
--- a/claim/op_kind.go
+++ b/claim/op_kind.go
@@ -11,4 +11,7 @@
 	opMove
 	// opRelease wants the claim freed for the next request.
 	opRelease
+	// opLook wants to know who holds the key. It is settled as done if nobody
+	// does, by a read that began after the op was added.
+	opLook
 )
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 
 	"os"
 	"path/filepath"
@@ -308,21 +307,3 @@
 	}
 	return all, nil
 }
-
-// freePort returns a loopback address whose port was free just now.
-func freePort(network string) (string, error) {
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return "", fmt.Errorf("find a port: %w", err)
-		}
-		defer func() { _ = conn.Close() }()
-		return conn.LocalAddr().String(), nil
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a port: %w", err)
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
-}
--- a/internal/harness/load.go
+++ b/internal/harness/load.go
@@ -30,6 +30,7 @@
 	// orderTries is how often a caller repeats an order with an unclear outcome.
 	orderTries = 3
 	maxThink   = 40 * time.Millisecond
+	maxWait    = 500 * time.Millisecond
 )
 
 // StartLoad starts callers of each kind: streamed chat, whole chat and orders.
@@ -113,11 +114,18 @@
 // refusal is the part of a typed refusal that callers rely on.
 type refusal struct {
 	Error struct {
-		Code string `json:"code"`
-		Run  string `json:"run"`
+		Code         string `json:"code"`
+		Run          string `json:"run"`
+		RetryAfterMS int64  `json:"retry_after_ms"`
 	} `json:"error"`
 }
 
+// wait comes back when the refusal says, or sooner, so that a short run still
+// sees what happens next.
+func (r refusal) wait() {
+	time.Sleep(min(time.Duration(r.Error.RetryAfterMS)*time.Millisecond, maxWait))
+}
+
 func parseRefusal(body string) (refusal, bool) {
 	var r refusal
 	err := json.Unmarshal([]byte(body), &r)
@@ -143,6 +151,7 @@
 	l.Tally.add(outcome, detail)
 	if f, ok := parseRefusal(got.body); ok && outcome == Refused {
 		l.Tally.refused(f.Error.Code + "/" + f.Error.Run)
+		f.wait()
 	}
 }
 
@@ -232,6 +241,7 @@
 		l.Tally.add(outcome, detail)
 		if f, ok := parseRefusal(got.body); ok {
 			l.Tally.refused("order: " + f.Error.Code + "/" + f.Error.Run)
+			f.wait()
 		}
 		if outcome == Answered || state.notRun {
 			return
--- a/router/delivery.go
+++ b/router/delivery.go
@@ -171,7 +171,9 @@
 }
 
 // claimFailure turns an error of package claim into a failure. All of them mean
-// that this call was not run.
+// that this call was not run. Where the claims could not be read, an earlier
+// request with the key may have run, and the caller means that one too: only
+// unknown is true then.
 func claimFailure(err error) *Failure {
 	var (
 		own      *Failure
@@ -180,16 +182,18 @@
 		overflow *claim.OverflowError
 		down     *claim.PlatformError
 	)
-	f := notRun(wire.CodeInternal, "%v", err)
+	f := &Failure{Code: wire.CodeInternal, Run: wire.RunUnknown, Detail: err.Error()}
 	switch {
 	case errors.As(err, &own):
 		return own
 	case errors.As(err, &reused):
 		f.Code = wire.CodeKeyReused
+		f.Run = wire.RunNot
 	case errors.As(err, &expired):
 		f.Code = wire.CodeAnswerGone
 	case errors.As(err, &overflow):
 		f.Code = wire.CodeOverloaded
+		f.Run = wire.RunNot
 		f.RetryAfter = overflow.RetryAfter
 	case errors.As(err, &down):
 		f.Code = wire.CodePlatformDown
