Stand-in engine: versions and resumption; orders name a version

The platform's engines take orders for versions and resume streams. Another version of a loaded model is refused as busy until the first is unloaded, so that a replica is never two.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -155,6 +155,7 @@
 		s.Models = append(s.Models, engine.ModelState{
 			Model:    name,
 			Phase:    m.phase,
+			Version:  m.version,
 			Fence:    e.fences[name],
 			MemoryMB: m.usedMB(),
 			Adapters: slices.Sorted(maps.Keys(m.adapters)),
--- a/standin/engine_counters.go
+++ b/standin/engine_counters.go
@@ -9,6 +9,8 @@
 	Unloads     int64 `json:"unloads"`
 	StaleFences int64 `json:"stale_fences"`
 	Requests    int64 `json:"requests"`
+	// Resumed counts requests for the rest of an answer.
+	Resumed int64 `json:"resumed"`
 	// Cancelled counts requests whose caller went away before the end.
 	Cancelled   int64 `json:"cancelled"`
 	PeakRunning int   `json:"peak_running"`
--- a/standin/engine_model.go
+++ b/standin/engine_model.go
@@ -8,6 +8,7 @@
 // engineModel is one model in an engine.
 type engineModel struct {
 	phase    engine.Phase
+	version  string
 	memoryMB int64
 	// adapters gives the memory of each loaded adapter, in MiB.
 	adapters map[ident.Adapter]int64
--- a/standin/engine_order.go
+++ b/standin/engine_order.go
@@ -57,7 +57,7 @@
 	m := e.models[o.Model]
 	switch o.Kind {
 	case engine.OrderLoad:
-		return m != nil && m.phase == engine.PhaseLoaded
+		return m != nil && m.phase == engine.PhaseLoaded && m.version == o.Version
 	case engine.OrderUnload:
 		return m == nil
 	default:
@@ -88,13 +88,21 @@
 }
 
 func (e *Engine) reserveLoad(o engine.Order, m *engineModel) *engine.Problem {
-	if m != nil {
+	if m != nil && m.version == o.Version {
 		return nil
 	}
+	if m != nil {
+		return &engine.Problem{Code: engine.ProblemBusy, Detail: "another version is loaded"}
+	}
 	if p := e.claimMemory(o.MemoryMB); p != nil {
 		return p
 	}
-	e.models[o.Model] = &engineModel{phase: engine.PhaseLoading, memoryMB: o.MemoryMB, adapters: make(map[ident.Adapter]int64)}
+	e.models[o.Model] = &engineModel{
+		phase:    engine.PhaseLoading,
+		version:  o.Version,
+		memoryMB: o.MemoryMB,
+		adapters: make(map[ident.Adapter]int64),
+	}
 	return nil
 }
 
--- a/standin/engine_serve.go
+++ b/standin/engine_serve.go
@@ -18,6 +18,10 @@
 // added up.
 const minPause = time.Millisecond
 
+// ResumeHeader names how many tokens of a streamed answer the caller has; the
+// engine sends the others. A resumption is no run of its own.
+const ResumeHeader = "X-Resume-Tokens"
+
 // cachedShare is the share of the first-token time that a cached prefix takes.
 const cachedShare = 0.2
 
@@ -46,7 +50,9 @@
 		return
 	}
 	g := &generation{request: req, shape: shape, id: r.Header.Get("X-Request-Id")}
+	// A header that is no number counts as zero.
 	g.priority, _ = strconv.Atoi(r.Header.Get("X-Priority"))
+	g.resumeAt, _ = strconv.Atoi(r.Header.Get(ResumeHeader))
 	life, problem := e.join(g)
 	if problem != nil {
 		refuseRequest(w, problem.status, problem.body)
@@ -132,7 +138,8 @@
 	g.created = time.Now().Unix()
 	out := newAnswerWriter(w, g)
 	next := time.Now().Add(first)
-	for _, token := range answerTokens(g.request.Model, g.request.last(), g.request.tokens()) {
+	tokens := answerTokens(g.request.Model, g.request.last(), g.request.tokens())
+	for _, token := range tokens[min(max(0, g.resumeAt), len(tokens)):] {
 		if err := e.pause(ctx, next); err != nil {
 			return err
 		}
@@ -144,12 +151,17 @@
 	return out.finish()
 }
 
-// startRun counts the run and tells whether its prompt prefix is cached.
+// startRun counts the run, or the resumption of one, and tells whether the prompt
+// prefix is cached.
 func (e *Engine) startRun(g *generation) bool {
 	hit := e.cache.use(g.request.prefixHash())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.runs[g.id]++
+	if g.resumeAt > 0 {
+		e.counters.Resumed++
+	} else {
+		e.runs[g.id]++
+	}
 	if hit {
 		e.counters.CacheHits++
 	}
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -178,6 +178,40 @@
 	})
 }
 
+func TestVersionsReplaceEachOtherOnlyAfterAnUnload(t *testing.T) {
+	inEngine(t, EngineOptions{}, func(t *testing.T, e *Engine) {
+		load := func(id, version string) *engine.Problem {
+			defer synctest.Wait()
+			return e.Submit(engine.Order{ID: id, Kind: engine.OrderLoad, Model: "m", Version: version, MemoryMB: 1})
+		}
+		if p := load("1", "v1"); p != nil || e.State().Models[0].Version != "v1" {
+			t.Fatalf("got %v, %+v", p, e.State())
+		}
+		if p := load("2", "v2"); p == nil || p.Code != engine.ProblemBusy {
+			t.Fatalf("got %v", p)
+		}
+		submit(t, e, "3", engine.OrderUnload, "m", 0, 0, "")
+		synctest.Wait()
+		if p := load("4", "v2"); p != nil || e.State().Models[0].Version != "v2" {
+			t.Fatalf("got %v, %+v", p, e.State())
+		}
+	})
+}
+
+func TestResumedAnswerGoesOnWhereTheCallerWas(t *testing.T) {
+	inEngine(t, EngineOptions{}, func(t *testing.T, e *Engine) {
+		submit(t, e, "1", engine.OrderLoad, "m", 1, 60, "")
+		synctest.Wait()
+		r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"m","prompt":"a b","max_tokens":4}`))
+		r.Header.Set(ResumeHeader, "2")
+		w := httptest.NewRecorder()
+		e.ServeHTTP(w, r)
+		if want := `"text":" b m"`; !strings.Contains(w.Body.String(), want) || len(e.Runs()) != 0 || e.Counters().Resumed != 1 {
+			t.Fatalf("got %s, runs %v, want %s", w.Body, e.Runs(), want)
+		}
+	})
+}
+
 func TestBatchSharesItsTokenRate(t *testing.T) {
 	inEngine(t, EngineOptions{TokensPerSecond: 4, FirstToken: time.Second}, func(t *testing.T, e *Engine) {
 		submit(t, e, "1", engine.OrderLoad, "m", 1, 60, "")
--- a/standin/generation.go
+++ b/standin/generation.go
@@ -6,6 +6,8 @@
 	shape    answerShape
 	id       string
 	priority int
+	// resumeAt is how many tokens the caller has already.
+	resumeAt int
 	model    *engineModel
 	// created is in seconds since 1970.
 	created int64
