--- a/document/watcher_test.go
+++ b/document/watcher_test.go
@@ -52,6 +52,9 @@
 		if w.InForce().Version != first.Version || len(*used) != 1 {
 			t.Fatalf("a deleted document left %d in force", w.InForce().Version)
 		}
+		if rejected, _ := w.Rejected(); rejected.Version != bad {
+			t.Fatalf("a deletion was taken for a document: %+v", rejected)
+		}
 		again := mustApply(t, r, 2, 0)
 		synctest.Wait()
 		if _, ok := w.Rejected(); ok || w.InForce().Version != again.Version || w.InForce().Digest != again.Digest {
--- a/drain/orders_test.go
+++ b/drain/orders_test.go
@@ -103,3 +103,23 @@
 		t.Fatalf("got %q", got)
 	}
 }
+
+func TestActive(t *testing.T) {
+	tests := []struct {
+		name    string
+		value   string
+		deleted bool
+		want    bool
+	}{
+		{"order", `{"vm":"v"}`, false, true},
+		{"ended order", `{"vm":"v","ended":true}`, false, false},
+		{"unreadable value", `now`, false, true},
+		{"deleted", `{"vm":"v"}`, true, false},
+	}
+	for _, tt := range tests {
+		e := platform.Event{Object: platform.Object{Value: []byte(tt.value)}, Deleted: tt.deleted}
+		if got := Active(e); got != tt.want {
+			t.Errorf("%s: got %v", tt.name, got)
+		}
+	}
+}
