--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -17,9 +17,9 @@
 // TestSeparateProcesses serves streamed and whole answers and orders through two
 // routers and three agents, and stops each of them under load.
 func TestSeparateProcesses(t *testing.T) {
-	c, err := harness.Start(t.Context(), harness.Options{Bin: bin, Routers: 2, Engines: 2})
+	c := harness.New(harness.Options{Bin: bin, Routers: 2, Engines: 2})
 	defer c.Close()
-	if err != nil {
+	if err := c.Start(t.Context()); err != nil {
 		logTails(t, c)
 		t.Fatal(err)
 	}
--- a/faults/run.go
+++ b/faults/run.go
@@ -59,9 +59,9 @@
 
 func run(ctx context.Context, a arguments, f fault) result {
 	r := result{name: f.name}
-	c, err := harness.Start(ctx, harness.Options{Bin: a.Bin, Routers: routers, Engines: engines, IgnoreFences: f.ignoreFences})
+	c := harness.New(harness.Options{Bin: a.Bin, Routers: routers, Engines: engines, IgnoreFences: f.ignoreFences})
 	defer c.Close()
-	if err != nil {
+	if err := c.Start(ctx); err != nil {
 		r.err = fmt.Errorf("start: %w", err)
 		r.logs = c.LogTail(logBytes)
 		return r
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -43,22 +43,25 @@
 // readyTimeout bounds the start of the whole cluster.
 const readyTimeout = 30 * time.Second
 
+// New returns a cluster of which nothing runs yet. The caller calls Close.
+func New(o Options) *Cluster { return &Cluster{o: o} }
+
 // Start runs the stand-ins and the programs and waits until every router can
-// serve. The caller calls Close in any case.
-func Start(ctx context.Context, o Options) (*Cluster, error) {
+// serve.
+func (c *Cluster) Start(ctx context.Context) error {
 	dir, err := os.MkdirTemp("", "laureltally-harness-")
 	if err != nil {
-		return nil, fmt.Errorf("directory: %w", err)
+		return fmt.Errorf("directory: %w", err)
 	}
-	c := &Cluster{o: o, dir: dir}
+	c.dir = dir
 	for _, step := range []func(context.Context) error{
 		c.startAuthority, c.startPlatform, c.startUpstreams, c.startAgents, c.startRouters, c.awaitReady,
 	} {
 		if err := step(ctx); err != nil {
-			return c, err
+			return err
 		}
 	}
-	return c, nil
+	return nil
 }
 
 // Dir is where the logs are.
