--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 
 .PHONY: faults
 faults: build
-	$(GO) run ./faults
+	$(GO) run ./faults $(FAULTS)
 
 .PHONY: spec
 spec:
