--- a/grant/options.go
+++ b/grant/options.go
@@ -1,7 +1,6 @@
 package grant
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -53,12 +52,6 @@
 	WritesPerSecond float64
 }
 
-// OptionsError reports a missing option.
-type OptionsError struct{ Option string }
-
-// Error implements error.
-func (e *OptionsError) Error() string { return fmt.Sprintf("option %s is missing", e.Option) }
-
 func (o *Options) check() error {
 	switch {
 	case o.Environment == "":
--- a/grant/plan.go
+++ b/grant/plan.go
@@ -21,18 +21,18 @@
 	if in.Document < g.Document {
 		return g, false
 	}
-	p := planner{g: g.clone(), in: in}
-	p.setLimit()
-	p.dropGone()
-	p.revokeMisplaced()
-	p.revokeExcess()
-	p.restore()
-	p.fill()
-	return p.g, p.changed
-}
-
-// planner is one run of Plan.
-type planner struct {
+	d := draft{g: g.clone(), in: in}
+	d.setLimit()
+	d.dropGone()
+	d.revokeMisplaced()
+	d.revokeExcess()
+	d.restore()
+	d.fill()
+	return d.g, d.changed
+}
+
+// draft is a grant in the making.
+type draft struct {
 	g       Grant
 	in      Input
 	changed bool
@@ -41,93 +41,93 @@
 	zones   map[ident.Zone]int
 }
 
-func (p *planner) setLimit() {
-	if p.g.Limit != p.in.Limit {
-		p.g.Limit = p.in.Limit
-		p.g.Document = p.in.Document
-		p.changed = true
+func (d *draft) setLimit() {
+	if d.g.Limit != d.in.Limit {
+		d.g.Limit = d.in.Limit
+		d.g.Document = d.in.Document
+		d.changed = true
 	}
 }
 
-func (p *planner) dropGone() {
-	before := len(p.g.Slots)
-	p.g.Slots = slices.DeleteFunc(p.g.Slots, func(s Slot) bool { return p.in.Gone(s.VM) })
-	p.changed = p.changed || len(p.g.Slots) != before
+func (d *draft) dropGone() {
+	before := len(d.g.Slots)
+	d.g.Slots = slices.DeleteFunc(d.g.Slots, func(s Slot) bool { return d.in.Gone(s.VM) })
+	d.changed = d.changed || len(d.g.Slots) != before
 }
 
 // revokeMisplaced revokes the slots of VMs that are leaving or belong to
 // another upstream. VMs that the list does not show keep theirs.
-func (p *planner) revokeMisplaced() {
-	for i, s := range p.g.Slots {
-		if v, ok := p.in.VMs[s.VM]; s.State == Held && ok && !p.suits(v) {
-			p.revoke(i)
+func (d *draft) revokeMisplaced() {
+	for i, s := range d.g.Slots {
+		if v, ok := d.in.VMs[s.VM]; s.State == Held && ok && !d.suits(v) {
+			d.revoke(i)
 		}
 	}
 }
 
 // suits tells whether a listed VM may have a slot of the model.
-func (p *planner) suits(v platform.VM) bool {
-	return v.Role == platform.RoleAgent && v.Upstream == p.in.Upstream && !v.Leaving
+func (d *draft) suits(v platform.VM) bool {
+	return v.Role == platform.RoleAgent && v.Upstream == d.in.Upstream && !v.Leaving
 }
 
 // revokeExcess revokes held slots over the limit, first those of the region
 // that has the most.
-func (p *planner) revokeExcess() {
-	for p.g.count(Held) > p.g.Limit {
-		p.revoke(p.leastWanted())
+func (d *draft) revokeExcess() {
+	for d.g.count(Held) > d.g.Limit {
+		d.revoke(d.leastWanted())
 	}
 }
 
-func (p *planner) leastWanted() int {
-	p.tally()
+func (d *draft) leastWanted() int {
+	d.tally()
 	best := -1
-	for i, s := range p.g.Slots {
-		if s.State == Held && (best < 0 || p.compare(s.VM, p.g.Slots[best].VM) > 0) {
+	for i, s := range d.g.Slots {
+		if s.State == Held && (best < 0 || d.compare(s.VM, d.g.Slots[best].VM) > 0) {
 			best = i
 		}
 	}
 	return best
 }
 
-func (p *planner) revoke(i int) {
-	p.g.Slots[i].State = Revoking
-	p.changed = true
+func (d *draft) revoke(i int) {
+	d.g.Slots[i].State = Revoking
+	d.changed = true
 }
 
 // restore turns revoking slots back to held where the limit allows it, under a
 // new fence: the holder may have begun to give up the old one.
-func (p *planner) restore() {
-	for i, s := range p.g.Slots {
-		if s.State != Revoking || s.Returned || !p.suits(p.in.VMs[s.VM]) || p.g.count(Held) >= p.g.Limit {
+func (d *draft) restore() {
+	for i, s := range d.g.Slots {
+		if s.State != Revoking || s.Returned || !d.suits(d.in.VMs[s.VM]) || d.g.count(Held) >= d.g.Limit {
 			continue
 		}
-		p.g.Last++
-		p.g.Slots[i] = Slot{VM: s.VM, Fence: p.g.Last, State: Held}
-		p.changed = true
+		d.g.Last++
+		d.g.Slots[i] = Slot{VM: s.VM, Fence: d.g.Last, State: Held}
+		d.changed = true
 	}
 }
 
 // fill gives slots to the best VMs that have none.
-func (p *planner) fill() {
-	for len(p.g.Slots) < p.g.Limit {
-		vm, ok := p.bestVM()
+func (d *draft) fill() {
+	for len(d.g.Slots) < d.g.Limit {
+		vm, ok := d.bestVM()
 		if !ok {
 			return
 		}
-		p.g.Last++
-		p.g.Slots = append(p.g.Slots, Slot{VM: vm, Fence: p.g.Last, State: Held})
-		p.changed = true
+		d.g.Last++
+		d.g.Slots = append(d.g.Slots, Slot{VM: vm, Fence: d.g.Last, State: Held})
+		d.changed = true
 	}
 }
 
-func (p *planner) bestVM() (ident.VM, bool) {
-	p.tally()
+func (d *draft) bestVM() (ident.VM, bool) {
+	d.tally()
 	var best ident.VM
-	for _, v := range p.in.VMs {
-		if !p.suits(v) || p.g.index(v.ID) >= 0 {
+	for _, v := range d.in.VMs {
+		if !d.suits(v) || d.g.index(v.ID) >= 0 {
 			continue
 		}
-		if best == "" || p.compare(v.ID, best) < 0 {
+		if best == "" || d.compare(v.ID, best) < 0 {
 			best = v.ID
 		}
 	}
@@ -136,31 +136,31 @@
 
 // compare puts the VM first that serves the spread better. Either both VMs hold
 // a slot or neither does, so their own slots need no discount.
-func (p *planner) compare(a, b ident.VM) int {
-	va, vb := p.in.VMs[a], p.in.VMs[b]
+func (d *draft) compare(a, b ident.VM) int {
+	va, vb := d.in.VMs[a], d.in.VMs[b]
 	return cmp.Or(
-		cmp.Compare(p.regions[va.Region], p.regions[vb.Region]),
-		cmp.Compare(p.zones[va.Zone], p.zones[vb.Zone]),
-		cmp.Compare(p.lacksMemory(a), p.lacksMemory(b)),
-		cmp.Compare(p.in.Slots[a], p.in.Slots[b]),
-		cmp.Compare(rank(p.in.Model, a), rank(p.in.Model, b)),
+		cmp.Compare(d.regions[va.Region], d.regions[vb.Region]),
+		cmp.Compare(d.zones[va.Zone], d.zones[vb.Zone]),
+		cmp.Compare(d.lacksMemory(a), d.lacksMemory(b)),
+		cmp.Compare(d.in.Slots[a], d.in.Slots[b]),
+		cmp.Compare(rank(d.in.Model, a), rank(d.in.Model, b)),
 		cmp.Compare(a, b),
 	)
 }
 
 // tally counts the held slots of the model by region and availability zone.
-func (p *planner) tally() {
-	p.regions, p.zones = make(map[ident.Region]int), make(map[ident.Zone]int)
-	for _, s := range p.g.Slots {
-		if v, ok := p.in.VMs[s.VM]; ok && s.State == Held {
-			p.regions[v.Region]++
-			p.zones[v.Zone]++
+func (d *draft) tally() {
+	d.regions, d.zones = make(map[ident.Region]int), make(map[ident.Zone]int)
+	for _, s := range d.g.Slots {
+		if v, ok := d.in.VMs[s.VM]; ok && s.State == Held {
+			d.regions[v.Region]++
+			d.zones[v.Zone]++
 		}
 	}
 }
 
-func (p *planner) lacksMemory(vm ident.VM) int {
-	if free, ok := p.in.FreeMB[vm]; ok && free < p.in.NeedMB {
+func (d *draft) lacksMemory(vm ident.VM) int {
+	if free, ok := d.in.FreeMB[vm]; ok && free < d.in.NeedMB {
 		return 1
 	}
 	return 0
--- a/grant/view.go
+++ b/grant/view.go
@@ -21,12 +21,6 @@
 	grants map[ident.Model]versioned
 }
 
-// versioned is a grant with the version of its object.
-type versioned struct {
-	grant   Grant
-	version platform.Version
-}
-
 // NewView returns an empty view.
 func NewView(env ident.Environment) *View {
 	return &View{env: env, grants: make(map[ident.Model]versioned)}
--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -15,7 +15,7 @@
 // with rights.
 func BenchmarkWarmNeed(b *testing.B) {
 	now := time.Unix(1000, 0)
-	m := newMachine(machineOptions{vm: "vm", spec: simSpec, policy: simPolicy{}, memoryMB: simMemoryMB}, now)
+	m := newMachine(machineOptions{spec: simSpec, policy: simPolicy{}, memoryMB: simMemoryMB}, now)
 	slots := make(map[ident.Model]grant.Slot)
 	for i := range 140 {
 		slots[ident.Model(fmt.Sprint("m", i))] = grant.Slot{VM: "vm", Fence: 1, State: grant.Held}
--- a/replica/machine_options.go
+++ b/replica/machine_options.go
@@ -9,7 +9,6 @@
 
 // machineOptions configures a machine.
 type machineOptions struct {
-	vm          ident.VM
 	incarnation ident.Incarnation
 	spec        func(ident.Model) (config.Model, bool)
 	policy      Policy
--- a/replica/manager.go
+++ b/replica/manager.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/laureltally/laureltally/engine"
-	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/ledger"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -49,7 +47,6 @@
 
 func (o *Options) machineOptions() machineOptions {
 	return machineOptions{
-		vm:          o.VM,
 		incarnation: o.Incarnation,
 		spec:        o.Spec,
 		policy:      o.Policy,
@@ -230,23 +227,3 @@
 	ctx := m.ctx
 	m.running.Go(func() { f(ctx) })
 }
-
-func (m *machine) report() []wire.ModelReport {
-	waiting := make(map[ident.Model]int)
-	for _, w := range m.waiters {
-		waiting[w.need.Model]++
-	}
-	var reports []wire.ModelReport
-	for _, s := range m.sorted() {
-		if s.phase == "" && s.right() == 0 && waiting[s.name] == 0 {
-			continue
-		}
-		r := wire.ModelReport{Model: s.name, Phase: s.phase, Tier: s.tier, Fence: s.right(), Running: s.running, Waiting: waiting[s.name]}
-		for a := range s.adapters {
-			r.Adapters = append(r.Adapters, a)
-		}
-		slices.Sort(r.Adapters)
-		reports = append(reports, r)
-	}
-	return reports
-}
--- a/replica/sim_world_test.go
+++ b/replica/sim_world_test.go
@@ -94,7 +94,7 @@
 		settle = 0
 	}
 	v.machine = newMachine(machineOptions{
-		vm: v.id, incarnation: ident.Incarnation(w.lives), spec: simSpec, policy: simPolicy{}, memoryMB: simMemoryMB,
+		incarnation: ident.Incarnation(w.lives), spec: simSpec, policy: simPolicy{}, memoryMB: simMemoryMB,
 		gated: w.lives%2 == 0, settle: settle, memoryWait: time.Second, loadRetry: time.Second, writeRetry: time.Second, flaws: w.flaws,
 	}, w.now)
 	v.awaiting, v.answer, v.leases = "", 0, nil
