replica: a refused eviction is not repeated at once; engines restart in the runs

The machine ordered the same unload of an adapter again in the step that took its refusal, without the pause that every other failed order has, and so never looked at the engine. An evicted model or adapter whose order has just failed is now passed over.

Reading the same code showed that a lease on an adapter outlives the adapter when its engine restarts; its end then counted the reloaded adapter below zero, which was so never idle again. Leases are counted apart from what is loaded.

--- a/replica/adapter_state.go
+++ b/replica/adapter_state.go
@@ -3,7 +3,4 @@
 import "time"
 
 // adapterState is one loaded adapter.
-type adapterState struct {
-	running  int
-	lastUsed time.Time
-}
+type adapterState struct{ lastUsed time.Time }
--- a/replica/machine.go
+++ b/replica/machine.go
@@ -63,7 +63,7 @@
 func (m *machine) model(name ident.Model) *modelState {
 	s := m.models[name]
 	if s == nil {
-		s = &modelState{name: name, adapters: make(map[ident.Adapter]*adapterState)}
+		s = &modelState{name: name, adapters: make(map[ident.Adapter]*adapterState), adapterRuns: make(map[ident.Adapter]int)}
 		m.models[name] = s
 		i, _ := slices.BinarySearchFunc(m.order, name, func(s *modelState, n ident.Model) int { return cmp.Compare(s.name, n) })
 		m.order = slices.Insert(m.order, i, s)
--- a/replica/machine_orders.go
+++ b/replica/machine_orders.go
@@ -159,7 +159,7 @@
 // for need MiB, and returns whether it did.
 func (m *machine) evictFor(k ledger.Key, need int64, p ident.Priority, now time.Time) bool {
 	models := m.evictableModels(k.Model, p, now)
-	adapters := m.evictableAdapters(p)
+	adapters := m.evictableAdapters(p, now)
 	room := m.ledger.FreeMB()
 	for _, s := range models {
 		room += m.heldMB(s.name)
@@ -186,12 +186,18 @@
 	m.submit(engine.Order{Kind: engine.OrderUnloadAdapter, Model: k.Model, Adapter: k.Adapter, Fence: fence}, now)
 }
 
-// evictableModels returns the idle models other than except that no need of
-// priority p or a more urgent one waits for, in the policy's order.
+// evictable tells whether a loaded model is idle and no need of priority p or a
+// more urgent one waits for it.
+func (m *machine) evictable(s *modelState, p ident.Priority) bool {
+	return s.loaded() && m.idle(s) && !m.wanted(s.name, p)
+}
+
+// evictableModels returns the evictable models other than except in the policy's
+// order, without those whose unload has just failed.
 func (m *machine) evictableModels(except ident.Model, p ident.Priority, now time.Time) []*modelState {
 	var idle []ident.Model
 	for _, s := range m.sorted() {
-		if s.name != except && s.loaded() && m.idle(s) && !m.wanted(s.name, p) {
+		if s.name != except && m.evictable(s, p) && !m.failing(ledger.Key{Model: s.name}, now) {
 			idle = append(idle, s.name)
 		}
 	}
@@ -204,15 +210,16 @@
 
 // evictableAdapters returns the idle adapters of models that stay, the least
 // recently used first.
-func (m *machine) evictableAdapters(p ident.Priority) []ledger.Key {
+func (m *machine) evictableAdapters(p ident.Priority, now time.Time) []ledger.Key {
 	var keys []ledger.Key
 	for _, s := range m.sorted() {
-		if !s.loaded() || (m.idle(s) && !m.wanted(s.name, p)) {
+		if !s.loaded() || m.evictable(s, p) {
 			continue
 		}
-		for name, a := range s.adapters {
-			if a.running == 0 && !m.adapterWanted(s.name, name, p) {
-				keys = append(keys, ledger.Key{Model: s.name, Adapter: name})
+		for name := range s.adapters {
+			k := ledger.Key{Model: s.name, Adapter: name}
+			if s.adapterRuns[name] == 0 && !m.adapterWanted(s.name, name, p) && !m.failing(k, now) {
+				keys = append(keys, k)
 			}
 		}
 	}
--- a/replica/machine_waiters.go
+++ b/replica/machine_waiters.go
@@ -37,8 +37,10 @@
 	st := m.model(k.Model)
 	st.running--
 	st.lastUsed = now
-	if a := st.adapters[k.Adapter]; a != nil && k.Adapter != "" {
-		a.running--
+	if st.adapterRuns[k.Adapter]--; st.adapterRuns[k.Adapter] == 0 {
+		delete(st.adapterRuns, k.Adapter)
+	}
+	if a := st.adapters[k.Adapter]; a != nil {
 		a.lastUsed = now
 	}
 	m.step(now)
@@ -110,8 +112,8 @@
 	st := m.model(w.need.Model)
 	st.running++
 	st.lastUsed = now
+	st.adapterRuns[w.need.Adapter]++
 	if a := st.adapters[w.need.Adapter]; a != nil {
-		a.running++
 		a.lastUsed = now
 	}
 	m.emit(resolveWaiter{id: w.id})
--- a/replica/model_state.go
+++ b/replica/model_state.go
@@ -30,8 +30,11 @@
 	tier     engine.Tier
 	adapters map[ident.Adapter]*adapterState
 
-	running  int
-	lastUsed time.Time
+	// running counts the leases, and adapterRuns those on each adapter. A lease
+	// outlives what it is on when the engine restarts.
+	running     int
+	adapterRuns map[ident.Adapter]int
+	lastUsed    time.Time
 }
 
 // right returns the fence under which the model may be loaded, or zero.
--- a/replica/sim_actions_test.go
+++ b/replica/sim_actions_test.go
@@ -28,6 +28,7 @@
 	"order ends":   (*world).orderEnds,
 	"answer":       (*world).answer,
 	"answer lost":  (*world).answerLost,
+	"engine dies":  (*world).engineDies,
 	"agent dies":   (*world).agentDies,
 	"drain":        (*world).drain,
 	"VM replaced":  (*world).replaceVM,
@@ -168,6 +169,8 @@
 	w.settle(v)
 }
 
+func (w *world) engineDies() { w.anyVM().engine.restart() }
+
 func (w *world) agentDies() { w.boot(w.anyVM()) }
 
 func (w *world) drain() {
--- a/replica/sim_engine_test.go
+++ b/replica/sim_engine_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -16,6 +17,15 @@
 	models       map[ident.Model]*engine.ModelState
 	fences       map[ident.Model]ident.Fence
 	running      *engine.Order
+	restarts     int
+}
+
+// restart empties the engine. An order on its way may still reach it.
+func (e *simEngine) restart() {
+	e.restarts++
+	e.running = nil
+	clear(e.models)
+	clear(e.fences)
 }
 
 func (e *simEngine) deliver(o engine.Order) orderbook.Answer {
@@ -69,7 +79,7 @@
 }
 
 func (e *simEngine) state() engine.State {
-	s := engine.State{Instance: "one", UsedMB: e.usedMB()}
+	s := engine.State{Instance: fmt.Sprint(e.restarts), UsedMB: e.usedMB()}
 	for _, m := range slices.Sorted(maps.Keys(e.models)) {
 		st := *e.models[m]
 		st.Adapters = slices.Clone(st.Adapters)
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -62,7 +62,7 @@
 // weighted returns the names of the actions, the rare ones once and those that
 // serve most often.
 func weighted() []string {
-	times := map[string]int{"VM replaced": 1, "agent dies": 1, "drain": 1, "all read": 2, "need": 12, "engine works": 18}
+	times := map[string]int{"VM replaced": 1, "agent dies": 1, "engine dies": 1, "drain": 1, "all read": 2, "need": 12, "engine works": 18}
 	var names []string
 	for _, name := range slices.Sorted(maps.Keys(actions)) {
 		names = append(names, slices.Repeat([]string{name}, cmp.Or(times[name], 6))...)
