--- a/bench/section.go
+++ b/bench/section.go
@@ -16,6 +16,7 @@
 		prefixSection,
 		limitSection,
 		comebackSection,
+		hedgeSection,
 		routingCostSection,
 	}
 }
