--- a/router/delivery.go
+++ b/router/delivery.go
@@ -171,7 +171,8 @@
 }
 
 // claimFailure turns an error of package claim into a failure. All of them mean
-// that this call was not run.
+// that this call was not run; but a key that is past its window was used by an
+// earlier one, which may have run, and that is what its caller asks about.
 func claimFailure(err error) *Failure {
 	var (
 		own      *Failure
@@ -187,7 +188,7 @@
 	case errors.As(err, &reused):
 		f.Code = wire.CodeKeyReused
 	case errors.As(err, &expired):
-		f.Code = wire.CodeAnswerGone
+		f.Code, f.Run = wire.CodeAnswerGone, wire.RunUnknown
 	case errors.As(err, &overflow):
 		f.Code = wire.CodeOverloaded
 		f.RetryAfter = overflow.RetryAfter
