membership: an operator may withdraw a drain

A VM's own word that it drains was kept for the life of the instance, but the agent lets an operator withdraw a drain, after which the view would never have used the VM again. The word is now ordered like all else a VM says of itself, by incarnation and number; the list's leaving stays for good.

--- a/membership/member.go
+++ b/membership/member.go
@@ -17,7 +17,7 @@
 	Zone     ident.Zone
 	Address  string
 	Upstream ident.Upstream
-	// Leaving is set for good by the list or by the VM's own word.
+	// Leaving is set for good by the list.
 	Leaving bool
 	// Replaced is set for good when another instance took over the address.
 	Replaced bool
@@ -30,9 +30,10 @@
 	retired   map[ident.Incarnation]struct{}
 }
 
-// Usable tells whether new work may go to the VM.
+// Usable tells whether new work may go to the VM. Its own word that it drains
+// holds until a later word of its own withdraws it.
 func (m *Member) Usable() bool {
-	return m.Report != nil && !m.Leaving && !m.Replaced && m.Link != LinkDown
+	return m.Report != nil && !m.Report.Draining && !m.Leaving && !m.Replaced && m.Link != LinkDown
 }
 
 // newer tells whether r supersedes the report at hand. Of two incarnations the
@@ -63,7 +64,6 @@
 		m.retired[m.Report.Incarnation] = struct{}{}
 	}
 	m.Report = r
-	m.Leaving = m.Leaving || r.Draining
 	m.Role, m.Region, m.Zone, m.Upstream = r.Role, r.Region, r.Zone, r.Upstream
 	if !m.listed {
 		m.Address = r.Address
--- a/membership/view.go
+++ b/membership/view.go
@@ -119,10 +119,11 @@
 }
 
 // Routers returns the routers of a region that are not leaving, or of all
-// regions if it is empty, by name.
+// regions if it is empty, by name. A router counts before its first report.
 func (v *View) Routers(region ident.Region) []Member {
 	return v.collect(func(m *Member) bool {
-		return m.Role == platform.RoleRouter && !m.Leaving && !m.Replaced &&
+		draining := m.Report != nil && m.Report.Draining
+		return m.Role == platform.RoleRouter && !m.Leaving && !draining && !m.Replaced &&
 			(region == "" || m.Region == region)
 	})
 }
