claim: "not run" without an upstream holds under stale reads too

With no upstream in reach a call is refused as not run if nobody holds its key. A found claim could be an old one as well, whose attempt did not run while its successor did.

Now a write that changes nothing confirms the table, and goes on past an attempt that was not run. It costs a grouped write where no upstream is in reach.

--- a/claim/call.go
+++ b/claim/call.go
@@ -23,9 +23,10 @@
 	return c.op
 }
 
-// look returns the op that asks who holds the key.
+// look returns the op that asks who holds the key, other than the attempt that
+// is known not to have run.
 func (c *call) look() op {
-	return op{kind: opLook, key: c.op.key, fingerprint: c.op.fingerprint}
+	return op{kind: opLook, key: c.op.key, fingerprint: c.op.fingerprint, from: c.op.from}
 }
 
 // settled returns the outcome if the claim is this call's own.
--- a/claim/faults_test.go
+++ b/claim/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -73,6 +74,12 @@
 	return s.random.IntN(n)
 }
 
+func (s *shop) runsOf(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key]
+}
+
 func (s *shop) sleep(most time.Duration) { time.Sleep(time.Duration(s.pick(int(most)))) }
 
 func (s *shop) note(what string) {
@@ -82,6 +89,9 @@
 }
 
 func (s *shop) choose() (Target, error) {
+	if s.pick(8) == 0 {
+		return Target{}, &noTargetError{}
+	}
 	vm := ident.VM(fmt.Sprint("agent", s.pick(faultyAgents)))
 	return s.agents[vm].target(vm), nil
 }
@@ -125,9 +135,14 @@
 func (s *shop) call(k *Keeper, key string) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+s.pick(2000))*time.Millisecond)
 	defer cancel()
+	before := s.runsOf(key)
 	for {
 		out, err := k.Begin(ctx, key, "f", s.choose)
 		if err != nil {
+			var none *noTargetError
+			if errors.As(err, &none) && before > 0 {
+				s.note("untrue")
+			}
 			s.note("refused")
 			return
 		}
@@ -185,6 +200,9 @@
 					t.Errorf("seed %d: %s ran %d times", seed, key, n)
 				}
 			}
+			if n := s.counts["untrue"]; n > 0 {
+				t.Errorf("seed %d: %d calls were refused as not run after their order had run", seed, n)
+			}
 			for what, n := range s.counts {
 				total[what] += n
 			}
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -81,18 +81,19 @@
 // look tells what became of the request that holds the key while no new attempt
 // can be made for cause, which is returned if none has run or will.
 func (k *Keeper) look(ctx context.Context, c *call, cause error) (Outcome, error) {
-	res, err := k.submit(ctx, c.look())
-	if err != nil {
-		return Outcome{}, err
-	}
-	if res.found == nil {
-		return Outcome{}, cause
-	}
-	state, reason := k.ask(ctx, *res.found)
-	if outcome, done := c.answered(*res.found, state, reason); done {
-		return outcome, nil
+	for {
+		res, err := k.submit(ctx, c.look())
+		if err != nil {
+			return Outcome{}, err
+		}
+		if res.found == nil {
+			return Outcome{}, cause
+		}
+		state, reason := k.ask(ctx, *res.found)
+		if outcome, done := c.answered(*res.found, state, reason); done {
+			return outcome, nil
+		}
 	}
-	return Outcome{}, cause
 }
 
 // ask returns the word on the attempt that holds a claim.
--- a/claim/machine.go
+++ b/claim/machine.go
@@ -30,8 +30,6 @@
 	batch  []op
 	staged table
 	busy   bool
-	// stale demands a read before the next op is settled.
-	stale bool
 
 	// retries counts the writes since the last one that took effect, and lost
 	// those of them that got no answer.
@@ -42,12 +40,8 @@
 
 func newMachine(o machineOptions) *machine { return &machine{opts: o} }
 
-// add queues an op. A look has no write whose condition would show that the
-// table is old, so it demands a read.
-func (m *machine) add(o op) {
-	m.queue = append(m.queue, o)
-	m.stale = m.stale || o.kind == opLook
-}
+// add queues an op.
+func (m *machine) add(o op) { m.queue = append(m.queue, o) }
 
 // drop forgets an op that nobody waits for any more. If its write is in flight
 // the claim may land all the same.
@@ -84,8 +78,8 @@
 	if m.busy || len(m.queue) == 0 {
 		return action{}
 	}
-	if !m.known || m.stale {
-		m.busy, m.stale = true, false
+	if !m.known {
+		m.busy = true
 		return action{read: true}
 	}
 	m.stage(now)
@@ -193,9 +187,10 @@
 	switch {
 	case o.kind == opRelease:
 		return m.applyRelease(o, e, ok)
-	case o.kind == opLook && (!ok || e.Phase == phaseReleased):
-		m.settle(o, nil, nil)
-		return false
+	case o.kind == opLook && unclaimed(o, e, ok):
+		// The write changes nothing. That it takes effect proves that the
+		// table is not an old one.
+		return true
 	case ok && e.Attempt == o.attempt && e.Phase == phaseClaimed:
 		m.settle(o, nil, nil)
 		return false
@@ -233,6 +228,11 @@
 	return o.kind == opMove && e.Attempt == o.from
 }
 
+// unclaimed tells whether nobody holds the key but an attempt that was not run.
+func unclaimed(o op, e entry, ok bool) bool {
+	return !ok || e.Phase == phaseReleased || e.Phase == phaseClaimed && e.Attempt == o.from
+}
+
 func (m *machine) applyRelease(o op, e entry, ok bool) bool {
 	if !ok || e.Phase != phaseClaimed || e.Attempt != o.from {
 		m.settle(o, nil, nil)
@@ -252,7 +252,7 @@
 	overflow := &OverflowError{Bucket: m.opts.bucket, RetryAfter: m.staged.relief(now, m.opts.window)}
 	for i := len(m.batch) - 1; i >= 0 && len(value) > m.opts.maxBytes; i-- {
 		o := m.batch[i]
-		if _, held := m.table[o.key]; held {
+		if _, held := m.table[o.key]; held || o.kind == opLook {
 			continue
 		}
 		m.batch = append(m.batch[:i:i], m.batch[i+1:]...)
--- a/claim/op_kind.go
+++ b/claim/op_kind.go
@@ -12,6 +12,6 @@
 	// opRelease wants the claim freed for the next request.
 	opRelease
 	// opLook wants to know who holds the key. It is settled as done if nobody
-	// does, by a read that began after the op was added.
+	// does, which a write that changes nothing confirms.
 	opLook
 )
