--- a/router/delivery.go
+++ b/router/delivery.go
@@ -171,9 +171,9 @@
 }
 
 // claimFailure turns an error of package claim into a failure. All of them mean
-// that this call was not run. Where the claims could not be read, an earlier
-// request with the key may have run, and the caller means that one too: only
-// unknown is true then.
+// that this call was not run. The caller means the earlier requests with the key
+// too, of which one may have run where the claims could not be read and where the
+// claim is past its window: only unknown is true then.
 func claimFailure(err error) *Failure {
 	var (
 		own      *Failure
