replay: stalled loads are given to the next slot, a store at a tenth of its speed

Requests that wait for an overdue load are routed again; a load stalls with a chance, and the store slows by a factor.

--- a/bench/section.go
+++ b/bench/section.go
@@ -10,6 +10,7 @@
 		nordfjell,
 		memoryless,
 		burst,
+		loadFaults,
 		overloadSection,
 		outageSection,
 	}
--- a/internal/replay/options.go
+++ b/internal/replay/options.go
@@ -12,6 +12,12 @@
 	Days, Learn int
 	// Slowdown multiplies the load times of the weight store. Zero means one.
 	Slowdown float64
+	// StallShare is the chance that a load takes stallFactor times as long.
+	StallShare float64
+	// NoHandover keeps requests at a slow load until their deadline.
+	NoHandover bool
+	// NoGate lets loads start at once, without a place at the weight store.
+	NoGate bool
 	// Trace, if set, is told of each cold request that is measured.
 	Trace func(c ColdRequest)
 }
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -1,87 +1,135 @@
 package replay
 
 import (
-	"fmt"
-	"os"
-	"strings"
-	"sync"
+	"reflect"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/keepalive"
 )
 
-func TestTrial(t *testing.T) {
-	if os.Getenv("TRIAL") == "" {
-		t.Skip()
+func lru() Policies {
+	return Policies{
+		Models:   func(func(ident.Model) float64) keepalive.Policy[ident.Model] { return NewLRU[ident.Model]() },
+		Adapters: func() keepalive.Policy[keepalive.AdapterKey] { return NewLRU[keepalive.AdapterKey]() },
 	}
+}
+
+func fixed(d time.Duration) Policies {
+	p := lru()
+	p.Models = func(func(ident.Model) float64) keepalive.Policy[ident.Model] {
+		return NewFixedTimeout[ident.Model](d)
+	}
+	return p
+}
+
+func run(t *testing.T, o Options) *Result {
+	t.Helper()
+	o.Days, o.Learn = 5, 1
+	r, err := Run(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestSameSeedSameFigures(t *testing.T) {
+	o := Options{Deployment: Nordfjell(), Policies: fixed(time.Minute), Seed: 1}
+	if a, b := run(t, o), run(t, o); !reflect.DeepEqual(a, b) {
+		t.Error("two replays of one seed differ")
+	}
+	other := o
+	other.Seed = 2
+	if reflect.DeepEqual(run(t, o).Cold, run(t, other).Cold) {
+		t.Error("two seeds give the same requests")
+	}
+}
+
+func TestLongerTimeoutTradesHoursForColdStarts(t *testing.T) {
 	for _, d := range []Deployment{Muotiennuste(), Nordfjell()} {
-		type pol struct {
-			name string
-			p    Policies
+		short := run(t, Options{Deployment: d, Policies: fixed(time.Minute), Seed: 1})
+		long := run(t, Options{Deployment: d, Policies: fixed(time.Hour), Seed: 1})
+		if short.IdleHours >= long.IdleHours || short.ColdShare() <= long.ColdShare() {
+			t.Errorf("%s: 1 min %.0f h, %.2f cold; 1 h %.0f h, %.2f cold", d.Name,
+				short.IdleHours, short.ColdShare(), long.IdleHours, long.ColdShare())
 		}
-		ad := func() keepalive.Policy[keepalive.AdapterKey] { return NewLRU[keepalive.AdapterKey]() }
-		pols := []pol{{"lru", Policies{func(share func(ident.Model) float64) keepalive.Policy[ident.Model] { return NewLRU[ident.Model]() }, ad}}}
-		for _, m := range []float64{1, 2, 5, 10, 30, 60} {
-			pols = append(pols, pol{fmt.Sprint("fixed ", m), Policies{func(share func(ident.Model) float64) keepalive.Policy[ident.Model] {
-				return NewFixedTimeout[ident.Model](time.Duration(m * float64(time.Minute)))
-			}, ad}})
-		}
-		for _, tp := range []float64{1, 1.5} {
-			for _, m := range []float64{5, 10, 20, 40, 80, 160} {
-				pols = append(pols, pol{fmt.Sprint("keeper ", tp, " ", m), Policies{func(share func(ident.Model) float64) keepalive.Policy[ident.Model] {
-					k, err := keepalive.New(keepalive.Config[ident.Model]{Exchange: m, TailPower: tp, Daily: true, Share: share})
-					if err != nil {
-						panic(err)
-					}
-					return k
-				}, ad}})
+	}
+}
+
+func TestMemoryAndRightsHold(t *testing.T) {
+	o := Options{Deployment: Memoryless(), Policies: lru(), Seed: 1, Days: 3}
+	w, err := newWorld(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, a := range drawArrivals(w.d, w.models, start, o.Days, w.rand) {
+		w.events.at(a.At, func(now time.Time) {
+			w.arrive(a, now)
+			checkVMs(t, w)
+		})
+	}
+	w.events.run(w.end)
+	if w.result.Evictions == 0 {
+		t.Error("memory was never short")
+	}
+}
+
+// checkVMs checks the memory ledger and the slots of each VM.
+func checkVMs(t *testing.T, w *World) {
+	t.Helper()
+	for i, v := range w.vms {
+		used := int64(0)
+		for m, r := range v.replicas {
+			if r.reserved {
+				used += w.models[m].memoryMB
+			}
+			if !slices.Contains(w.models[m].slots, i) {
+				t.Fatalf("%s holds model %d without a slot", v.id, m)
 			}
 		}
-		lines := make([]string, len(pols))
-		var wg sync.WaitGroup
-		sem := make(chan bool, 3)
-		for i, p := range pols {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				sem <- true
-				defer func() { <-sem }()
-				var sb strings.Builder
-				var c0, c50, c99, a99, mean, idle float64
-				var loads, ev, ref, pw, ph, st, al int
-				tiers := map[string]int{}
-				n := 2.0
-				for s := range uint64(n) {
-					r, err := Run(Options{Deployment: d, Policies: p.p, Seed: s + 1, Days: 17, Learn: 3})
-					if err != nil {
-						t.Error(err)
-						return
-					}
-					c0 += r.ColdShare() / n
-					c50 += r.ColdQuantile(.5).Seconds() / n
-					c99 += r.ColdQuantile(.99).Seconds() / n
-					a99 += r.Quantile(.99).Seconds() / n
-					idle += r.IdleHours / n
-					mean += r.Mean().Seconds() / n
-					loads += r.Loads
-					ev += r.Evictions
-					ref += r.Refusals
-					pw += r.Prewarms
-					st += r.Stages
-					ph += r.PrewarmHits
-					al += r.AdapterLoads
-					for k, v := range r.Tiers {
-						tiers[string(k)] += v
-					}
-				}
-				fmt.Fprintf(&sb, "%-14s cold %5.2f%% p50c %5.1f p99c %5.1f p99 %6.2f mean %5.2f idle %7.1f loads %5d evict %5d refuse %d prewarm %d hit %d stage %d adapters %d %v", p.name, c0*100, c50, c99, a99, mean, idle, loads, ev, ref, pw, ph, st, al, tiers)
-				lines[i] = sb.String()
-			}()
+		if v.freeMB < 0 || used+v.freeMB != w.d.MemoryMB {
+			t.Fatalf("%s: %d MB used, %d MB free of %d", v.id, used, v.freeMB, w.d.MemoryMB)
 		}
-		wg.Wait()
-		fmt.Println(d.Name)
-		fmt.Println(strings.Join(lines, "\n"))
+	}
+}
+
+func TestEveryRequestIsCountedOnce(t *testing.T) {
+	o := Options{Deployment: Nordfjell(), Policies: fixed(time.Minute), Seed: 3, Days: 4, StallShare: 0.2, Slowdown: 10}
+	w, err := newWorld(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrivals := drawArrivals(w.d, w.models, start, o.Days-1, w.rand)
+	for _, a := range arrivals {
+		w.events.at(a.At, func(now time.Time) { w.arrive(a, now) })
+	}
+	w.events.run(w.end)
+	if len(w.result.Cold) != len(arrivals) {
+		t.Errorf("%d requests counted of %d", len(w.result.Cold), len(arrivals))
+	}
+}
+
+func TestWeightCacheDropsTheOldest(t *testing.T) {
+	models := []model{{memoryMB: 40}, {memoryMB: 40}, {memoryMB: 40}, {memoryMB: 200}}
+	c := weightCache{freeMB: 100}
+	for _, m := range []int{0, 1, 0, 2, 3} {
+		c.put(m, models)
+	}
+	if !c.has(0) || c.has(1) || !c.has(2) || c.has(3) {
+		t.Errorf("cache holds %v", c.order)
+	}
+}
+
+func TestTierAfterUnload(t *testing.T) {
+	v := &vm{}
+	if got := v.tier(0); got != engine.TierRemote {
+		t.Errorf("tier = %q without a copy", got)
+	}
+	v.disk.order = []int{0}
+	if got := v.tier(0); got != engine.TierDisk {
+		t.Errorf("tier = %q with a copy on disk", got)
 	}
 }
--- a/internal/replay/request.go
+++ b/internal/replay/request.go
@@ -8,6 +8,8 @@
 	deadline time.Time
 	// hop is the time on the links, there and back.
 	hop time.Duration
+	// vm is where the request was sent last.
+	vm *vm
 	// cold tells that it waits for a load.
 	cold bool
 	over bool
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
 )
 
 // Result is the figures of one replay.
@@ -12,6 +13,8 @@
 	// Cold holds the cold-start time of each request, zero for one that met a
 	// loaded model, and the full time to the deadline for one that was refused.
 	Cold []time.Duration
+	// ByPriority holds the same for each priority.
+	ByPriority map[ident.Priority][]time.Duration
 	// IdleHours is the time that replicas held memory and served nothing, load
 	// time included, weighed by their share of an accelerator, in hours.
 	IdleHours    float64
@@ -34,6 +37,14 @@
 	return at(r.Cold, q)
 }
 
+// PriorityQuantile returns the cold-start time at a quantile over the requests
+// of a priority.
+func (r *Result) PriorityQuantile(p ident.Priority, q float64) time.Duration {
+	sorted := slices.Clone(r.ByPriority[p])
+	slices.Sort(sorted)
+	return at(sorted, q)
+}
+
 // Mean returns the mean cold-start time over all requests.
 func (r *Result) Mean() time.Duration {
 	var sum time.Duration
--- a/internal/replay/vm.go
+++ b/internal/replay/vm.go
@@ -63,6 +63,13 @@
 	v.serve(r, now)
 }
 
+// withdraw takes a waiting request back.
+func (v *vm) withdraw(q *request) {
+	if r := v.replicas[q.Model]; r != nil {
+		r.queue = slices.DeleteFunc(r.queue, func(o *request) bool { return o == q })
+	}
+}
+
 // start begins to load a model, or waits for memory.
 func (v *vm) start(m int, now time.Time) *replica {
 	r := &replica{model: m, phase: engine.PhaseLoading, adapters: make(map[ident.Adapter]bool)}
@@ -124,7 +131,7 @@
 		return
 	}
 	took := loadTimes[tier].duration(v.w.models[r.model].memoryMB)
-	v.w.events.at(now.Add(took), done)
+	v.w.events.at(now.Add(scale(took, v.w.stall())), done)
 }
 
 // loaded ends a load.
--- a/internal/replay/weight_store.go
+++ b/internal/replay/weight_store.go
@@ -63,15 +63,23 @@
 	if r.prewarmed {
 		req.Priority = prewarmPriority
 	}
-	w.ask(req, now, func(id gate.TicketID, at time.Time) {
+	begin := func(id gate.TicketID, at time.Time) {
 		s := w.store
 		s.active++
-		slow := s.slowdown * max(1, float64(s.active)/float64(s.parallel))
-		end := at.Add(time.Duration(slow * float64(loadTimes[engine.TierRemote].duration(m.memoryMB))))
+		slow := w.stall() * s.slowdown * max(1, float64(s.active)/float64(s.parallel))
+		end := at.Add(scale(loadTimes[engine.TierRemote].duration(m.memoryMB), slow))
 		w.events.at(end, func(at time.Time) {
 			s.active--
 			w.decided(s.gate.Done(id, at), at)
 			done(at)
 		})
-	})
+	}
+	if w.o.NoGate {
+		begin(0, now)
+		return
+	}
+	w.ask(req, now, begin)
 }
+
+// scale multiplies a duration.
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -16,6 +16,7 @@
 	d        Deployment
 	o        Options
 	rand     *rand.Rand
+	stalls   *rand.Rand
 	models   []model
 	numbers  map[ident.Model]int
 	vms      []*vm
@@ -89,7 +90,8 @@
 		last:     make(map[int]time.Time),
 		measured: start.AddDate(0, 0, o.Learn),
 		end:      start.AddDate(0, 0, o.Days),
-		result:   Result{Tiers: make(map[engine.Tier]int)},
+		result:   Result{Tiers: make(map[engine.Tier]int), ByPriority: make(map[ident.Priority][]time.Duration)},
+		stalls:   rand.New(rand.NewPCG(o.Seed, stallStream)),
 	}
 	w.models = drawModels(d, w.rand)
 	for i, m := range w.models {
@@ -154,7 +156,7 @@
 		query.Slots = append(query.Slots, coldstart.Slot{VM: w.vms[s].id, Fence: 1})
 	}
 	choice, err := w.choosers[q.Region].Choose(query)
-	if err != nil || !choice.InTime(now, q.deadline) {
+	if err != nil || q.vm == nil && !choice.InTime(now, q.deadline) {
 		w.refuse(q, now)
 		return
 	}
@@ -163,9 +165,35 @@
 			if v.region != q.Region {
 				q.hop = 2 * coldstart.DefaultRegionDelay
 			}
-			v.receive(q, now)
+			w.send(q, v, now)
 		}
 	}
+	if choice.Action != coldstart.Serve && !w.o.NoHandover {
+		due := choice.Recheck
+		if due.Before(now) {
+			due = now
+		}
+		w.events.at(due.Add(viewAge), func(at time.Time) { w.recheck(q, at) })
+	}
+}
+
+// send moves a request to a VM, unless it waits there already.
+func (w *World) send(q *request, v *vm, now time.Time) {
+	if q.vm == v {
+		return
+	}
+	if q.vm != nil {
+		q.vm.withdraw(q)
+	}
+	q.vm = v
+	v.receive(q, now)
+}
+
+// recheck routes a request again that still waits for a load.
+func (w *World) recheck(q *request, now time.Time) {
+	if !q.over {
+		w.route(q, now)
+	}
 }
 
 // view returns what a router knows of a model.
@@ -210,6 +238,8 @@
 		return
 	}
 	w.result.Cold = append(w.result.Cold, took)
+	p := w.models[q.Model].group.Priority
+	w.result.ByPriority[p] = append(w.result.ByPriority[p], took)
 	if took > 0 && w.o.Trace != nil {
 		w.o.Trace(ColdRequest{At: q.At, Group: w.models[q.Model].group.Name, Model: q.Model, Idle: idle, Took: took})
 	}
@@ -239,3 +269,18 @@
 func (w *World) share(m ident.Model) float64 {
 	return float64(w.models[w.numbers[m]].memoryMB) / float64(w.d.MemoryMB)
 }
+
+const (
+	// stallFactor is how many times as long a stalled load takes.
+	stallFactor = 20
+	// stallStream separates the draws of stalls from all others.
+	stallStream = 2
+)
+
+// stall returns the factor of one load time.
+func (w *World) stall() float64 {
+	if w.stalls.Float64() < w.o.StallShare {
+		return stallFactor
+	}
+	return 1
+}
--- /dev/null
+++ b/keepalive/prewarm_test.go
@@ -0,0 +1,86 @@
+package keepalive
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// observeMornings feeds a session of n requests at nine on each working day of
+// some weeks, and returns the first day after.
+func observeMornings(k *Keeper[ident.Model], m ident.Model, weeks, n int) time.Time {
+	day := t0.Truncate(24 * time.Hour)
+	for range weeks * 7 {
+		if d := day.Weekday(); d != time.Saturday && d != time.Sunday {
+			for i := range n {
+				at := day.Add(9*time.Hour + time.Duration(i)*time.Second)
+				k.Observe(m, at)
+				k.Loaded(m, 10*time.Second, at.Add(10*time.Second))
+			}
+		}
+		day = day.AddDate(0, 0, 1)
+	}
+	return day
+}
+
+func TestPrewarmBeforeTheUsualHour(t *testing.T) {
+	k := newKeeper(t, Config[ident.Model]{Daily: true})
+	day := observeMornings(k, "outlook", 3, 6)
+	if got := k.Prewarm(day.Add(9 * time.Hour)); !slices.Equal(got, []ident.Model{"outlook"}) {
+		t.Errorf("Prewarm at the usual hour = %v", got)
+	}
+	if got := k.Prewarm(day.Add(3 * time.Hour)); len(got) != 0 {
+		t.Errorf("Prewarm at night = %v", got)
+	}
+}
+
+func TestStageOnlyWhatIsFarAndLikely(t *testing.T) {
+	k := newKeeper(t, Config[ident.Model]{Daily: true})
+	day := observeMornings(k, "outlook", 3, 6)
+	before := day.Add(8 * time.Hour)
+	if got := k.Stage(before, nil); len(got) != 0 {
+		t.Errorf("Stage without far weights = %v", got)
+	}
+	if got := k.Stage(day.Add(13*time.Hour), []ident.Model{"outlook"}); len(got) != 0 {
+		t.Errorf("Stage after the usual hour = %v", got)
+	}
+	if got := k.Stage(before, []ident.Model{"outlook"}); !slices.Equal(got, []ident.Model{"outlook"}) {
+		t.Errorf("Stage before the usual hour = %v", got)
+	}
+}
+
+func TestStagingStopsWhenItNeverHelps(t *testing.T) {
+	k := newKeeper(t, Config[ident.Model]{Daily: true})
+	day := observeMornings(k, "note", 3, 1)
+	far, staged := []ident.Model{"note"}, 0
+	for range 100 {
+		staged += len(k.Stage(day.Add(8*time.Hour), far))
+	}
+	if got := k.Stage(day.Add(8*time.Hour), far); len(got) != 0 {
+		t.Errorf("staged %d times in vain and still goes on", staged)
+	}
+}
+
+func TestKeepIsLongerWhereLoadsTakeLonger(t *testing.T) {
+	keep := func(load time.Duration) time.Duration {
+		k := newKeeper(t, Config[ident.Model]{})
+		last := observeEvery(k, "m", 30, 10*time.Minute)
+		for range 20 {
+			k.Loaded("m", load, last.Add(load))
+		}
+		return k.KeepUntil("m", last).Sub(last)
+	}
+	if short, long := keep(time.Second), keep(30*time.Second); short >= long {
+		t.Errorf("keep %v for loads of 1 s and %v for loads of 30 s", short, long)
+	}
+}
+
+func TestPrewarmNeedsProfile(t *testing.T) {
+	k := newKeeper(t, Config[ident.Model]{})
+	day := observeMornings(k, "outlook", 3, 6)
+	if _, ok := k.NextPrewarm(day); ok || k.Prewarm(day.Add(9*time.Hour)) != nil {
+		t.Error("prewarms without a profile of the day")
+	}
+}
