--- a/bench/hotpath/scenario.go
+++ b/bench/hotpath/scenario.go
@@ -81,6 +81,8 @@
 	Retry Retrying
 	// FixedLimit turns the adaptive concurrency limit off.
 	FixedLimit bool
+	// Hedging makes second attempts at slow idempotent requests.
+	Hedging bool
 	// NoEjection turns outlier ejection off.
 	NoEjection bool
 	// FixedRetryAfter sets every Retry-After to this time.
@@ -97,6 +99,9 @@
 	WaitShare float64
 	// CrossingShare replaces the default of the chooser.
 	CrossingShare float64
+	// Choices and FreeShare replace defaults of the chooser.
+	Choices   int
+	FreeShare float64
 	// LoadBound replaces the default of the chooser.
 	LoadBound float64
 }
--- a/bench/section.go
+++ b/bench/section.go
@@ -13,5 +13,11 @@
 		loadFaults,
 		overloadSection,
 		outageSection,
+		herdSection,
+		prefixSection,
+		limitSection,
+		comebackSection,
+		hedgeSection,
+		routingCostSection,
 	}
 }
--- /dev/null
+++ b/internal/harness/hang_error.go
@@ -0,0 +1,17 @@
+package harness
+
+import (
+	"fmt"
+	"time"
+)
+
+// HangError reports a process that did not end when it was asked to.
+type HangError struct {
+	Process string
+	After   time.Duration
+}
+
+// Error implements error.
+func (e *HangError) Error() string {
+	return fmt.Sprintf("%s did not end within %v", e.Process, e.After)
+}
