--- a/coldstart/config.go
+++ b/coldstart/config.go
@@ -1,6 +1,7 @@
 package coldstart
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/laureltally/laureltally/ident"
@@ -56,26 +57,18 @@
 
 // withDefaults returns c with its zero fields set.
 func (c Config) withDefaults() Config {
-	setDefault(&c.ZoneDelay, DefaultZoneDelay)
-	setDefault(&c.RegionDelay, DefaultRegionDelay)
-	setDefault(&c.Quantile, DefaultQuantile)
-	setDefault(&c.Unload, DefaultUnload)
-	setDefault(&c.CrossMargin, DefaultCrossMargin)
-	setDefault(&c.ReportLag, DefaultReportLag)
-	setDefault(&c.Avoid, DefaultAvoid)
-	setDefault(&c.ServiceTime, DefaultServiceTime)
-	setDefault(&c.MaxModels, DefaultMaxModels)
+	c.ZoneDelay = cmp.Or(c.ZoneDelay, DefaultZoneDelay)
+	c.RegionDelay = cmp.Or(c.RegionDelay, DefaultRegionDelay)
+	c.Quantile = cmp.Or(c.Quantile, DefaultQuantile)
+	c.Unload = cmp.Or(c.Unload, DefaultUnload)
+	c.CrossMargin = cmp.Or(c.CrossMargin, DefaultCrossMargin)
+	c.ReportLag = cmp.Or(c.ReportLag, DefaultReportLag)
+	c.Avoid = cmp.Or(c.Avoid, DefaultAvoid)
+	c.ServiceTime = cmp.Or(c.ServiceTime, DefaultServiceTime)
+	c.MaxModels = cmp.Or(c.MaxModels, DefaultMaxModels)
 	return c
 }
 
-// setDefault sets a zero field.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // validate returns a *ConfigError for the first field that can't be used.
 func (c Config) validate() error {
 	switch {
--- a/gate/config.go
+++ b/gate/config.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/laureltally/laureltally/config"
@@ -37,22 +38,14 @@
 
 // withDefaults returns c with its zero fields set.
 func (c Config) withDefaults() Config {
-	setDefault(&c.ExpectedLoad, DefaultExpectedLoad)
-	setDefault(&c.ExpectedAdapter, DefaultExpectedAdapter)
-	setDefault(&c.ExpiryFactor, DefaultExpiryFactor)
-	setDefault(&c.MinExpiry, DefaultMinExpiry)
-	setDefault(&c.MaxQueue, DefaultMaxQueue)
+	c.ExpectedLoad = cmp.Or(c.ExpectedLoad, DefaultExpectedLoad)
+	c.ExpectedAdapter = cmp.Or(c.ExpectedAdapter, DefaultExpectedAdapter)
+	c.ExpiryFactor = cmp.Or(c.ExpiryFactor, DefaultExpiryFactor)
+	c.MinExpiry = cmp.Or(c.MinExpiry, DefaultMinExpiry)
+	c.MaxQueue = cmp.Or(c.MaxQueue, DefaultMaxQueue)
 	return c
 }
 
-// setDefault sets a zero field.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // validate returns a *ConfigError for the first field that can't be used.
 func (c Config) validate() error {
 	checks := []struct {
--- a/gate/patience.go
+++ b/gate/patience.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -27,8 +28,8 @@
 // proceeds earlier, when just the load still fits. The random source spreads
 // askers of a lost gate over half the time again.
 func (p Patience) Until(asked, deadline time.Time, load time.Duration, alive bool, r *rand.Rand) time.Time {
-	setDefault(&p.Silence, DefaultSilence)
-	setDefault(&p.MaxWait, DefaultMaxWait)
+	p.Silence = cmp.Or(p.Silence, DefaultSilence)
+	p.MaxWait = cmp.Or(p.MaxWait, DefaultMaxWait)
 	bound := p.Silence
 	if alive {
 		bound = p.MaxWait
--- a/keepalive/config.go
+++ b/keepalive/config.go
@@ -1,6 +1,7 @@
 package keepalive
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/laureltally/laureltally/config"
@@ -53,29 +54,19 @@
 
 // withDefaults returns c with its zero fields set.
 func (c Config[K]) withDefaults() Config[K] {
-	if c.Aim == (config.Aim{}) {
-		c.Aim = config.Aim{ColdStart: 1, IdleHours: 1}
-	}
-	setDefault(&c.MaxKeys, DefaultMaxKeys)
-	setDefault(&c.Exchange, DefaultExchange)
-	setDefault(&c.MinKeep, DefaultMinKeep)
-	setDefault(&c.MaxKeep, DefaultMaxKeep)
-	setDefault(&c.TailPower, DefaultTailPower)
-	setDefault(&c.Reload, DefaultReload)
+	c.Aim = cmp.Or(c.Aim, config.Aim{ColdStart: 1, IdleHours: 1})
+	c.MaxKeys = cmp.Or(c.MaxKeys, DefaultMaxKeys)
+	c.Exchange = cmp.Or(c.Exchange, DefaultExchange)
+	c.MinKeep = cmp.Or(c.MinKeep, DefaultMinKeep)
+	c.MaxKeep = cmp.Or(c.MaxKeep, DefaultMaxKeep)
+	c.TailPower = cmp.Or(c.TailPower, DefaultTailPower)
+	c.Reload = cmp.Or(c.Reload, DefaultReload)
 	if c.Share == nil {
 		c.Share = func(K) float64 { return DefaultShare }
 	}
 	return c
 }
 
-// setDefault sets a zero field.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // validate returns a *ConfigError for the first field that can't be used.
 func (c Config[K]) validate() error {
 	checks := []struct {
