--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
-# make demo runs the whole path once; make test runs every test; make bench
-# prints the measured figures beside their targets and baselines.
+# make demo runs the whole path once; make test runs every test; make spec runs
+# the model checker; make bench measures the decisions and the path; make faults
+# runs the programs under failures; make capacity measures slopes.
 
 GO ?= go
 
-.PHONY: build demo test lint bench
+.PHONY: build demo test lint bench spec faults capacity
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -19,13 +20,14 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-bench:
+bench: build
 	$(GO) run ./bench
 
-.PHONY: faults
+spec:
+	spec/run
+
 faults: build
 	$(GO) run ./faults $(FAULTS)
 
-.PHONY: spec
-spec:
-	spec/run
+capacity:
+	$(GO) run ./capacity
