--- /dev/null
+++ b/document/example_test.go
@@ -0,0 +1,45 @@
+package document_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/laureltally/laureltally/document"
+	"github.com/laureltally/laureltally/platform/memstore"
+)
+
+const exampleText = `{
+  "environment": "archive", // JSON with comments
+  "regions": [{"name": "uusimaa", "zones": ["uusimaa-a"]}],
+  "priorities": ["high"],
+  "upstreams": [{"name": "portal", "kind": "service", "replicas": 1}],
+  "weight_store": {"loads_per_second": 5},
+}`
+
+// Two operators change one document from the same version. The second is told
+// who won.
+func ExampleRepository_Apply() {
+	ctx := context.Background()
+	r := document.New(document.Options{Store: memstore.New(memstore.Options{})})
+	for _, actor := range []string{"anna", "bo"} {
+		_, err := r.Apply(ctx, document.Update{
+			Environment: "archive",
+			Slot:        document.SlotProduction,
+			Text:        []byte(exampleText),
+			Actor:       actor,
+		})
+		var lost *document.LostRaceError
+		fmt.Println(actor, "lost:", errors.As(err, &lost), "other error:", err != nil && lost == nil)
+	}
+	stored, err := r.Read(ctx, "archive", document.SlotProduction)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println("stored by", stored.Actor)
+	// Output:
+	// anna lost: false other error: false
+	// bo lost: true other error: false
+	// stored by anna
+}
