--- /dev/null
+++ b/keepalive/example_test.go
@@ -0,0 +1,30 @@
+package keepalive_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/keepalive"
+)
+
+// A model that is asked for every 4 minutes stays loaded over the gap, and goes
+// after one that is asked for less often.
+func ExampleKeeper_KeepUntil() {
+	k, err := keepalive.New(keepalive.Config[ident.Model]{})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	now := time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+	k.Observe("rare", now)
+	for range 60 {
+		now = now.Add(4 * time.Minute)
+		k.Observe("steady", now)
+	}
+	fmt.Println("stays:", k.KeepUntil("steady", now).Sub(now) > 4*time.Minute)
+	fmt.Println("unloaded first:", k.EvictOrder([]ident.Model{"steady", "rare"}, now)[0])
+	// Output:
+	// stays: true
+	// unloaded first: rare
+}
