--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 
 	"os"
 	"path/filepath"
@@ -44,22 +43,25 @@
 // readyTimeout bounds the start of the whole cluster.
 const readyTimeout = 30 * time.Second
 
+// New returns a cluster of which nothing runs yet. The caller calls Close.
+func New(o Options) *Cluster { return &Cluster{o: o} }
+
 // Start runs the stand-ins and the programs and waits until every router can
-// serve. The caller calls Close in any case.
-func Start(ctx context.Context, o Options) (*Cluster, error) {
+// serve.
+func (c *Cluster) Start(ctx context.Context) error {
 	dir, err := os.MkdirTemp("", "laureltally-harness-")
 	if err != nil {
-		return nil, fmt.Errorf("directory: %w", err)
+		return fmt.Errorf("directory: %w", err)
 	}
-	c := &Cluster{o: o, dir: dir}
+	c.dir = dir
 	for _, step := range []func(context.Context) error{
 		c.startAuthority, c.startPlatform, c.startUpstreams, c.startAgents, c.startRouters, c.awaitReady,
 	} {
 		if err := step(ctx); err != nil {
-			return c, err
+			return err
 		}
 	}
-	return c, nil
+	return nil
 }
 
 // Dir is where the logs are.
@@ -143,12 +145,12 @@
 
 func (c *Cluster) startAgents(ctx context.Context) error {
 	for i, url := range c.EngineURLs {
-		s := config.AgentSettings{Upstream: drafting, Kind: config.KindEngine, UpstreamURL: url, MemoryMB: engineMemoryMB}
+		s := config.AgentSettings{Upstream: drafting, Kind: config.KindEngine, UpstreamURL: url, MemoryMB: engineMemoryMB, Concurrency: engineCalls}
 		if err := c.startAgent(ctx, fmt.Sprintf("agent-%d", i), s); err != nil {
 			return err
 		}
 	}
-	s := config.AgentSettings{Upstream: portal, Kind: config.KindService, UpstreamURL: c.ServiceURL, Concurrency: 64}
+	s := config.AgentSettings{Upstream: portal, Kind: config.KindService, UpstreamURL: c.ServiceURL, Concurrency: serviceCalls}
 	return c.startAgent(ctx, "agent-portal", s)
 }
 
@@ -308,21 +310,3 @@
 	}
 	return all, nil
 }
-
-// freePort returns a loopback address whose port was free just now.
-func freePort(network string) (string, error) {
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return "", fmt.Errorf("find a port: %w", err)
-		}
-		defer func() { _ = conn.Close() }()
-		return conn.LocalAddr().String(), nil
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a port: %w", err)
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
-}
--- a/internal/harness/load.go
+++ b/internal/harness/load.go
@@ -30,6 +30,7 @@
 	// orderTries is how often a caller repeats an order with an unclear outcome.
 	orderTries = 3
 	maxThink   = 40 * time.Millisecond
+	maxWait    = 500 * time.Millisecond
 )
 
 // StartLoad starts callers of each kind: streamed chat, whole chat and orders.
@@ -57,9 +58,9 @@
 		switch {
 		case base == "":
 		case id%3 == 0:
-			l.chat(base, mark, Models[r.IntN(len(Models))], true)
+			l.chat(r, base, mark, Models[r.IntN(len(Models))], true)
 		case id%3 == 1:
-			l.chat(base, mark, Models[r.IntN(len(Models))], false)
+			l.chat(r, base, mark, Models[r.IntN(len(Models))], false)
 		default:
 			l.placeOrder(mark, r)
 		}
@@ -113,21 +114,56 @@
 // refusal is the part of a typed refusal that callers rely on.
 type refusal struct {
 	Error struct {
-		Code string `json:"code"`
-		Run  string `json:"run"`
+		Code         string `json:"code"`
+		Run          string `json:"run"`
+		RetryAfterMS int64  `json:"retry_after_ms"`
 	} `json:"error"`
 }
 
+// wait comes back when the refusal says, or sooner, so that a short run still
+// sees what happens next.
+func (r refusal) wait() {
+	time.Sleep(min(time.Duration(r.Error.RetryAfterMS)*time.Millisecond, maxWait))
+}
+
 func parseRefusal(body string) (refusal, bool) {
 	var r refusal
 	err := json.Unmarshal([]byte(body), &r)
 	return r, err == nil && r.Error.Code != "" && (r.Error.Run == "not_run" || r.Error.Run == "unknown")
 }
 
-func (l *Load) chat(base, mark, model string, stream bool) {
+func (l *Load) chat(r *rand.Rand, base, mark, model string, stream bool) {
 	body := fmt.Sprintf(`{"model":%q,"stream":%v,"max_tokens":24,"messages":[{"role":"user","content":%q}]}`, model, stream, mark)
-	r := l.send(base+"/v1/chat/completions", body, "")
-	l.Tally.add(judgeChat(r, mark, stream))
+	got := l.send(base+"/v1/chat/completions", body, "")
+	if got.err != nil && l.gone(base) {
+		// The entry VM died with the connection. The request is idempotent and
+		// is sent again through the balancer.
+		if base = l.router(r); base == "" {
+			return
+		}
+		got = l.send(base+"/v1/chat/completions", body, "")
+	}
+	l.add(got, mark, stream)
+}
+
+func (l *Load) add(got reply, mark string, stream bool) {
+	outcome, detail := judgeChat(got, mark, stream)
+	l.Tally.add(outcome, detail)
+	if f, ok := parseRefusal(got.body); ok && outcome == Refused {
+		l.Tally.refused(f.Error.Code + "/" + f.Error.Run)
+		f.wait()
+	}
+}
+
+// gone tells whether the router behind base has ended or restarted under the
+// caller, which only a kill brings about.
+func (l *Load) gone(base string) bool {
+	for i, url := range l.c.RouterURLs {
+		if url == base {
+			return l.c.killed(l.c.Routers[i])
+		}
+	}
+	return false
 }
 
 // judgeChat tells how a chat request ended. Every answer echoes the request, so
@@ -196,9 +232,17 @@
 			continue
 		}
 		got := l.send(base+"/services/"+string(Environment)+"/portal/orders", body, "key-"+id)
+		if got.err != nil && l.gone(base) {
+			l.Tally.order(id, order{})
+			continue
+		}
 		outcome, state, detail := judgeOrder(got, id)
 		l.Tally.order(id, state)
 		l.Tally.add(outcome, detail)
+		if f, ok := parseRefusal(got.body); ok {
+			l.Tally.refused("order: " + f.Error.Code + "/" + f.Error.Run)
+			f.wait()
+		}
 		if outcome == Answered || state.notRun {
 			return
 		}
@@ -220,5 +264,5 @@
 	if !ok {
 		return Lost, order{}, detail
 	}
-	return Refused, order{notRun: f.Error.Run == "not_run"}, detail
+	return Refused, order{notRun: f.Error.Run == "not_run", word: r.body}, detail
 }
--- a/standin/engine_order.go
+++ b/standin/engine_order.go
@@ -11,6 +11,7 @@
 
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/wait"
 )
 
 // Submit accepts an order, which then runs whatever becomes of its caller, or
@@ -56,7 +57,7 @@
 	m := e.models[o.Model]
 	switch o.Kind {
 	case engine.OrderLoad:
-		return m != nil && m.phase == engine.PhaseLoaded
+		return m != nil && m.phase == engine.PhaseLoaded && m.version == o.Version
 	case engine.OrderUnload:
 		return m == nil
 	default:
@@ -87,13 +88,21 @@
 }
 
 func (e *Engine) reserveLoad(o engine.Order, m *engineModel) *engine.Problem {
-	if m != nil {
+	if m != nil && m.version == o.Version {
 		return nil
 	}
+	if m != nil {
+		return &engine.Problem{Code: engine.ProblemBusy, Detail: "another version is loaded"}
+	}
 	if p := e.claimMemory(o.MemoryMB); p != nil {
 		return p
 	}
-	e.models[o.Model] = &engineModel{phase: engine.PhaseLoading, memoryMB: o.MemoryMB, adapters: make(map[ident.Adapter]int64)}
+	e.models[o.Model] = &engineModel{
+		phase:    engine.PhaseLoading,
+		version:  o.Version,
+		memoryMB: o.MemoryMB,
+		adapters: make(map[ident.Adapter]int64),
+	}
 	return nil
 }
 
@@ -151,7 +160,7 @@
 		e.faults.FailLoads--
 	}
 	e.mu.Unlock()
-	err := sleep(life, time.Duration(float64(e.o.LoadTimes[tier])*slowdown))
+	err := wait.Sleep(life, time.Duration(float64(e.o.LoadTimes[tier])*slowdown))
 	if err == nil && tier == engine.TierRemote {
 		query := url.Values{"mb": {strconv.FormatInt(o.MemoryMB, 10)}}
 		err = e.fetch(life, "/weights/"+string(o.Model), query)
@@ -187,7 +196,7 @@
 	if err := e.await(life, idle); err != nil {
 		return err
 	}
-	if err := sleep(life, e.o.UnloadTime); err != nil {
+	if err := wait.Sleep(life, e.o.UnloadTime); err != nil {
 		return err
 	}
 	e.mu.Lock()
@@ -215,7 +224,7 @@
 
 func (e *Engine) loadAdapter(life context.Context, o engine.Order) error {
 	query := url.Values{"ms": {strconv.FormatInt(e.o.AdapterTime.Milliseconds(), 10)}}
-	err := sleep(life, e.o.AdapterTime)
+	err := wait.Sleep(life, e.o.AdapterTime)
 	if e.o.WeightStore != "" {
 		err = e.fetch(life, "/adapters/"+string(o.Adapter), query)
 	}
--- a/standin/engine_serve.go
+++ b/standin/engine_serve.go
@@ -11,28 +11,20 @@
 
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/wait"
 )
 
 // minPause is the shortest pause between tokens that is slept; shorter ones are
 // added up.
 const minPause = time.Millisecond
 
+// ResumeHeader names how many tokens of a streamed answer the caller has; the
+// engine sends the others. A resumption is no run of its own.
+const ResumeHeader = "X-Resume-Tokens"
+
 // cachedShare is the share of the first-token time that a cached prefix takes.
 const cachedShare = 0.2
 
-// openAIModelList is the answer of /v1/models.
-type openAIModelList struct {
-	Object string        `json:"object"`
-	Data   []openAIModel `json:"data"`
-}
-
-// openAIModel is one entry of an openAIModelList.
-type openAIModel struct {
-	ID      string `json:"id"`
-	Object  string `json:"object"`
-	OwnedBy string `json:"owned_by"`
-}
-
 func (e *Engine) serveModels(w http.ResponseWriter, _ *http.Request) {
 	list := openAIModelList{Object: "list", Data: []openAIModel{}}
 	for _, m := range e.State().Models {
@@ -58,7 +50,9 @@
 		return
 	}
 	g := &generation{request: req, shape: shape, id: r.Header.Get("X-Request-Id")}
+	// A header that is no number counts as zero.
 	g.priority, _ = strconv.Atoi(r.Header.Get("X-Priority"))
+	g.resumeAt, _ = strconv.Atoi(r.Header.Get(ResumeHeader))
 	life, problem := e.join(g)
 	if problem != nil {
 		refuseRequest(w, problem.status, problem.body)
@@ -144,7 +138,8 @@
 	g.created = time.Now().Unix()
 	out := newAnswerWriter(w, g)
 	next := time.Now().Add(first)
-	for _, token := range answerTokens(g.request.Model, g.request.last(), g.request.tokens()) {
+	tokens := answerTokens(g.request.Model, g.request.last(), g.request.tokens())
+	for _, token := range tokens[min(max(0, g.resumeAt), len(tokens)):] {
 		if err := e.pause(ctx, next); err != nil {
 			return err
 		}
@@ -156,12 +151,17 @@
 	return out.finish()
 }
 
-// startRun counts the run and tells whether its prompt prefix is cached.
+// startRun counts the run, or the resumption of one, and tells whether the prompt
+// prefix is cached.
 func (e *Engine) startRun(g *generation) bool {
 	hit := e.cache.use(g.request.prefixHash())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.runs[g.id]++
+	if g.resumeAt > 0 {
+		e.counters.Resumed++
+	} else {
+		e.runs[g.id]++
+	}
 	if hit {
 		e.counters.CacheHits++
 	}
@@ -171,19 +171,13 @@
 // pause waits until the next token is due and while streams are stalled.
 func (e *Engine) pause(ctx context.Context, next time.Time) error {
 	if d := time.Until(next); d >= minPause {
-		if err := sleep(ctx, d); err != nil {
+		if err := wait.Sleep(ctx, d); err != nil {
 			return err
 		}
 	}
 	return e.await(ctx, func() bool { return !e.faults.Stall })
 }
 
-// requestProblem is why a request is refused.
-type requestProblem struct {
-	status int
-	body   openAIErrorBody
-}
-
 func refuseRequest(w http.ResponseWriter, status int, body openAIErrorBody) {
 	respond(w, status, openAIError{Error: body})
 }
