digest: deltas carry the waiting requests by priority and the run time

Cause: a report that came by way of another router kept the counts by priority of the report that it was laid over, so a choice counted old waits.

Change: both fields go with the other counts of a delta.

--- a/digest/record.go
+++ b/digest/record.go
@@ -69,6 +69,7 @@
 		VM: r.report.VM, Incarnation: r.report.Incarnation, Seq: r.report.Seq,
 		Draining: r.report.Draining, FreeMB: r.report.FreeMB, Running: r.report.Running,
 		Waiting: r.report.Waiting, Concurrency: r.report.Concurrency, Bases: bases,
+		WaitingByPriority: r.report.WaitingByPriority, RunTime: r.report.RunTime,
 	}
 	if r.configs > position {
 		out.Configs = r.report.Configs
@@ -92,6 +93,7 @@
 	out := r.report
 	out.Seq, out.Draining, out.FreeMB = d.Seq, d.Draining, d.FreeMB
 	out.Running, out.Waiting, out.Concurrency = d.Running, d.Waiting, d.Concurrency
+	out.WaitingByPriority, out.RunTime = d.WaitingByPriority, d.RunTime
 	if d.Configs != nil {
 		out.Configs = d.Configs
 	}
