--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	./bin/laureltally demo
 
 test:
-	$(GO) test ./...
+	$(GO) test $(TESTFLAGS) ./...
 
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
--- a/bench/section.go
+++ b/bench/section.go
@@ -19,5 +19,6 @@
 		comebackSection,
 		hedgeSection,
 		routingCostSection,
+		latencySection,
 	}
 }
--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -12,12 +12,15 @@
 	callers  = 12
 	loadSeed = 7
 	phase    = time.Second
+	// tokensPerSecond and firstToken are those of each engine.
+	tokensPerSecond = 4000
+	firstToken      = 20 * time.Millisecond
 )
 
 // TestSeparateProcesses serves streamed and whole answers and orders through two
 // routers and three agents, and stops each of them under load.
 func TestSeparateProcesses(t *testing.T) {
-	c := harness.New(harness.Options{Bin: bin, Routers: 2, Engines: 2})
+	c := harness.New(harness.Options{Bin: bin, Routers: 2, Engines: 2, TokensPerSecond: tokensPerSecond, FirstToken: firstToken})
 	defer c.Close()
 	if err := c.Start(t.Context()); err != nil {
 		logTails(t, c)
--- a/faults/run.go
+++ b/faults/run.go
@@ -24,6 +24,9 @@
 	// afterTime is the last part of a run, in which answers must come again.
 	afterTime = 1500 * time.Millisecond
 	logBytes  = 3000
+	// tokensPerSecond and firstToken are those of each engine.
+	tokensPerSecond = 4000
+	firstToken      = 20 * time.Millisecond
 )
 
 func selected(only []string) []fault {
@@ -59,7 +62,7 @@
 
 func run(ctx context.Context, a arguments, f fault) result {
 	r := result{name: f.name}
-	c := harness.New(harness.Options{Bin: a.Bin, Routers: routers, Engines: engines, IgnoreFences: f.ignoreFences})
+	c := harness.New(harness.Options{Bin: a.Bin, Routers: routers, Engines: engines, IgnoreFences: f.ignoreFences, TokensPerSecond: tokensPerSecond, FirstToken: firstToken})
 	defer c.Close()
 	if err := c.Start(ctx); err != nil {
 		r.err = fmt.Errorf("start: %w", err)
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -122,7 +122,7 @@
 
 func (c *Cluster) startUpstreams(context.Context) error {
 	for i := range c.o.Engines {
-		args := []string{"engine", "--memory-mb", fmt.Sprint(engineMemoryMB), "--tokens-per-second", "4000", "--first-token", "20ms", "--load-remote", "800ms"}
+		args := []string{"engine", "--memory-mb", fmt.Sprint(engineMemoryMB), "--tokens-per-second", fmt.Sprint(c.o.TokensPerSecond), "--first-token", c.o.FirstToken.String(), "--load-remote", "800ms"}
 		if !c.o.IgnoreFences {
 			args = append(args, "--checks-fences")
 		}
--- /dev/null
+++ b/internal/harness/cpu.go
@@ -0,0 +1,37 @@
+package harness
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// clockTick is the unit of processor times in /proc.
+const clockTick = 10 * time.Millisecond
+
+// Positions of the user and system times after the command's name in
+// /proc/{pid}/stat.
+const (
+	userField   = 11
+	systemField = 12
+)
+
+// CPU returns the processor time that the process has used.
+func (p *Process) CPU() (time.Duration, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, fmt.Errorf("processor time of %s: %w", p.Name, err)
+	}
+	fields := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
+	var ticks int64
+	for _, i := range []int{userField, systemField} {
+		n, err := strconv.ParseInt(fields[i], 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("processor time of %s: %w", p.Name, err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick, nil
+}
--- a/internal/harness/options.go
+++ b/internal/harness/options.go
@@ -1,5 +1,7 @@
 package harness
 
+import "time"
+
 // Options configures a Cluster.
 type Options struct {
 	// Bin is the directory with the programs.
@@ -9,4 +11,8 @@
 	Routers, Engines int
 	// IgnoreFences makes the engines take orders whatever their fence.
 	IgnoreFences bool
+	// TokensPerSecond is the token rate of each engine, 0 for no limit, and
+	// FirstToken its time to the first token.
+	TokensPerSecond float64
+	FirstToken      time.Duration
 }
