agent, router: history-driven loads ahead, shares, tiers' changes and router counts reach the decisions

Cause: the decisions were measured with inputs that the daemons did not give them: the part of the accelerator that a model takes, the time of its loads, loads ahead of requests, since when a tier is what it is, and how many routers send to the same VMs. A changed aim dropped every history, and each load for waiting requests counted as a request of its own.

Change: agents tell keep-alive the share, the load times and load ahead what fits; reports tell the tier before; routers count themselves; SetAim keeps the histories; Need.Ahead is not observed. The release of rights at a shutdown is bounded by 5 s, since without the platform it waited for the whole timeout.

transport: tests of silent connections and of identities. With the closing of silent connections taken out, TestSilentConnectionIsReplaced fails with 'the silent connection was not closed' after its 20 s of patience; with it, it passes in 0.25 s. go test -race ./agent ./router ./dev ./digest: ok.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -104,6 +104,7 @@
 	a.background.Go(func() { a.expireLoop(a.stopping) })
 	if a.replicas != nil {
 		a.background.Go(func() { a.runReplicas(a.stopping) })
+		a.background.Go(func() { a.prewarmLoop(a.stopping) })
 	}
 }
 
--- a/agent/lane.go
+++ b/agent/lane.go
@@ -101,7 +101,7 @@
 	start := a.o.Now()
 	ctx, cancel := context.WithTimeout(a.stopping, maxLoadTime)
 	defer cancel()
-	lease, err := a.replicas.Acquire(ctx, replica.Need{Model: l.model, Priority: p})
+	lease, err := a.replicas.Acquire(ctx, replica.Need{Model: l.model, Priority: p, Ahead: true})
 	if err != nil {
 		a.o.Logger.WithError(err).WithField("model", l.model).Warn("load failed")
 		l.endLoad(0)
@@ -112,7 +112,9 @@
 		})
 		return
 	}
-	l.endLoad(a.o.Now().Sub(start))
+	now := a.o.Now()
+	l.endLoad(now.Sub(start))
+	a.policy.loaded(l.model, now.Sub(start), now)
 	l.do(func(now time.Time) []admission.Action { return l.queue.Resume(now) })
 	a.holdUntilUsed(l, lease)
 }
--- a/agent/manager.go
+++ b/agent/manager.go
@@ -3,12 +3,22 @@
 import (
 	"fmt"
 
+	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/replica"
 )
 
+// share is the part of the accelerator memory that a replica of m takes.
+func (a *Agent) share(m ident.Model) float64 {
+	spec, ok := a.spec(m)
+	if !ok || a.o.Settings.MemoryMB <= 0 {
+		return 1
+	}
+	return min(1, float64(spec.MemoryMB+spec.KVCacheMB)/float64(a.o.Settings.MemoryMB))
+}
+
 // newReplicas builds the replica manager of an agent beside an engine.
 func newReplicas(a *Agent) (Replicas, error) {
-	p, err := newPolicy()
+	p, err := newPolicy(a.share)
 	if err != nil {
 		return nil, fmt.Errorf("keep-alive: %w", err)
 	}
--- /dev/null
+++ b/agent/prewarm.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/wire"
+)
+
+const (
+	// minPrewarmPause and maxPrewarmPause bound how often models to be loaded
+	// ahead of requests are looked for.
+	minPrewarmPause = time.Second
+	maxPrewarmPause = time.Minute
+)
+
+// prewarmLoop loads models ahead of requests that their history makes likely.
+func (a *Agent) prewarmLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := a.o.Now()
+		models, next := a.policy.prewarm(now)
+		a.prewarm(models)
+		sleep(ctx, min(max(next.Sub(now), minPrewarmPause), maxPrewarmPause))
+	}
+}
+
+// prewarm loads those models that the VM may load, that are not loaded and that
+// fit without unloading another.
+func (a *Agent) prewarm(models []ident.Model) {
+	free := a.replicas.FreeMB()
+	reports := make(map[ident.Model]wire.ModelReport)
+	for _, r := range a.replicas.Models() {
+		reports[r.Model] = r
+	}
+	for _, m := range models {
+		spec, ok := a.spec(m)
+		r := reports[m]
+		if !ok || r.Fence == 0 || r.Phase != "" || spec.MemoryMB+spec.KVCacheMB > free {
+			continue
+		}
+		free -= spec.MemoryMB + spec.KVCacheMB
+		a.o.Logger.WithField("model", m).Info("loaded ahead of requests")
+		a.wake(&wire.Wake{Environment: a.o.Settings.Environment, Model: m, Priority: a.lowestPriority()})
+	}
+}
+
+// lowestPriority is behind every priority of the document, so that loads for
+// requests go first.
+func (a *Agent) lowestPriority() ident.Priority {
+	c := a.catalog.Load()
+	if c == nil {
+		return 0
+	}
+	return ident.Priority(len(c.Document().Priorities))
+}
--- a/agent/reporter.go
+++ b/agent/reporter.go
@@ -22,8 +22,9 @@
 // reporter makes the agent's reports and passes them to the routers that
 // subscribed.
 type reporter struct {
-	a    *Agent
-	kick chan struct{}
+	a     *Agent
+	kick  chan struct{}
+	tiers tiers
 
 	mu        sync.Mutex
 	latest    *wire.Report
@@ -32,7 +33,7 @@
 }
 
 func newReporter(a *Agent) *reporter {
-	return &reporter{a: a, kick: make(chan struct{}, 1), changed: make(chan struct{})}
+	return &reporter{a: a, tiers: make(tiers), kick: make(chan struct{}, 1), changed: make(chan struct{})}
 }
 
 // now asks for a report at once, for example because the agent is draining.
@@ -65,6 +66,9 @@
 // update makes a report and publishes it if it says anything new or is due.
 func (r *reporter) update() {
 	next := r.a.report()
+	for i := range next.Models {
+		r.tiers.note(r.a.o.Now(), &next.Models[i])
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.latest != nil && sameReport(r.latest, next) && r.unchanged < heartbeatReports {
--- a/agent/shutdown.go
+++ b/agent/shutdown.go
@@ -12,6 +12,8 @@
 	defaultShutdownTimeout = 60 * time.Second
 	// noticeTime is how long routers are given to learn that the agent leaves.
 	noticeTime = 200 * time.Millisecond
+	// releaseTimeout bounds the release of the VM's rights.
+	releaseTimeout = 5 * time.Second
 	// deliverTime is how long routers are given to fetch the last answers.
 	deliverTime = 500 * time.Millisecond
 )
@@ -63,9 +65,7 @@
 	time.Sleep(noticeTime)
 	a.waitRunning(ctx)
 	if a.replicas != nil {
-		if err := a.replicas.Drain(ctx); err != nil {
-			a.o.Logger.WithError(err).Warn("rights not released")
-		}
+		a.release(ctx)
 	}
 	time.Sleep(deliverTime)
 	a.stop()
@@ -73,6 +73,17 @@
 	a.o.Logger.Info("stopped")
 }
 
+// release gives the VM's rights back, which needs the platform. Without it they
+// stay with the VM: its next incarnation goes on with them, and if the VM is
+// gone the planners free them.
+func (a *Agent) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	if err := a.replicas.Drain(ctx); err != nil {
+		a.o.Logger.WithError(err).Warn("rights not released")
+	}
+}
+
 // waitRunning waits until no attempt runs, at the longest until ctx ends.
 func (a *Agent) waitRunning(ctx context.Context) {
 	done := make(chan struct{})
--- a/keepalive/keeper.go
+++ b/keepalive/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"github.com/laureltally/laureltally/config"
 	"slices"
 	"time"
 
@@ -61,11 +62,30 @@
 	}
 	return &Keeper[K]{
 		cfg:      cfg,
-		exchange: cfg.Exchange * cfg.Aim.ColdStart / cfg.Aim.IdleHours,
+		exchange: exchangeOf(cfg),
 		index:    make(map[K]int),
 	}, nil
 }
 
+// SetAim changes the weights and keeps the histories. Both weights zero mean
+// equal weights. It fails with a *ConfigError and changes nothing then.
+func (k *Keeper[K]) SetAim(aim config.Aim) error {
+	cfg := k.cfg
+	cfg.Aim = aim
+	cfg = cfg.withDefaults()
+	if err := cfg.validate(); err != nil {
+		return fmt.Errorf("set aim: %w", err)
+	}
+	k.cfg = cfg
+	k.exchange = exchangeOf(cfg)
+	return nil
+}
+
+// exchangeOf is the idle time that cold-start time is worth under the aim.
+func exchangeOf[K comparable](cfg Config[K]) float64 {
+	return cfg.Exchange * cfg.Aim.ColdStart / cfg.Aim.IdleHours
+}
+
 // Observe implements Policy.
 func (k *Keeper[K]) Observe(key K, now time.Time) {
 	e := k.find(key)
--- a/replica/machine_waiters.go
+++ b/replica/machine_waiters.go
@@ -16,7 +16,9 @@
 	w := &waiter{id: id, need: n}
 	i, _ := slices.BinarySearchFunc(m.waiters, w, compareWaiters)
 	m.waiters = slices.Insert(m.waiters, i, w)
-	m.o.policy.Observe(n.Model, now)
+	if !n.Ahead {
+		m.o.policy.Observe(n.Model, now)
+	}
 	m.step(now)
 	return id
 }
--- a/replica/need.go
+++ b/replica/need.go
@@ -13,4 +13,7 @@
 	Priority ident.Priority
 	// Deadline ends the wait; zero means that only the context does.
 	Deadline time.Time
+	// Ahead marks a need without a request of its own, which the keep-alive
+	// policy does not count as one.
+	Ahead bool
 }
--- a/router/choose.go
+++ b/router/choose.go
@@ -67,12 +67,18 @@
 }
 
 func (f *fleet) candidateLocked(now time.Time, u *upstreamVM, r wire.ModelReport, concurrency int, avoid map[ident.VM]bool) coldstart.Candidate {
+	var since time.Time
+	if r.TierSince != 0 {
+		since = time.UnixMilli(r.TierSince)
+	}
 	blocked := f.ejectorLocked(u.listed.Upstream).Status(now, u.listed.ID).Blocked
 	return coldstart.Candidate{
 		VM:          u.listed.ID,
 		Region:      u.listed.Region,
 		Zone:        u.listed.Zone,
 		Tier:        r.Tier,
+		TierBefore:  r.TierBefore,
+		TierSince:   since,
 		Phase:       r.Phase,
 		FreeMB:      u.report.FreeMB,
 		Running:     r.Running,
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -23,6 +23,7 @@
 	mu       sync.Mutex
 	vms      map[ident.VM]*upstreamVM
 	byModel  map[ident.Model]map[ident.VM]*upstreamVM
+	chooser  *routing.Chooser
 	table    *routing.Table
 	cold     *coldstart.Chooser
 	ejectors map[ident.Upstream]*eject.Ejector
@@ -41,6 +42,7 @@
 		s:        s,
 		vms:      make(map[ident.VM]*upstreamVM),
 		byModel:  make(map[ident.Model]map[ident.VM]*upstreamVM),
+		chooser:  chooser,
 		table:    routing.NewTable(chooser),
 		cold:     cold,
 		ejectors: make(map[ident.Upstream]*eject.Ejector),
@@ -75,13 +77,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	seen := make(map[ident.VM]bool, len(listed))
+	peers := 0
 	for _, vm := range listed {
 		if vm.Role != platform.RoleAgent {
+			if vm.Region == f.s.o.Settings.Region && !vm.Leaving {
+				peers++
+			}
 			continue
 		}
 		seen[vm.ID] = true
 		f.listedLocked(ctx, vm)
 	}
+	f.chooser.SetRouters(peers)
 	for id, u := range f.vms {
 		if !seen[id] {
 			f.removeLocked(u)
--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,164 @@
+package transport_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/harness"
+	"github.com/laureltally/laureltally/keys"
+	"github.com/laureltally/laureltally/transport"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// patience bounds what a test waits for; nothing is measured with it.
+const patience = 20 * time.Second
+
+func authority(t *testing.T, dir string) *keys.Authority {
+	t.Helper()
+	ca, err := keys.NewAuthority(keys.AuthorityOptions{Name: "test"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ca.Pair().Write(dir, "ca"); err != nil {
+		t.Fatal(err)
+	}
+	return ca
+}
+
+func credentials(t *testing.T, ca *keys.Authority, dir string, vm ident.VM) *keys.Reloader {
+	t.Helper()
+	pair, err := ca.Issue(keys.IssueOptions{VM: vm})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := pair.Write(dir, string(vm)); err != nil {
+		t.Fatal(err)
+	}
+	r, err := keys.NewReloader(keys.ReloaderOptions{
+		CA:          keys.CertificateFile(dir, "ca"),
+		Certificate: keys.CertificateFile(dir, string(vm)),
+		Key:         keys.KeyFile(dir, string(vm)),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// echo answers an Inquire with a Verdict of the same attempt.
+func echo(_ context.Context, _ wire.Hello, first wire.Message, s *transport.Stream) {
+	if m, ok := first.(*wire.Inquire); ok {
+		_ = s.Send(&wire.Verdict{Attempt: m.Attempt, State: wire.AttemptRunning})
+	}
+}
+
+func options(vm ident.VM, c transport.Credentials) transport.Options {
+	return transport.Options{
+		Hello:            wire.Hello{VM: vm, Incarnation: 1},
+		Credentials:      c,
+		PingInterval:     20 * time.Millisecond,
+		PingTimeout:      200 * time.Millisecond,
+		HandshakeTimeout: 2 * time.Second,
+	}
+}
+
+func listen(t *testing.T, o transport.Options) *transport.Listener {
+	t.Helper()
+	o.Handler = transport.HandlerFunc(echo)
+	l, err := transport.Listen("127.0.0.1:0", o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func inquire(ctx context.Context, p *transport.Pool, vm ident.VM, address string) error {
+	conn, err := p.Get(ctx, vm, address)
+	if err != nil {
+		return err
+	}
+	m, err := conn.Call(ctx, &wire.Inquire{Attempt: "a"})
+	if err != nil {
+		return err
+	}
+	if v, ok := m.(*wire.Verdict); !ok || v.Attempt != "a" {
+		return &wire.KindError{Kind: m.Kind()}
+	}
+	return nil
+}
+
+// TestSilentConnectionIsReplaced lets something between the ends forget the
+// connection for good, while new flows work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	dir := t.TempDir()
+	ca := authority(t, dir)
+	l := listen(t, options("agent", credentials(t, ca, dir, "agent")))
+	box, err := harness.NewMiddlebox(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer box.Close()
+	pool := transport.NewPool(options("router", credentials(t, ca, dir, "router")))
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	if err := inquire(ctx, pool, "agent", box.Address()); err != nil {
+		t.Fatal(err)
+	}
+	first, err := pool.Get(ctx, "agent", box.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	box.Forget()
+	select {
+	case <-first.Context().Done():
+	case <-ctx.Done():
+		t.Fatal("the silent connection was not closed")
+	}
+	if err := inquire(ctx, pool, "agent", box.Address()); err != nil {
+		t.Fatalf("no new connection: %v", err)
+	}
+}
+
+func TestPeersProveWhoTheyAre(t *testing.T) {
+	dir, other := t.TempDir(), t.TempDir()
+	ca, stranger := authority(t, dir), authority(t, other)
+	l := listen(t, options("agent", credentials(t, ca, dir, "agent")))
+	for _, tc := range []struct {
+		name   string
+		hello  ident.VM
+		dialed ident.VM
+		c      transport.Credentials
+	}{
+		{"another VM is dialed", "router", "agent-2", credentials(t, ca, dir, "router")},
+		{"the hello is not the certificate's", "router-2", "agent", credentials(t, ca, dir, "router")},
+		{"another authority", "router", "agent", credentials(t, stranger, other, "router")},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			pool := transport.NewPool(options(tc.hello, tc.c))
+			defer pool.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			err := inquire(ctx, pool, tc.dialed, l.Addr().String())
+			var dial *transport.DialError
+			if !errors.As(err, &dial) {
+				t.Fatalf("got %v, want a DialError", err)
+			}
+		})
+	}
+}
+
+func TestClosedPool(t *testing.T) {
+	dir := t.TempDir()
+	pool := transport.NewPool(options("router", credentials(t, authority(t, dir), dir, "router")))
+	pool.Close()
+	_, err := pool.Get(t.Context(), "agent", "127.0.0.1:1")
+	var closed *transport.ClosedError
+	if !errors.As(err, &closed) {
+		t.Fatalf("got %v, want a ClosedError", err)
+	}
+}
--- a/wire/model_report.go
+++ b/wire/model_report.go
@@ -15,4 +15,8 @@
 	Running  int             `cbor:"5,keyasint,omitempty"`
 	Waiting  int             `cbor:"6,keyasint,omitempty"`
 	Adapters []ident.Adapter `cbor:"7,keyasint,omitempty"`
+	// TierBefore is the tier until TierSince, which is in Unix milliseconds by
+	// the clock of the VM. Zero means that the tier is the first known.
+	TierBefore engine.Tier `cbor:"8,keyasint,omitempty"`
+	TierSince  int64       `cbor:"9,keyasint,omitempty"`
 }
