capacity: measure the slopes of in-process state and processor time

Processor time comes from getrusage, so that garbage collection counts too.

Change: make capacity measures router state, report and choice costs, report sizes and keep-alive history at four or more sizes each, fits a line, and prints the value at the size to design for, its budget and where that breaks.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,7 @@
 .PHONY: faults
 faults: build
 	$(GO) run ./faults $(FAULTS)
+
+.PHONY: capacity
+capacity:
+	$(GO) run ./capacity
--- /dev/null
+++ b/capacity/router_state.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/laureltally/laureltally/digest"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/membership"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/routing"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// agentSizes are the numbers of agents that a router knows.
+func agentSizes() []float64 { return []float64{50, 100, 200, 400, 800} }
+
+// routerState measures what a router keeps of the agents.
+func routerState(t *table) error {
+	keepers := []struct {
+		what string
+		f    func(n int) (any, error)
+	}{
+		{"routing table and reports, bytes", func(n int) (any, error) { return newTable(n) }},
+		{"membership view, bytes", func(n int) (any, error) { return newMembers(n), nil }},
+		{"digest view, bytes", func(n int) (any, error) { return newDigest(n), nil }},
+	}
+	for _, k := range keepers {
+		s := series{What: k.what, By: "agents", Xs: agentSizes(), At: targetAgents, Budget: memoryBytes}
+		err := t.measure(s, func(n int) (float64, error) {
+			return held(func() (any, error) { return k.f(n) })
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// tableWithReports is a routing table and the reports that its router holds.
+type tableWithReports struct {
+	table   *routing.Table
+	reports []*wire.Report
+}
+
+func newTable(agents int) (*tableWithReports, error) {
+	c, err := routing.New(routing.Options{Rand: rand.New(rand.NewPCG(1, 2))})
+	if err != nil {
+		return nil, fmt.Errorf("routing: %w", err)
+	}
+	t := &tableWithReports{table: routing.NewTable(c)}
+	for i := range agents {
+		r := report(i, modelsPerAgent, 1)
+		t.reports = append(t.reports, r)
+		t.table.Report(time.Unix(0, 0), r, 0)
+	}
+	return t, nil
+}
+
+func newMembers(agents int) *membership.View {
+	v := membership.New(membership.Options{})
+	var listed []platform.VM
+	for i := range agents {
+		r := report(i, 0, 1)
+		listed = append(listed, platform.VM{ID: r.VM, Role: r.Role, Region: r.Region, Zone: r.Zone, Address: r.Address, Upstream: r.Upstream})
+	}
+	v.Listed(time.Unix(0, 0), listed)
+	return v
+}
+
+func newDigest(agents int) *digest.View {
+	v := digest.New(digest.Options{Log: ident.Incarnation(1)})
+	for i := range agents {
+		v.Learn(*report(i, modelsPerAgent, 1))
+	}
+	return v
+}
--- /dev/null
+++ b/capacity/router_time.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/routing"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// peakRequests is the peak of all requests a second.
+const peakRequests = 6400.0
+
+// routerTime measures the router's processor time for reports and choices.
+func routerTime(t *table) error {
+	s := series{
+		What: "read and apply a report, µs", By: "models in it", Xs: []float64{2, 4, 8, 16, 32},
+		At: modelsPerAgent, Count: targetAgents, CountOf: "agents", Rate: reportsPerSecond, Budget: coreMicroseconds,
+	}
+	if err := t.measure(s, applyCost); err != nil {
+		return err
+	}
+	s = series{
+		What: "choose a VM for a request, µs", By: "candidates", Xs: []float64{4, 12, 48, 192, 768},
+		At: targetAgents * modelsPerAgent / targetModels, Count: peakRequests / targetRouters, CountOf: "requests", Budget: coreMicroseconds,
+	}
+	return t.measure(s, chooseCost)
+}
+
+// applyCost is the processor time of one report that a router receives.
+func applyCost(models int) (float64, error) {
+	t, err := newTable(targetModels)
+	if err != nil {
+		return 0, err
+	}
+	var frame bytes.Buffer
+	if err := write(&frame, models); err != nil {
+		return 0, err
+	}
+	seq := uint64(1)
+	return cost(func() error {
+		m, err := wire.Read(bytes.NewReader(frame.Bytes()))
+		if err != nil {
+			return fmt.Errorf("decode report: %w", err)
+		}
+		if r, ok := m.(*wire.Report); ok {
+			seq++
+			r.Seq = seq
+			t.table.Report(time.Unix(0, 0), r, 0)
+		}
+		return nil
+	})
+}
+
+// chooseCost is the processor time of one choice among so many VMs.
+func chooseCost(candidates int) (float64, error) {
+	t, err := newTable(0)
+	if err != nil {
+		return 0, err
+	}
+	now := time.Unix(0, 0)
+	for i := range candidates {
+		r := report(i, 0, 1)
+		r.Models = []wire.ModelReport{modelReport(0, true)}
+		t.table.Report(now, r, 0)
+	}
+	l := routing.Lookup{
+		Request: routing.Request{Region: regionName, Zone: zoneName, Remaining: time.Second},
+		Target:  routing.Target{Upstream: upstreamName, Model: modelName(0)},
+		Adapter: ident.Adapter(adapterName(0)),
+	}
+	return cost(func() error {
+		if _, _, err := t.table.Choose(now, l); err != nil {
+			return fmt.Errorf("choose: %w", err)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/capacity/section.go
@@ -0,0 +1,17 @@
+package main
+
+// section is a group of measurements.
+type section struct {
+	name string
+	run  func(t *table) error
+}
+
+// sections returns all measurements in the order in which they run.
+func sections() []section {
+	return []section{
+		{name: "router state", run: routerState},
+		{name: "router processor time", run: routerTime},
+		{name: "agent reports", run: agentReports},
+		{name: "keep-alive", run: keepAliveState},
+	}
+}
