capacity: platform calls, configuration, grants and claims

Cause: the platform counts each call and each waiting watch, and nothing showed what the roles ask of it.

Change: real routers and agents on a counting store; the size of a stored document and the time until it is in force; the size of grants; claims made together and one at a time.

--- /dev/null
+++ b/capacity/grants.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/laureltally/laureltally/grant"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/platform/memstore"
+)
+
+// grants measures what the rights to load models take.
+func grants(t *table) error {
+	size := series{
+		What: "grants in a listing, bytes", By: "slots", Xs: []float64{100, 200, 400, 800},
+		At: targetAgents * modelsPerAgent,
+	}
+	if err := t.measure(size, grantBytes); err != nil {
+		return err
+	}
+	writes := series{
+		What: "writes for one VM replaced", By: "models with a slot there", Xs: []float64{2, 4, 8, 16},
+		At: modelsPerAgent,
+	}
+	return t.measure(writes, replacementWrites)
+}
+
+// grantBytes is the size of the grants of targetModels models with n slots.
+func grantBytes(n int) (float64, error) {
+	total := 0
+	for m := range targetModels {
+		g := grant.Grant{Document: 123_456, Limit: targetAgents, Last: 9999, Writer: "router-001-123456789abcdef0-42"}
+		for i := m; i < n; i += targetModels {
+			g.Slots = append(g.Slots, grant.Slot{VM: agentName(i), Fence: ident.Fence(1000 + i), State: grant.Held})
+		}
+		b, err := g.Encode()
+		if err != nil {
+			return 0, fmt.Errorf("grant: %w", err)
+		}
+		total += len(b)
+	}
+	return float64(total), nil
+}
+
+const (
+	// replacedFleet is how many VMs share each model.
+	replacedFleet = 4
+	// quietTime without a write ends a count.
+	quietTime = 300 * time.Millisecond
+	// confirmTime is how long lists must lack a VM in the measurement.
+	confirmTime = 50 * time.Millisecond
+	// listEvery is how often a planner gets the list in the measurement.
+	listEvery = 10 * time.Millisecond
+)
+
+// replacementWrites counts the writes after one of the VMs that each hold a
+// slot of n models is replaced.
+func replacementWrites(n int) (float64, error) {
+	s := memstore.New(memstore.Options{})
+	p, err := grant.NewPlanner(grant.Options{
+		Environment: environmentName, Self: "router-000", Incarnation: 1, Store: s,
+		Confirm: confirmTime, WritesPerSecond: 1000,
+	})
+	if err != nil {
+		return 0, fmt.Errorf("planner: %w", err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer stop()
+	running.Go(func() { _ = p.Run(ctx) })
+	p.SetDocument(1, newDocument(n, 0, replacedFleet))
+	settleWrites(s, p, fleetFrom(0))
+	before := s.Counters().Writes
+	settleWrites(s, p, fleetFrom(1))
+	return float64(s.Counters().Writes - before), nil
+}
+
+// fleetFrom lists a router and replacedFleet agents from number i on.
+func fleetFrom(i int) []platform.VM {
+	vms := []platform.VM{{ID: "router-000", Role: platform.RoleRouter, Region: regionName, Zone: zoneName}}
+	for n := range replacedFleet {
+		vms = append(vms, platform.VM{ID: agentName(i + n), Role: platform.RoleAgent, Region: regionName, Zone: zoneName, Upstream: upstreamName})
+	}
+	return vms
+}
+
+// settleWrites gives the planner the list until it writes no more.
+func settleWrites(s *memstore.Store, p *grant.Planner, vms []platform.VM) {
+	last, since := s.Counters().Writes, time.Now()
+	for time.Since(since) < quietTime {
+		p.SetVMs(vms)
+		time.Sleep(listEvery)
+		if n := s.Counters().Writes; n != last {
+			last, since = n, time.Now()
+		}
+	}
+}
--- a/capacity/processor.go
+++ b/capacity/processor.go
@@ -46,3 +46,18 @@
 }
 
 func microseconds(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
+// costOf is cost for a function so slow that a fixed number of calls will do.
+func costOf(calls int, f func() error) (float64, error) {
+	start, err := processorTime()
+	if err != nil {
+		return 0, err
+	}
+	for range calls {
+		if err := f(); err != nil {
+			return 0, err
+		}
+	}
+	end, err := processorTime()
+	return microseconds(end-start) / float64(calls), err
+}
--- /dev/null
+++ b/capacity/quiet.go
@@ -0,0 +1,9 @@
+package main
+
+import (
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+)
+
+// quiet returns a logger that discards.
+func quiet() *log.Logger { return &log.Logger{Handler: discard.New(), Level: log.FatalLevel} }
--- a/capacity/section.go
+++ b/capacity/section.go
@@ -13,5 +13,9 @@
 		{name: "router processor time", run: routerTime},
 		{name: "agent reports", run: agentReports},
 		{name: "keep-alive", run: keepAliveState},
+		{name: "configuration", run: configuration},
+		{name: "platform calls", run: platformCalls},
+		{name: "grants", run: grants},
+		{name: "claims", run: claims},
 	}
 }
--- /dev/null
+++ b/capacity/stored_document.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/laureltally/laureltally/document"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/platform/memstore"
+)
+
+// apply stores a document's text and returns its version.
+func apply(ctx context.Context, s platform.Store, text []byte, base platform.Version) (platform.Version, error) {
+	a, err := document.New(document.Options{Store: s, Logger: quiet()}).Apply(ctx, document.Update{
+		Environment: environmentName,
+		Slot:        document.SlotProduction,
+		Text:        text,
+		Actor:       "capacity",
+		Base:        base,
+	})
+	if err != nil {
+		return 0, fmt.Errorf("apply document: %w", err)
+	}
+	return a.Version, nil
+}
+
+// storedDocument returns a store that holds a document.
+func storedDocument(ctx context.Context, models, adapters, replicas int) (*memstore.Store, error) {
+	text, err := newText(models, adapters, replicas)
+	if err != nil {
+		return nil, err
+	}
+	s := memstore.New(memstore.Options{})
+	_, err = apply(ctx, s, text, 0)
+	return s, err
+}
