capacity: connections, and grants counted on a store that is not empty

Cause: a planner counts a listing at version zero as none, so on an empty store it planned nothing and the count of writes read zero.

Change: the store holds the document first, and the measurement fails if the preparation wrote no grants. Routers are in the list of VMs, as on a platform, so that their ranks decide who writes.

--- a/capacity/claims.go
+++ b/capacity/claims.go
@@ -27,7 +27,7 @@
 	if err := t.measure(size, claimBytes); err != nil {
 		return err
 	}
-	grouped := series{What: "writes for claims at one time at a router", By: "claims", Xs: []float64{64, 256, 1024, 4096}, At: 1000}
+	grouped := series{What: "writes for claims at one time at a router", By: "claims", Xs: []float64{16, 32, 64, 128}, At: 100}
 	if err := t.measure(grouped, groupedWrites); err != nil {
 		return err
 	}
--- a/capacity/grants.go
+++ b/capacity/grants.go
@@ -59,7 +59,10 @@
 // replacementWrites counts the writes after one of the VMs that each hold a
 // slot of n models is replaced.
 func replacementWrites(n int) (float64, error) {
-	s := memstore.New(memstore.Options{})
+	s, err := storedDocument(context.Background(), n, 0, replacedFleet)
+	if err != nil {
+		return 0, err
+	}
 	p, err := grant.NewPlanner(grant.Options{
 		Environment: environmentName, Self: "router-000", Incarnation: 1, Store: s,
 		Confirm: confirmTime, WritesPerSecond: 1000,
@@ -75,6 +78,9 @@
 	p.SetDocument(1, newDocument(n, 0, replacedFleet))
 	settleWrites(s, p, fleetFrom(0))
 	before := s.Counters().Writes
+	if before < int64(n) {
+		return 0, &setupError{What: "grants were not written"}
+	}
 	settleWrites(s, p, fleetFrom(1))
 	return float64(s.Counters().Writes - before), nil
 }
--- a/capacity/platform_calls.go
+++ b/capacity/platform_calls.go
@@ -77,9 +77,9 @@
 
 // routerCalls counts the calls of n routers of one environment.
 func routerCalls(n int) (callCounts, error) {
-	lister := &countingLister{}
+	lister := &countingLister{vms: routerVMs(n)}
 	return counting(n, lister, func(ctx context.Context, i int, s platform.Store, keys *issuer) error {
-		vm := ident.VM(fmt.Sprintf("router-%03d", i))
+		vm := routerName(i)
 		credentials, err := keys.issue(vm)
 		if err != nil {
 			return err
@@ -102,6 +102,16 @@
 	})
 }
 
+func routerName(i int) ident.VM { return ident.VM(fmt.Sprintf("router-%03d", i)) }
+
+func routerVMs(n int) []platform.VM {
+	var vms []platform.VM
+	for i := range n {
+		vms = append(vms, platform.VM{ID: routerName(i), Role: platform.RoleRouter, Region: regionName, Zone: zoneName})
+	}
+	return vms
+}
+
 // agentCalls counts the calls of n agents beside engines.
 func agentCalls(n int) (callCounts, error) {
 	return counting(n, &countingLister{}, func(ctx context.Context, i int, s platform.Store, keys *issuer) error {
--- a/capacity/section.go
+++ b/capacity/section.go
@@ -17,5 +17,6 @@
 		{name: "platform calls", run: platformCalls},
 		{name: "grants", run: grants},
 		{name: "claims", run: claims},
+		{name: "connections", run: connections},
 	}
 }
