--- a/capacity/claims.go
+++ b/capacity/claims.go
@@ -22,7 +22,6 @@
 	size := series{
 		What: "claims kept for an hour, bytes", By: "claims", Xs: []float64{500, 1000, 2000, 4000},
 		At: 3600, Budget: claim.DefaultBuckets * claim.DefaultBucketBytes,
-		Rate: 1,
 	}
 	if err := t.measure(size, claimBytes); err != nil {
 		return err
--- a/capacity/connections.go
+++ b/capacity/connections.go
@@ -8,6 +8,9 @@
 // connectedTime is how long connections are watched.
 const connectedTime = 3 * time.Second
 
+// warmUp is how long connections are left alone before they are watched.
+const warmUp = 1500 * time.Millisecond
+
 // bothEnds divides what the two ends of a connection use together.
 const bothEnds = 2
 
@@ -37,10 +40,11 @@
 		{"heap of one end, bytes", memoryBytes, connectionHeap},
 	}
 	for _, f := range figures {
-		s := series{What: kind + ": " + f.what, By: "connections", Xs: []float64{4, 8, 16, 32}, At: targetAgents, Budget: f.budget}
+		s := series{What: kind + " of a router: " + f.what, By: "connections", Xs: []float64{4, 8, 16, 32}, At: targetAgents, Budget: f.budget}
 		if err := t.measure(s, func(n int) (float64, error) { return f.f(n, reports) }); err != nil {
 			return err
 		}
+		t.again(kind+" of an agent: "+f.what, targetRouters)
 	}
 	return nil
 }
@@ -51,7 +55,7 @@
 		return 0, err
 	}
 	defer l.close()
-	time.Sleep(connectedTime / 2)
+	time.Sleep(warmUp)
 	before := l.relay.bytes.Load()
 	time.Sleep(connectedTime)
 	return float64(l.relay.bytes.Load()-before) / connectedTime.Seconds(), nil
@@ -63,6 +67,7 @@
 		return 0, err
 	}
 	defer l.close()
+	time.Sleep(warmUp)
 	before, err := processorTime()
 	if err != nil {
 		return 0, err
@@ -73,12 +78,13 @@
 }
 
 func connectionHeap(n int, reports bool) (float64, error) {
+	time.Sleep(warmUp) // for the connections of the measurement before
 	before := heapBytes()
 	l, err := newLink(context.Background(), n, false, reports)
 	if err != nil {
 		return 0, err
 	}
 	defer l.close()
-	time.Sleep(time.Second)
+	time.Sleep(warmUp)
 	return (float64(heapBytes()) - float64(before)) / bothEnds, nil
 }
--- a/capacity/table.go
+++ b/capacity/table.go
@@ -29,6 +29,13 @@
 	return nil
 }
 
+// again adds the values of the last series, worked out at another size.
+func (t *table) again(what string, at float64) {
+	s := t.all[len(t.all)-1]
+	s.What, s.At = what, at
+	t.all = append(t.all, s)
+}
+
 // print writes the table to w.
 func (t *table) print(w io.Writer) error {
 	tw := tabwriter.NewWriter(w, minCell, tabStop, padding, ' ', 0)
