--- a/digest/bytes_test.go
+++ b/digest/bytes_test.go
@@ -61,7 +61,6 @@
 	subscribers []*fleetRouter
 	loading     ident.Model
 	loadedAt    time.Duration
-	models      int
 }
 
 type fleetRouter struct {
