--- a/dev/dev_test.go
+++ b/dev/dev_test.go
@@ -143,6 +143,9 @@
 			if err := json.NewDecoder(bytes.NewReader([]byte(body))).Decode(&e); err != nil {
 				t.Fatalf("%v in %q", err, body)
 			}
+			if resp.Header.Get("X-Request-Id") == "" {
+				t.Error("no request id")
+			}
 			if resp.StatusCode != tc.status || e.Error.Code != tc.code || e.Error.Run != "not_run" || e.Error.Message == "" || e.Error.Type == "" {
 				t.Fatalf("%d %+v", resp.StatusCode, e)
 			}
@@ -155,6 +158,9 @@
 	defer func() { _ = stop() }()
 	start := time.Now()
 	resp, body := call(t, "POST", base+"/v1/chat/completions", `{"model":"draft-writer","messages":[]}`, map[string]string{"X-Laureltally-Timeout": "50ms"})
+	if resp.Header.Get("X-Request-Id") == "" {
+		t.Error("no request id")
+	}
 	if resp.StatusCode != http.StatusGatewayTimeout || resp.Header.Get("Retry-After") == "" || !strings.Contains(body, `"not_run"`) {
 		t.Fatalf("%d %v %s after %v", resp.StatusCode, resp.Header, body, time.Since(start))
 	}
--- a/router/header.go
+++ b/router/header.go
@@ -35,12 +35,22 @@
 	return out
 }
 
-// copyHeader copies an upstream's headers into a response.
+// copyHeader copies an upstream's headers into a response. The id of the request
+// stays the system's own.
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
-		if slices.Contains(hopHeaders, http.CanonicalHeaderKey(name)) {
+		name = http.CanonicalHeaderKey(name)
+		if name == HeaderRequestID || slices.Contains(hopHeaders, name) {
 			continue
 		}
-		dst[http.CanonicalHeaderKey(name)] = slices.Clone(values)
+		dst[name] = slices.Clone(values)
 	}
 }
+
+// resetHeader removes an upstream's headers from a response that will be a
+// refusal. The id of the request stays.
+func resetHeader(h http.Header) {
+	id := h.Values(HeaderRequestID)
+	clear(h)
+	h[HeaderRequestID] = id
+}
--- /dev/null
+++ b/router/sink_test.go
@@ -0,0 +1,63 @@
+package router
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/laureltally/laureltally/wire"
+)
+
+var cut = &Failure{Code: wire.CodeUpstreamLost, Run: wire.RunUnknown, Detail: "lost"}
+
+// TestCutAnswersAreNeverTakenForWhole cuts answers before and after their first
+// byte has reached the caller.
+func TestCutAnswersAreNeverTakenForWhole(t *testing.T) {
+	t.Run("stream before its first byte", func(t *testing.T) {
+		rec := httptest.NewRecorder()
+		s := newStreamSink(rec)
+		s.Head(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}})
+		s.Cut(cut)
+		if rec.Code != http.StatusBadGateway || rec.Header().Get("Content-Type") != "application/json" {
+			t.Fatalf("%d %v", rec.Code, rec.Header())
+		}
+	})
+	t.Run("stream after its first byte", func(t *testing.T) {
+		rec := httptest.NewRecorder()
+		s := newStreamSink(rec)
+		s.Head(http.StatusOK, http.Header{})
+		if err := s.Write([]byte("data: {}\n\n")); err != nil {
+			t.Fatal(err)
+		}
+		s.Cut(cut)
+		body := rec.Body.String()
+		if !strings.Contains(body, `"code":"upstream_lost"`) || strings.Contains(body, "[DONE]") {
+			t.Fatalf("body %q", body)
+		}
+	})
+	t.Run("whole answer that was held back", func(t *testing.T) {
+		rec := httptest.NewRecorder()
+		rec.Header().Set(HeaderRequestID, "id")
+		s := newWholeSink(rec)
+		s.Head(http.StatusOK, http.Header{"X-Upstream": {"1"}})
+		if err := s.Write([]byte("part")); err != nil {
+			t.Fatal(err)
+		}
+		s.Cut(cut)
+		if rec.Code != http.StatusBadGateway || strings.Contains(rec.Body.String(), "part") || rec.Header().Get("X-Upstream") != "" || rec.Header().Get(HeaderRequestID) != "id" {
+			t.Fatalf("%d %v %q", rec.Code, rec.Header(), rec.Body.String())
+		}
+	})
+	t.Run("long answer of which a part was sent", func(t *testing.T) {
+		s := newWholeSink(httptest.NewRecorder())
+		s.Head(http.StatusOK, http.Header{})
+		if err := s.Write(make([]byte, maxHeldBytes+1)); err != nil {
+			t.Fatal(err)
+		}
+		s.Cut(cut)
+		if !s.cut {
+			t.Fatal("the connection would end cleanly")
+		}
+	})
+}
--- a/router/stream_sink.go
+++ b/router/stream_sink.go
@@ -47,7 +47,7 @@
 // ends without the API's closing event.
 func (s *streamSink) Cut(f *Failure) {
 	if !s.started {
-		clear(s.w.Header())
+		resetHeader(s.w.Header())
 		f.write(s.w)
 		s.started = true
 		return
--- a/router/whole_sink.go
+++ b/router/whole_sink.go
@@ -58,7 +58,7 @@
 		s.cut = true
 		return
 	}
-	clear(s.w.Header())
+	resetHeader(s.w.Header())
 	f.write(s.w)
 	s.started = true
 }
