--- /dev/null
+++ b/capacity/agent_calls.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/laureltally/laureltally/agent"
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/platform"
+)
+
+// agentCalls counts the calls of n agents beside engines.
+func agentCalls(n int) (callCounts, error) {
+	return counting(n, &countingLister{}, func(ctx context.Context, i int, s platform.Store, keys *issuer) error {
+		credentials, err := keys.issue(agentName(i))
+		if err != nil {
+			return err
+		}
+		a, err := agent.New(agent.Options{
+			Settings: config.AgentSettings{
+				VM: agentName(i), Region: regionName, Zone: zoneName, Environment: environmentName,
+				Upstream: upstreamName, Kind: config.KindEngine, MemoryMB: 320_000, PeerListen: "127.0.0.1:0",
+			},
+			Store: s, Credentials: credentials, Engine: idleEngine{}, Logger: quiet(),
+		})
+		if err != nil {
+			return fmt.Errorf("agent: %w", err)
+		}
+		return a.Run(ctx)
+	})
+}
--- a/capacity/claims.go
+++ b/capacity/claims.go
@@ -11,12 +11,14 @@
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/platform"
 	"github.com/laureltally/laureltally/platform/memstore"
-	"github.com/laureltally/laureltally/wire"
 )
 
 // claimsPerRouter is how many claims each router makes, one after the other.
 const claimsPerRouter = 16
 
+// claimsPerSecond is how many claims all routers make together.
+const claimsPerSecond = 100
+
 // claims measures what claims of idempotency keys take.
 func claims(t *table) error {
 	size := series{
@@ -30,18 +32,10 @@
 	if err := t.measure(grouped, groupedWrites); err != nil {
 		return err
 	}
-	spread := series{What: "writes for a claim, one at a time at each router", By: "routers", Xs: []float64{4, 8, 16, 32, 64}, At: targetRouters}
+	spread := series{What: "writes for a claim, one at a time at each router", By: "routers", Xs: []float64{4, 8, 16, 32, 64}, At: targetRouters, Budget: platformWrites, Rate: claimsPerSecond}
 	return t.measure(spread, spreadWrites)
 }
 
-// silentAsker is a claim.Asker that reaches nobody.
-type silentAsker struct{}
-
-// Inquire implements claim.Asker.
-func (silentAsker) Inquire(context.Context, claim.Target, ident.Attempt) (wire.AttemptState, error) {
-	return "", &platform.UnavailableError{Op: "inquire"}
-}
-
 func newKeeper(s platform.Store, router int) *claim.Keeper {
 	var mu sync.Mutex
 	n := 0
--- a/capacity/platform_calls.go
+++ b/capacity/platform_calls.go
@@ -1,34 +1,12 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"net"
-	"sync"
-	"time"
 
-	"github.com/laureltally/laureltally/agent"
-	"github.com/laureltally/laureltally/config"
-	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
-	"github.com/laureltally/laureltally/router"
 )
 
-const (
-	// settleTime is given to processes to start their watches.
-	settleTime = 1500 * time.Millisecond
-	// watchedTime is how long calls are counted.
-	watchedTime = 3 * time.Second
-)
-
-// callCounts is what a number of processes ask of the platform.
-type callCounts struct {
-	watches, startReads, startWrites, perSecond float64
-}
-
 // platformCalls measures what routers and agents ask of the platform.
 func platformCalls(t *table) error {
 	if err := roleCalls(t, "router", targetRouters, routerCalls); err != nil {
@@ -75,103 +53,6 @@
 	return nil
 }
 
-// routerCalls counts the calls of n routers of one environment.
-func routerCalls(n int) (callCounts, error) {
-	lister := &countingLister{vms: routerVMs(n)}
-	return counting(n, lister, func(ctx context.Context, i int, s platform.Store, keys *issuer) error {
-		vm := routerName(i)
-		credentials, err := keys.issue(vm)
-		if err != nil {
-			return err
-		}
-		r, err := router.New(router.Options{
-			Settings: config.RouterSettings{
-				VM: vm, Region: regionName, Zone: zoneName, AdminListen: "127.0.0.1:0",
-				Environments: []ident.Environment{environmentName},
-			},
-			Store: s, VMs: lister, Credentials: credentials, Logger: quiet(),
-		})
-		if err != nil {
-			return fmt.Errorf("router: %w", err)
-		}
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return fmt.Errorf("listen: %w", err)
-		}
-		return r.Serve(ctx, ln)
-	})
-}
-
-func routerName(i int) ident.VM { return ident.VM(fmt.Sprintf("router-%03d", i)) }
-
-func routerVMs(n int) []platform.VM {
-	var vms []platform.VM
-	for i := range n {
-		vms = append(vms, platform.VM{ID: routerName(i), Role: platform.RoleRouter, Region: regionName, Zone: zoneName})
-	}
-	return vms
-}
-
-// agentCalls counts the calls of n agents beside engines.
-func agentCalls(n int) (callCounts, error) {
-	return counting(n, &countingLister{}, func(ctx context.Context, i int, s platform.Store, keys *issuer) error {
-		credentials, err := keys.issue(agentName(i))
-		if err != nil {
-			return err
-		}
-		a, err := agent.New(agent.Options{
-			Settings: config.AgentSettings{
-				VM: agentName(i), Region: regionName, Zone: zoneName, Environment: environmentName,
-				Upstream: upstreamName, Kind: config.KindEngine, MemoryMB: 320_000, PeerListen: "127.0.0.1:0",
-			},
-			Store: s, Credentials: credentials, Engine: idleEngine{}, Logger: quiet(),
-		})
-		if err != nil {
-			return fmt.Errorf("agent: %w", err)
-		}
-		return a.Run(ctx)
-	})
-}
-
-// counting runs n processes on one store and counts their calls.
-func counting(n int, lister *countingLister, run func(ctx context.Context, i int, s platform.Store, keys *issuer) error) (callCounts, error) {
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	s, err := storedDocument(ctx, targetModels, 0, targetAgents)
-	if err != nil {
-		return callCounts{}, err
-	}
-	keys, err := newIssuer()
-	if err != nil {
-		return callCounts{}, err
-	}
-	defer keys.close()
-	before := s.Counters()
-	errs := make([]error, n)
-	var running sync.WaitGroup
-	for i := range n {
-		running.Go(func() { errs[i] = run(ctx, i, s, keys) })
-	}
-	c := watchCalls(s, lister, before)
-	stop()
-	running.Wait()
-	return c, errors.Join(errs...)
-}
-
-func watchCalls(s *memstore.Store, lister *countingLister, before memstore.Counters) callCounts {
-	time.Sleep(settleTime)
-	settled, lists := s.Counters(), lister.reads.Load()
-	time.Sleep(watchedTime)
-	after := s.Counters()
-	reads := after.Reads - settled.Reads + lister.reads.Load() - lists
-	return callCounts{
-		watches:     float64(after.Watches),
-		startReads:  float64(settled.Reads - before.Reads),
-		startWrites: float64(settled.Writes - before.Writes),
-		perSecond:   float64(reads) / watchedTime.Seconds(),
-	}
-}
-
 // listBytes is the size of the platform's list of n VMs, which a router reads
 // once a second.
 func listBytes(n int) (float64, error) {
--- a/capacity/router_state.go
+++ b/capacity/router_state.go
@@ -1,16 +1,12 @@
 package main
 
 import (
-	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/laureltally/laureltally/digest"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/membership"
 	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/routing"
-	"github.com/laureltally/laureltally/wire"
 )
 
 // agentSizes are the numbers of agents that a router knows.
@@ -38,26 +34,6 @@
 	return nil
 }
 
-// tableWithReports is a routing table and the reports that its router holds.
-type tableWithReports struct {
-	table   *routing.Table
-	reports []*wire.Report
-}
-
-func newTable(agents int) (*tableWithReports, error) {
-	c, err := routing.New(routing.Options{Rand: rand.New(rand.NewPCG(1, 2))})
-	if err != nil {
-		return nil, fmt.Errorf("routing: %w", err)
-	}
-	t := &tableWithReports{table: routing.NewTable(c)}
-	for i := range agents {
-		r := report(i, modelsPerAgent, 1)
-		t.reports = append(t.reports, r)
-		t.table.Report(time.Unix(0, 0), r, 0)
-	}
-	return t, nil
-}
-
 func newMembers(agents int) *membership.View {
 	v := membership.New(membership.Options{})
 	var listed []platform.VM
--- /dev/null
+++ b/capacity/silent_asker.go
@@ -0,0 +1,18 @@
+package main
+
+import (
+	"context"
+
+	"github.com/laureltally/laureltally/claim"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// silentAsker is a claim.Asker that reaches nobody.
+type silentAsker struct{}
+
+// Inquire implements claim.Asker.
+func (silentAsker) Inquire(context.Context, claim.Target, ident.Attempt) (wire.AttemptState, error) {
+	return "", &platform.UnavailableError{Op: "inquire"}
+}
