--- a/bench/section.go
+++ b/bench/section.go
@@ -10,6 +10,7 @@
 		nordfjell,
 		memoryless,
 		burst,
+		loadFaults,
 		overloadSection,
 		outageSection,
 		herdSection,
@@ -18,5 +19,6 @@
 		comebackSection,
 		hedgeSection,
 		routingCostSection,
+		latencySection,
 	}
 }
--- a/replica/sim_engine_test.go
+++ b/replica/sim_engine_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -14,9 +15,17 @@
 type simEngine struct {
 	checksFences bool
 	models       map[ident.Model]*engine.ModelState
-	adapterMB    int64
 	fences       map[ident.Model]ident.Fence
 	running      *engine.Order
+	restarts     int
+}
+
+// restart empties the engine. An order on its way may still reach it.
+func (e *simEngine) restart() {
+	e.restarts++
+	e.running = nil
+	clear(e.models)
+	clear(e.fences)
 }
 
 func (e *simEngine) deliver(o engine.Order) orderbook.Answer {
@@ -58,16 +67,19 @@
 func (e *simEngine) usedMB() int64 {
 	var sum int64
 	for _, m := range e.models {
-		sum += m.MemoryMB + int64(len(m.Adapters))*e.adapterMB
+		sum += m.MemoryMB
+		for _, a := range m.Adapters {
+			sum += simAdapterMB[a]
+		}
 	}
 	if e.running != nil && e.running.Kind == engine.OrderLoadAdapter {
-		sum += e.adapterMB
+		sum += e.running.MemoryMB
 	}
 	return sum
 }
 
 func (e *simEngine) state() engine.State {
-	s := engine.State{Instance: "one", UsedMB: e.usedMB()}
+	s := engine.State{Instance: fmt.Sprint(e.restarts), UsedMB: e.usedMB()}
 	for _, m := range slices.Sorted(maps.Keys(e.models)) {
 		st := *e.models[m]
 		st.Adapters = slices.Clone(st.Adapters)
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -62,7 +62,7 @@
 // weighted returns the names of the actions, the rare ones once and those that
 // serve most often.
 func weighted() []string {
-	times := map[string]int{"VM replaced": 1, "agent dies": 1, "drain": 1, "all read": 2, "need": 12, "engine works": 18}
+	times := map[string]int{"VM replaced": 1, "agent dies": 1, "engine dies": 1, "drain": 1, "all read": 2, "need": 12, "engine works": 18}
 	var names []string
 	for _, name := range slices.Sorted(maps.Keys(actions)) {
 		names = append(names, slices.Repeat([]string{name}, cmp.Or(times[name], 6))...)
@@ -70,6 +70,8 @@
 	return names
 }
 
+func unbroken(f flaws, sf simFlaws) bool { return f == (flaws{}) && sf == (simFlaws{}) }
+
 // search runs the world with a flaw until an invariant breaks, and returns the
 // violation with the steps that led to it.
 func search(f flaws, sf simFlaws, runs int) (string, []string) {
@@ -92,6 +94,12 @@
 			}
 		}
 		leased += w.leased
+		if !unbroken(f, sf) {
+			continue
+		}
+		if v := w.heal(); v != "" {
+			return fmt.Sprintf("run %d does not converge: %s", run, v), trace
+		}
 	}
 	if leased < runs {
 		return fmt.Sprintf("%d runs gave %d leases, too few to show anything", runs, leased), nil
