--- a/agent/drain.go
+++ b/agent/drain.go
@@ -4,33 +4,48 @@
 	"context"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/laureltally/laureltally/drain"
 	"github.com/laureltally/laureltally/platform"
 )
 
-// watchRetry is how long to wait after a watch has failed.
-const watchRetry = time.Second
+const (
+	// watchRetry and maxWatchRetry bound the growing, jittered pause after a
+	// watch has failed.
+	watchRetry    = time.Second
+	maxWatchRetry = 30 * time.Second
+)
 
 // followDrain drains the agent while an operator asks for it.
 func (a *Agent) followDrain(ctx context.Context) {
 	key := drain.Key(a.o.Settings.VM)
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = watchRetry
+	pause.MaxInterval = maxWatchRetry
 	for ctx.Err() == nil {
-		if err := a.watchDrain(ctx, key); err != nil && ctx.Err() == nil {
+		listed, err := a.watchDrain(ctx, key)
+		if listed {
+			pause.Reset()
+		}
+		if err != nil && ctx.Err() == nil {
 			a.o.Logger.WithError(err).Debug("drain orders not watched")
 		}
-		sleep(ctx, watchRetry)
+		sleep(ctx, pause.NextBackOff())
 	}
 }
 
-func (a *Agent) watchDrain(ctx context.Context, key string) error {
+// watchDrain follows the order until the watch ends, and tells whether it could
+// be read at all.
+func (a *Agent) watchDrain(ctx context.Context, key string) (listed bool, err error) {
 	objects, version, err := a.o.Store.List(ctx, key)
 	if err != nil {
-		return err
+		return false, err
 	}
 	for _, o := range objects {
 		a.drainOrder(key, platform.Event{Object: o})
 	}
-	return a.o.Store.Watch(ctx, key, version, func(e platform.Event) { a.drainOrder(key, e) })
+	return true, a.o.Store.Watch(ctx, key, version, func(e platform.Event) { a.drainOrder(key, e) })
 }
 
 // drainOrder obeys a change of the order to drain. Only the exact key counts:
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -85,7 +85,7 @@
 		Code:       codeOf(ctx),
 		Run:        wire.RunUnknown,
 		RetryAfter: defaultRetryAfter,
-		Detail:     err.Error(),
+		Detail:     "the upstream gave no answer",
 	}
 	a.mu.Lock()
 	if neverConnected(err) && a.table.Unsent(a.o.Now(), d.Attempt) {
@@ -129,7 +129,7 @@
 	if err != nil {
 		a.finish(d, false)
 		a.o.Logger.WithError(err).WithField("request", d.Request).WithField("attempt", d.Attempt).Warn("answer cut")
-		_ = w.Abort(codeOf(ctx), err.Error())
+		_ = w.Abort(codeOf(ctx), "the upstream's answer broke off")
 		return admission.Failed
 	}
 	a.finish(d, true)
--- a/agent/refusal.go
+++ b/agent/refusal.go
@@ -16,6 +16,19 @@
 // defaultRetryAfter is told to callers when the cause says nothing better.
 const defaultRetryAfter = time.Second
 
+// details tells callers the reason for a refusal. The errors themselves name
+// addresses inside the system and go into the logs.
+var details = map[wire.Code]string{
+	wire.CodeNoReplica:    "the VM has no right to load the model",
+	wire.CodeOverloaded:   "the VM has no accelerator memory free for the model",
+	wire.CodeLoadFailed:   "the model could not be loaded",
+	wire.CodeDraining:     "the upstream is leaving",
+	wire.CodeDeadline:     "the model was not loaded before the deadline",
+	wire.CodeUnknownModel: "the upstream does not know the model",
+	wire.CodeCanceled:     "the request was canceled",
+	wire.CodeInternal:     "an internal failure",
+}
+
 // refusalFor turns an error of package replica into a refusal. All of them mean
 // that the request has not run.
 func refusalFor(id ident.Attempt, err error) *wire.Refusal {
@@ -23,7 +36,7 @@
 	if after <= 0 {
 		after = defaultRetryAfter
 	}
-	return &wire.Refusal{Attempt: id, Code: code, Run: wire.RunNot, RetryAfter: after, Detail: err.Error()}
+	return &wire.Refusal{Attempt: id, Code: code, Run: wire.RunNot, RetryAfter: after, Detail: details[code]}
 }
 
 func classify(err error) (wire.Code, time.Duration) {
--- a/agent/run.go
+++ b/agent/run.go
@@ -56,6 +56,7 @@
 		Deadline: deadline,
 	})
 	if err != nil {
+		a.o.Logger.WithError(err).WithField("request", d.Request).WithField("attempt", d.Attempt).Info("model not acquired")
 		return nil, refusalFor(d.Attempt, err)
 	}
 	return lease.Release, nil
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -197,6 +197,7 @@
 			Listen: addresses[0], AdminListen: addresses[1], PeerListen: addresses[2],
 			Platform: c.PlatformURL, Environments: []ident.Environment{Environment},
 			Log:             config.LogSettings{Format: "text", Level: "info"},
+			BalancerNotice:  config.Duration(300 * time.Millisecond),
 			ShutdownTimeout: config.Duration(20 * time.Second),
 		}
 		s.TLS, err = c.issue(name)
--- a/router/delivery.go
+++ b/router/delivery.go
@@ -101,6 +101,7 @@
 	})
 	if err != nil {
 		d.discard(chosen)
+		d.s.o.Logger.WithError(err).WithField("request", d.req.ID).Info("key not claimed")
 		return claimFailure(err)
 	}
 	switch outcome.Kind {
@@ -182,21 +183,24 @@
 		overflow *claim.OverflowError
 		down     *claim.PlatformError
 	)
-	f := &Failure{Code: wire.CodeInternal, Run: wire.RunUnknown, Detail: err.Error()}
+	f := &Failure{Code: wire.CodeInternal, Run: wire.RunUnknown, Detail: "the key could not be claimed"}
 	switch {
 	case errors.As(err, &own):
 		return own
 	case errors.As(err, &reused):
 		f.Code = wire.CodeKeyReused
 		f.Run = wire.RunNot
+		f.Detail = err.Error()
 	case errors.As(err, &expired):
 		f.Code = wire.CodeAnswerGone
+		f.Detail = err.Error()
 	case errors.As(err, &overflow):
 		f.Code = wire.CodeOverloaded
 		f.Run = wire.RunNot
 		f.RetryAfter = overflow.RetryAfter
 	case errors.As(err, &down):
 		f.Code = wire.CodePlatformDown
+		f.Detail = "the platform is unavailable, so that the key cannot be looked up"
 		f.RetryAfter = down.RetryAfter
 	case errors.Is(err, context.DeadlineExceeded):
 		f.Code = wire.CodeDeadline
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -61,7 +61,8 @@
 	if ctx.Err() != nil {
 		return gaveUp(ctx, wire.RunNot)
 	}
-	f := notRun(wire.CodeUpstreamLost, "%v", err)
+	x.d.s.o.Logger.WithError(err).WithField("attempt", x.attempt).Info("attempt not sent")
+	f := notRun(wire.CodeUpstreamLost, "the upstream cannot be reached")
 	f.RetryAfter = noReplicaRetryAfter
 	return f
 }
--- a/router/server.go
+++ b/router/server.go
@@ -80,9 +80,6 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout closes idle connections of callers.
 	idleTimeout = 120 * time.Second
-	// noticeTime is how long the balancer is given to see that the router is no
-	// longer ready.
-	noticeTime = 200 * time.Millisecond
 	// defaultShutdownTimeout bounds a graceful shutdown.
 	defaultShutdownTimeout = 60 * time.Second
 )
@@ -167,7 +164,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	s.draining.Store(true)
-	time.Sleep(noticeTime)
+	time.Sleep(time.Duration(s.o.Settings.BalancerNotice))
 	for _, server := range servers {
 		if err := server.Shutdown(ctx); err != nil {
 			s.o.Logger.WithError(err).Warn("shutdown timeout")
