--- a/agent/execute.go
+++ b/agent/execute.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/laureltally/laureltally/admission"
@@ -26,18 +27,25 @@
 const readBytes = 16 << 10
 
 // execute sends the attempt to the upstream and writes the answer.
-func (a *Agent) execute(ctx context.Context, d *wire.Dispatch, w *answer.Writer, deadline time.Time) admission.Result {
+func (a *Agent) execute(ctx context.Context, l *lane, d *wire.Dispatch, w *answer.Writer, deadline time.Time) admission.Result {
 	a.mu.Lock()
-	begun := a.table.Begin(d.Attempt)
+	allowed := a.table.Begin(d.Attempt)
 	a.mu.Unlock()
-	if !begun {
+	if !allowed {
 		a.refuse(d, w, &wire.Refusal{Code: wire.CodeTombstoned, Run: wire.RunNot, Detail: "the attempt was withdrawn"})
 		return admission.Failed
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	first := time.AfterFunc(deadline.Sub(a.o.Now()), func() { cancel(context.DeadlineExceeded) })
+	start := a.o.Now()
+	first := time.AfterFunc(deadline.Sub(start), func() { cancel(context.DeadlineExceeded) })
 	defer first.Stop()
+	begun := sync.OnceFunc(func() {
+		if d.Stream {
+			first.Stop()
+			l.noteFirst(a.o.Now().Sub(start))
+		}
+	})
 	whole := time.AfterFunc(a.longest(d), func() { cancel(context.DeadlineExceeded) })
 	defer whole.Stop()
 	resp, err := a.send(ctx, d)
@@ -46,7 +54,7 @@
 		return admission.Failed
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return a.copyAnswer(ctx, d, w, resp, first)
+	return a.copyAnswer(ctx, d, w, resp, begun)
 }
 
 // longest is how long the whole answer may take. Only that of a stream may go
@@ -116,7 +124,7 @@
 }
 
 // copyAnswer writes the upstream's response into the answer.
-func (a *Agent) copyAnswer(ctx context.Context, d *wire.Dispatch, w *answer.Writer, resp *http.Response, first *time.Timer) admission.Result {
+func (a *Agent) copyAnswer(ctx context.Context, d *wire.Dispatch, w *answer.Writer, resp *http.Response, begun func()) admission.Result {
 	if a.turnedAway(d, resp) {
 		a.finish(d, false)
 		_ = w.Refuse(wire.Refusal{Attempt: d.Attempt, Code: wire.CodeUpstreamFailed, Run: wire.RunUnknown, RetryAfter: defaultRetryAfter, Detail: "the engine answered " + resp.Status})
@@ -124,7 +132,7 @@
 	}
 	err := w.Head(resp.StatusCode, resp.Header)
 	if err == nil {
-		err = copyBody(ctx, d, w, resp.Body, first)
+		err = copyBody(ctx, w, resp.Body, begun)
 	}
 	if err != nil {
 		a.finish(d, false)
@@ -162,14 +170,13 @@
 	a.table.Cut(a.o.Now(), d.Attempt)
 }
 
-func copyBody(ctx context.Context, d *wire.Dispatch, w *answer.Writer, body io.Reader, first *time.Timer) error {
+// copyBody copies the body into the answer and calls begun after each part.
+func copyBody(ctx context.Context, w *answer.Writer, body io.Reader, begun func()) error {
 	buf := make([]byte, readBytes)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			if d.Stream {
-				first.Stop()
-			}
+			begun()
 			if _, werr := w.Write(ctx, buf[:n]); werr != nil {
 				return fmt.Errorf("keep answer: %w", werr)
 			}
--- a/agent/lane.go
+++ b/agent/lane.go
@@ -24,6 +24,43 @@
 	mu       sync.Mutex
 	loading  bool
 	loadTime time.Duration
+	// firstToken is the average time to the first part of a stream, zero until
+	// one was seen.
+	firstToken time.Duration
+}
+
+// firstShare is the weight of the newest time in the average.
+const firstShare = 0.1
+
+// noteFirst records how long the first part of a stream took.
+func (l *lane) noteFirst(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.firstToken == 0 {
+		l.firstToken = took
+		return
+	}
+	l.firstToken += time.Duration(firstShare * float64(took-l.firstToken))
+}
+
+// item describes an attempt to the queue. What is due by the deadline of a
+// stream is its first part, although it takes its place until its end.
+func (l *lane) item(d *wire.Dispatch, deadline time.Time) admission.Item {
+	it := admission.Item{
+		ID:          d.Attempt,
+		Environment: d.Environment,
+		Region:      d.Region,
+		Priority:    d.Priority,
+		Deadline:    deadline,
+	}
+	if !d.Stream {
+		return it
+	}
+	it.Hold = l.stats().RunTime
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	it.Cost = l.firstToken
+	return it
 }
 
 // beginLoad tells whether the caller is the one to start a load, and how long
--- a/agent/run.go
+++ b/agent/run.go
@@ -19,7 +19,7 @@
 		return
 	}
 	a.ensureLoaded(l, d)
-	if r := l.enter(ctx, a.item(d, deadline)); r != nil {
+	if r := l.enter(ctx, l.item(d, deadline)); r != nil {
 		a.refuse(d, w, r)
 		return
 	}
@@ -31,17 +31,7 @@
 		return
 	}
 	defer release()
-	result = a.execute(ctx, d, w, deadline)
-}
-
-func (a *Agent) item(d *wire.Dispatch, deadline time.Time) admission.Item {
-	return admission.Item{
-		ID:          d.Attempt,
-		Environment: d.Environment,
-		Region:      d.Region,
-		Priority:    d.Priority,
-		Deadline:    deadline,
-	}
+	result = a.execute(ctx, l, d, w, deadline)
 }
 
 // acquire keeps the model and the adapter loaded while the attempt runs.
--- a/cmd/laureltally-agent/main.go
+++ b/cmd/laureltally-agent/main.go
@@ -14,8 +14,6 @@
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/daemon"
 	"github.com/laureltally/laureltally/engine/enginehttp"
-	"github.com/laureltally/laureltally/keys"
-	"github.com/laureltally/laureltally/platform/objecthttp"
 )
 
 func main() { os.Exit(daemon.Main("laureltally-agent", run)) }
@@ -25,27 +23,18 @@
 	if err != nil {
 		return err
 	}
-	logger, err := daemon.NewLogger(os.Stderr, s.Log, s.VM)
+	p, err := daemon.NewParts(daemon.PartsOptions{Program: "agent", VM: s.VM, Platform: s.Platform, TLS: s.TLS, Log: s.Log})
 	if err != nil {
 		return err
 	}
-	credentials, err := keys.NewReloader(keys.ReloaderOptions{CA: s.TLS.CA, Certificate: s.TLS.Cert, Key: s.TLS.Key, Logger: logger})
-	if err != nil {
-		return fmt.Errorf("credentials: %w", err)
-	}
-	client, err := objecthttp.New(objecthttp.Options{BaseURL: s.Platform})
-	if err != nil {
-		return fmt.Errorf("platform: %w", err)
-	}
-	metrics := daemon.NewMetrics("agent")
-	defer metrics.Close()
+	defer p.Metrics.Close()
 	o := agent.Options{
 		Settings:       s,
-		Store:          client,
-		Credentials:    credentials,
-		Logger:         logger,
-		Metrics:        metrics.Scope,
-		MetricsHandler: metrics.Handler,
+		Store:          p.Platform,
+		Credentials:    p.Credentials,
+		Logger:         p.Logger,
+		Metrics:        p.Metrics.Scope,
+		MetricsHandler: p.Metrics.Handler,
 	}
 	if s.Kind == config.KindEngine {
 		o.Engine, err = enginehttp.New(enginehttp.Options{BaseURL: s.UpstreamURL})
--- a/cmd/laureltally-router/main.go
+++ b/cmd/laureltally-router/main.go
@@ -6,13 +6,10 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/daemon"
-	"github.com/laureltally/laureltally/keys"
-	"github.com/laureltally/laureltally/platform/objecthttp"
 	"github.com/laureltally/laureltally/router"
 )
 
@@ -23,28 +20,19 @@
 	if err != nil {
 		return err
 	}
-	logger, err := daemon.NewLogger(os.Stderr, s.Log, s.VM)
+	p, err := daemon.NewParts(daemon.PartsOptions{Program: "router", VM: s.VM, Platform: s.Platform, TLS: s.TLS, Log: s.Log})
 	if err != nil {
 		return err
 	}
-	credentials, err := keys.NewReloader(keys.ReloaderOptions{CA: s.TLS.CA, Certificate: s.TLS.Cert, Key: s.TLS.Key, Logger: logger})
-	if err != nil {
-		return fmt.Errorf("credentials: %w", err)
-	}
-	client, err := objecthttp.New(objecthttp.Options{BaseURL: s.Platform})
-	if err != nil {
-		return fmt.Errorf("platform: %w", err)
-	}
-	metrics := daemon.NewMetrics("router")
-	defer metrics.Close()
+	defer p.Metrics.Close()
 	server, err := router.New(router.Options{
 		Settings:       s,
-		Store:          client,
-		VMs:            client,
-		Credentials:    credentials,
-		Logger:         logger,
-		Metrics:        metrics.Scope,
-		MetricsHandler: metrics.Handler,
+		Store:          p.Platform,
+		VMs:            p.Platform,
+		Credentials:    p.Credentials,
+		Logger:         p.Logger,
+		Metrics:        p.Metrics.Scope,
+		MetricsHandler: p.Metrics.Handler,
 	})
 	if err != nil {
 		return err
