router, agent: places at the weight store are handed out by one router

Cause: package gate was measured but no daemon asked it, so that loads of many VMs started together went beyond what the weight store serves at full speed.

Change: an agent asks the router that all agents choose alike, over the connection which that router has made; the router drives one gate for each environment under the document's limits. Adapters do not ask.

--- a/router/environment.go
+++ b/router/environment.go
@@ -27,6 +27,7 @@
 	catalog atomic.Pointer[catalog.Catalog]
 	claims  *claim.Keeper
 	planner *grant.Planner
+	gate    *storeGate
 
 	mu      sync.Mutex
 	limiter *admission.Limiter
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("retry policy: %w", err)
 	}
-	e := &environment{name: name, limiter: limiter, budget: budget, retries: retries}
+	e := &environment{name: name, limiter: limiter, budget: budget, retries: retries, gate: newStoreGate(s.o.Now)}
 	jitter := s.splitRand()
 	e.planner, err = grant.NewPlanner(grant.Options{
 		Environment: name,
--- a/router/server.go
+++ b/router/server.go
@@ -42,7 +42,12 @@
 		environments: make(map[ident.Environment]*environment),
 		rand:         o.Rand,
 	}
-	s.pool = transport.NewPool(transport.Options{Hello: s.hello(), Credentials: o.Credentials, Logger: o.Logger})
+	s.pool = transport.NewPool(transport.Options{
+		Hello:       s.hello(),
+		Credentials: o.Credentials,
+		Handler:     transport.HandlerFunc(s.handleStream),
+		Logger:      o.Logger,
+	})
 	f, err := newFleet(s)
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
@@ -147,6 +152,9 @@
 func (s *Server) useDocument(env *environment, c *catalog.Catalog) {
 	env.catalog.Store(c)
 	env.planner.SetDocument(c.Version(), c.Document())
+	if err := env.gate.setLimits(c.Document().Store); err != nil {
+		s.o.Logger.WithError(err).WithField("environment", env.name).Warn("limits of the weight store not applied")
+	}
 }
 
 // plan keeps the grants of an environment up to date.
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -1,10 +1,12 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/quic-go/quic-go"
@@ -19,6 +21,8 @@
 	mu     sync.Mutex
 	conns  map[*Conn]struct{}
 	closed bool
+	// accepted counts the connections so far.
+	accepted uint64
 }
 
 // Listen listens on the UDP address.
@@ -48,6 +52,19 @@
 // Addr returns the address listened on.
 func (l *Listener) Addr() net.Addr { return l.ln.Addr() }
 
+// Conns returns the connections of the moment, the newest first. An older one of
+// the same peer may be silent: the end that did not dial learns of that late.
+func (l *Listener) Conns() []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conns := make([]*Conn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	slices.SortFunc(conns, func(a, b *Conn) int { return cmp.Compare(b.seq, a.seq) })
+	return conns
+}
+
 // Close stops listening, closes every connection and waits for the accepting
 // goroutines.
 func (l *Listener) Close() error {
@@ -96,6 +113,8 @@
 	if l.closed {
 		return false
 	}
+	l.accepted++
+	c.seq = l.accepted
 	l.conns[c] = struct{}{}
 	return true
 }
