router: names are kept apart by environment; load times are learnt at their true size

Cause: the router filed models and upstreams by name alone, so that two environments with the same names would have shared candidates, and told the cold-start chooser of loads with a size of zero, from which nothing was learnt. An agent took dispatches of any environment.

Change: names are scoped; agents refuse other environments as not run; loads are told with the size in the document.

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -31,6 +31,9 @@
 	if !decision.Accepted {
 		return &decision.Refusal
 	}
+	if d.Environment != a.o.Settings.Environment {
+		return a.withdrawLocked(now, d.Attempt, wire.CodeUnknownEnvironment, "the agent serves another environment")
+	}
 	if a.draining.Load() {
 		return a.withdrawLocked(now, d.Attempt, wire.CodeDraining, "the upstream is leaving")
 	}
--- a/router/choose.go
+++ b/router/choose.go
@@ -25,13 +25,13 @@
 	defer f.mu.Unlock()
 	now := f.s.o.Now()
 	if !req.IsModel() {
-		return f.chooseWarmLocked(now, req, routing.Target{Upstream: req.Upstream}, avoid)
+		return f.chooseWarmLocked(now, req, routing.Target{Upstream: scoped(req.Environment, req.Upstream)}, avoid)
 	}
 	choice, failure := f.chooseSlotLocked(now, req, avoid)
 	if failure != nil {
 		return target{}, failure
 	}
-	route := routing.Target{Upstream: req.Upstream, Model: req.Target.Model.Name}
+	route := routing.Target{Upstream: scoped(req.Environment, req.Upstream), Model: req.Target.Model.Name}
 	if choice.Action == coldstart.Serve {
 		if t, failure := f.chooseWarmLocked(now, req, route, avoid); failure == nil {
 			return t, nil
@@ -43,12 +43,12 @@
 func (f *fleet) chooseSlotLocked(now time.Time, req *Request, avoid map[ident.VM]bool) (coldstart.Choice, *Failure) {
 	m := req.Target.Model
 	q := coldstart.Query{
-		Model:    m.Name,
+		Model:    scoped(req.Environment, m.Name),
 		MemoryMB: m.MemoryMB + m.KVCacheMB,
 		Now:      now,
 		Deadline: req.Deadline,
 	}
-	for id, u := range f.byModel[m.Name] {
+	for id, u := range f.byModel[q.Model] {
 		if u.report == nil || u.listed.Upstream != req.Upstream {
 			continue
 		}
--- a/router/environment.go
+++ b/router/environment.go
@@ -127,6 +127,24 @@
 	return e.retries.Decide(now, f)
 }
 
+// modelMB is the accelerator memory of a model's weights in MiB, or zero if it is
+// not known.
+func (s *Server) modelMB(name ident.Environment, m ident.Model) int64 {
+	env := s.environments[name]
+	if env == nil {
+		return 0
+	}
+	c := env.catalog.Load()
+	if c == nil {
+		return 0
+	}
+	spec, ok := c.Model(m)
+	if !ok {
+		return 0
+	}
+	return spec.MemoryMB + spec.KVCacheMB
+}
+
 var _ claim.Asker = (*Server)(nil)
 
 // minter is where attempts get their names.
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -20,8 +20,9 @@
 type fleet struct {
 	s *Server
 
-	mu       sync.Mutex
-	vms      map[ident.VM]*upstreamVM
+	mu  sync.Mutex
+	vms map[ident.VM]*upstreamVM
+	// byModel, table and cold use names with their environment; see scoped.
 	byModel  map[ident.Model]map[ident.VM]*upstreamVM
 	chooser  *routing.Chooser
 	table    *routing.Table
@@ -163,28 +164,31 @@
 	now := f.s.o.Now()
 	f.noteLoadsLocked(u, r, now)
 	u.report = r
-	f.table.Report(now, r, 0)
+	inTable := *r
+	inTable.Upstream = scoped(u.environment(), r.Upstream)
+	f.table.Report(now, &inTable, 0)
 	f.indexLocked(u)
 }
 
 // indexLocked files u under the models that it has or may load.
 func (f *fleet) indexLocked(u *upstreamVM) {
 	id := u.listed.ID
-	for _, m := range u.indexed {
-		delete(f.byModel[m], id)
+	for _, name := range u.indexed {
+		delete(f.byModel[name], id)
 	}
 	u.indexed = u.indexed[:0]
 	for _, m := range u.report.Models {
 		if m.Fence == 0 && m.Phase == "" {
 			continue
 		}
-		holders, ok := f.byModel[m.Model]
+		name := scoped(u.environment(), m.Model)
+		holders, ok := f.byModel[name]
 		if !ok {
 			holders = make(map[ident.VM]*upstreamVM)
-			f.byModel[m.Model] = holders
+			f.byModel[name] = holders
 		}
 		holders[id] = u
-		u.indexed = append(u.indexed, m.Model)
+		u.indexed = append(u.indexed, name)
 	}
 }
 
@@ -192,7 +196,7 @@
 func (f *fleet) noteLoadsLocked(u *upstreamVM, r *wire.Report, now time.Time) {
 	for _, m := range r.Models {
 		before, _ := u.model(m.Model)
-		u.noteLoad(before, m, now, f.cold)
+		u.noteLoad(before, m, f.s.modelMB(u.environment(), m.Model), now, f.cold)
 	}
 }
 
@@ -220,12 +224,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, m := range d.Models {
-		if !f.anyLocked(func(u *upstreamVM) bool { r, ok := u.model(m.Name); return ok && r.Fence != 0 }) {
+		if !f.anyLocked(func(u *upstreamVM) bool {
+			r, ok := u.model(m.Name)
+			return ok && r.Fence != 0 && u.environment() == d.Environment
+		}) {
 			return false
 		}
 	}
 	for _, s := range d.Services {
-		if !f.anyLocked(func(u *upstreamVM) bool { return u.listed.Upstream == s.Upstream }) {
+		if !f.anyLocked(func(u *upstreamVM) bool { return u.listed.Upstream == s.Upstream && u.environment() == d.Environment }) {
 			return false
 		}
 	}
--- a/router/upstream_vm.go
+++ b/router/upstream_vm.go
@@ -24,6 +24,18 @@
 	loadTier  map[ident.Model]engine.Tier
 }
 
+// environment is the one that the VM's agent serves, or empty while it has no
+// document.
+func (u *upstreamVM) environment() ident.Environment {
+	if u.report == nil {
+		return ""
+	}
+	for env := range u.report.Configs {
+		return env
+	}
+	return ""
+}
+
 // newer tells whether r supersedes the report at hand.
 func (u *upstreamVM) newer(r *wire.Report) bool {
 	return u.report == nil || r.Incarnation != u.report.Incarnation || r.Seq > u.report.Seq
@@ -47,17 +59,18 @@
 }
 
 // noteLoad follows the phases of a model over two reports and tells the chooser
-// how long a load took.
-func (u *upstreamVM) noteLoad(before, after wire.ModelReport, now time.Time, c *coldstart.Chooser) {
+// how long a load took. memoryMB is the size of the model, in MiB.
+func (u *upstreamVM) noteLoad(before, after wire.ModelReport, memoryMB int64, now time.Time, c *coldstart.Chooser) {
+	name := scoped(u.environment(), after.Model)
 	switch {
 	case after.Phase == engine.PhaseLoading && before.Phase != engine.PhaseLoading:
 		u.loadStarted(after.Model, before.Tier, now)
 	case after.Phase == engine.PhaseLoaded && before.Phase == engine.PhaseLoading:
-		if since, ok := u.loadSince[after.Model]; ok {
-			c.Loaded(after.Model, u.listed.ID, u.loadTier[after.Model], 0, now.Sub(since))
+		if since, ok := u.loadSince[after.Model]; ok && memoryMB > 0 {
+			c.Loaded(name, u.listed.ID, u.loadTier[after.Model], memoryMB, now.Sub(since))
 		}
 	case after.Phase == "" && before.Phase == engine.PhaseLoading:
-		c.Failed(after.Model, u.listed.ID, now)
+		c.Failed(name, u.listed.ID, now)
 	}
 }
 
