--- a/agent/store_gate.go
+++ b/agent/store_gate.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/laureltally/laureltally/gate"
@@ -18,7 +21,13 @@
 // implements replica.Gate: an error costs order and speed, never a load.
 //
 // Adapters load in less time than an answer takes and are not asked for.
-type storeGate struct{ a *Agent }
+type storeGate struct {
+	a *Agent
+
+	// silent is the connection on which the gate last said nothing. It is not
+	// asked again; a router that lives makes a new one.
+	silent atomic.Pointer[transport.Conn]
+}
 
 // Acquire implements replica.Gate.
 func (g *storeGate) Acquire(ctx context.Context, m ident.Model, ad ident.Adapter, p ident.Priority) (func(), error) {
@@ -40,7 +49,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("ask for a place: %w", err)
 	}
-	return await(ctx, s)
+	release, err := await(ctx, s)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		g.silent.Store(conn)
+	}
+	return release, err
 }
 
 // await waits for the ticket. The place is held until the stream is reset. A
@@ -88,7 +101,7 @@
 	var vms []ident.VM
 	for _, c := range g.a.listener.Conns() {
 		peer := c.Peer()
-		if peer.Role != platform.RoleRouter || conns[peer.VM] != nil {
+		if peer.Role != platform.RoleRouter || conns[peer.VM] != nil || c == g.silent.Load() {
 			continue
 		}
 		conns[peer.VM] = c
