router: a hopeless request is refused at once, an only VM is asked again

Where the only VM of an upstream had failed a request, its retry found no VM left.

Change: a refusal by estimate ends the request; the avoided VMs are asked again if there is no other.

--- a/router/choose.go
+++ b/router/choose.go
@@ -94,7 +94,7 @@
 	if errors.As(err, &noSlot) {
 		code = wire.CodeNoReplica
 	}
-	f := notRun(code, "%v", err)
+	f := notRun(code, "no VM that may serve the model can be reached")
 	f.RetryAfter = noReplicaRetryAfter
 	return f
 }
@@ -125,7 +125,7 @@
 		Health:  f.healthLocked,
 	})
 	if err != nil {
-		failure := notRun(wire.CodeNoReplica, "%v", err)
+		failure := notRun(wire.CodeNoReplica, "no upstream of %s can be reached", req.Upstream)
 		failure.RetryAfter = noReplicaRetryAfter
 		return target{}, failure
 	}
--- a/router/delivery.go
+++ b/router/delivery.go
@@ -22,6 +22,8 @@
 	// avoid holds the VMs that have refused or failed the request.
 	avoid    map[ident.VM]bool
 	attempts int
+	// hopeless is set when no VM is expected to answer in time.
+	hopeless bool
 	// refuted is the latest claimed attempt that was not run.
 	refuted ident.Attempt
 }
@@ -34,7 +36,7 @@
 		if failure == nil {
 			return nil
 		}
-		if ctx.Err() != nil || !d.again(ctx, failure) {
+		if ctx.Err() != nil || d.hopeless || !d.again(ctx, failure) {
 			d.releaseRefuted(failure)
 			return failure
 		}
@@ -47,7 +49,7 @@
 	if d.req.NonIdempotent && d.req.Key != "" {
 		return d.claimed(ctx)
 	}
-	t, failure := d.s.fleet.choose(d.req, d.avoid)
+	t, failure := d.choose()
 	if failure != nil {
 		d.wakeIfLate(failure)
 		return failure
@@ -61,6 +63,21 @@
 	return failure
 }
 
+// choose picks the agent for the next attempt. VMs that have refused or failed
+// the request are left out while there are others.
+//
+// A request that no VM can answer in time is refused at once: its retries would
+// delay its final answer and use up the budget of others.
+func (d *delivery) choose() (target, *Failure) {
+	t, failure := d.s.fleet.choose(d.req, d.avoid)
+	d.hopeless = failure != nil && failure.Code == wire.CodeDeadline
+	if failure == nil || failure.Code != wire.CodeNoReplica || len(d.avoid) == 0 {
+		return t, failure
+	}
+	clear(d.avoid)
+	return d.s.fleet.choose(d.req, d.avoid)
+}
+
 // again waits for the next attempt if there may be one.
 func (d *delivery) again(ctx context.Context, f *Failure) bool {
 	now := d.s.o.Now()
@@ -92,7 +109,7 @@
 	key := claim.ScopedKey(d.req.Caller, d.req.Key)
 	print := claim.Fingerprint(d.req.Method, d.req.Path, d.req.Body)
 	outcome, err := d.env.claims.Begin(ctx, key, print, func() (claim.Target, error) {
-		t, failure := d.s.fleet.choose(d.req, d.avoid)
+		t, failure := d.choose()
 		if failure != nil {
 			return claim.Target{}, failure
 		}
