--- a/cmd/laureltally/dev.go
+++ b/cmd/laureltally/dev.go
@@ -12,12 +12,13 @@
 
 // devCommand runs the whole path in one process until it is stopped.
 type devCommand struct {
-	Listen  string `arg:"--listen" default:"127.0.0.1:8080" help:"IP address and port for callers"`
-	Verbose bool   `arg:"-v,--verbose" help:"write the logs of all parts to standard error"`
+	Listen      string `arg:"--listen" default:"127.0.0.1:8080" help:"IP address and port for callers"`
+	AdminListen string `arg:"--admin-listen" default:"127.0.0.1:8081" help:"IP address and port for operators: status, metrics, health"`
+	Verbose     bool   `arg:"-v,--verbose" help:"write the logs of all parts to standard error"`
 }
 
 func (c *devCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
-	o := dev.Options{Listen: c.Listen, Out: stdout}
+	o := dev.Options{Listen: c.Listen, AdminListen: c.AdminListen, Out: stdout}
 	if c.Verbose {
 		o.Logger = &log.Logger{Handler: logfmt.New(stderr), Level: log.InfoLevel}
 	}
--- a/dev/cluster.go
+++ b/dev/cluster.go
@@ -12,6 +12,7 @@
 
 	"github.com/laureltally/laureltally/agent"
 	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/daemon"
 	"github.com/laureltally/laureltally/document"
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/engine/enginehttp"
@@ -244,10 +245,20 @@
 		return err
 	}
 	settings := config.RouterSettings{
-		VM: "router-0", Region: region, Zone: zone, AdminListen: "127.0.0.1:0",
+		VM: "router-0", Region: region, Zone: zone, AdminListen: c.o.AdminListen,
 		Environments: []ident.Environment{Environment},
 	}
-	s, err := router.New(router.Options{Settings: settings, Store: c.client, VMs: c.client, Credentials: credentials, Logger: c.o.Logger.WithField("vm", "router-0")})
+	metrics := daemon.NewMetrics("router")
+	c.closers = append(c.closers, metrics.Close)
+	s, err := router.New(router.Options{
+		Settings:       settings,
+		Store:          c.client,
+		VMs:            c.client,
+		Credentials:    credentials,
+		Logger:         c.o.Logger.WithField("vm", "router-0"),
+		Metrics:        metrics.Scope,
+		MetricsHandler: metrics.Handler,
+	})
 	if err != nil {
 		return fmt.Errorf("router: %w", err)
 	}
