agent, replica: asking whether a model is loaded copies no reports

Each request of an engine built the reports of all models under the manager's lock to look at one phase; Manager.Loaded looks at that model alone. Also an alias, a constant and a parameter that nothing needed are gone.

--- a/agent/lane.go
+++ b/agent/lane.go
@@ -120,7 +120,7 @@
 // ensureLoaded starts to load the lane's model unless it is loaded or being
 // loaded. Requests wait in the lane meanwhile.
 func (a *Agent) ensureLoaded(l *lane, d *wire.Dispatch) {
-	if a.replicas == nil || a.isLoaded(l.model) {
+	if a.replicas == nil || a.replicas.Loaded(l.model) {
 		return
 	}
 	estimate, first := l.beginLoad()
@@ -153,7 +153,7 @@
 	l.endLoad(now.Sub(start))
 	a.policy.loaded(l.model, now.Sub(start), now)
 	l.do(func(now time.Time) []admission.Action { return l.queue.Resume(now) })
-	a.holdUntilUsed(l, lease)
+	a.holdUntilUsed(lease)
 }
 
 const (
@@ -164,19 +164,11 @@
 	firstUseGrace = time.Second
 )
 
-func (a *Agent) holdUntilUsed(_ *lane, lease *replica.Lease) {
+// holdUntilUsed keeps what was just loaded for those who waited for it.
+func (a *Agent) holdUntilUsed(lease *replica.Lease) {
 	defer lease.Release()
 	select {
 	case <-time.After(firstUseGrace):
 	case <-a.stopping.Done():
 	}
 }
-
-func (a *Agent) isLoaded(m ident.Model) bool {
-	for _, r := range a.replicas.Models() {
-		if r.Model == m {
-			return r.Phase == phaseLoaded
-		}
-	}
-	return false
-}
--- a/agent/refusal.go
+++ b/agent/refusal.go
@@ -5,14 +5,11 @@
 	"errors"
 	"time"
 
-	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/replica"
 	"github.com/laureltally/laureltally/wire"
 )
 
-const phaseLoaded = engine.PhaseLoaded
-
 // defaultRetryAfter is told to callers when the cause says nothing better.
 const defaultRetryAfter = time.Second
 
--- a/agent/replicas.go
+++ b/agent/replicas.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/replica"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -13,6 +14,7 @@
 	Run(ctx context.Context) error
 	Acquire(ctx context.Context, n replica.Need) (*replica.Lease, error)
 	Models() []wire.ModelReport
+	Loaded(m ident.Model) bool
 	FreeMB() int64
 	Drain(ctx context.Context) error
 }
--- a/replica/manager.go
+++ b/replica/manager.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/ledger"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -166,6 +167,14 @@
 	return m.machine.report()
 }
 
+// Loaded tells whether a model is loaded, as Models reports it.
+func (m *Manager) Loaded(name ident.Model) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	st := m.machine.models[name]
+	return st != nil && st.loaded()
+}
+
 // FreeMB returns the accelerator memory that could still be reserved, in MiB.
 func (m *Manager) FreeMB() int64 {
 	m.mu.Lock()
--- a/router/environment.go
+++ b/router/environment.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/laureltally/laureltally/admission"
-	"github.com/laureltally/laureltally/attempt"
 	"github.com/laureltally/laureltally/catalog"
 	"github.com/laureltally/laureltally/claim"
 	"github.com/laureltally/laureltally/config"
@@ -146,6 +145,3 @@
 }
 
 var _ claim.Asker = (*Server)(nil)
-
-// minter is where attempts get their names.
-type minter = attempt.Minter
--- a/router/server.go
+++ b/router/server.go
@@ -22,7 +22,7 @@
 // Server is a router.
 type Server struct {
 	o            Options
-	minter       *minter
+	minter       *attempt.Minter
 	pool         *transport.Pool
 	fleet        *fleet
 	environments map[ident.Environment]*environment
