--- a/agent/drain.go
+++ b/agent/drain.go
@@ -7,7 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/laureltally/laureltally/drain"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 const (
@@ -43,14 +43,14 @@
 		return false, err
 	}
 	for _, o := range objects {
-		a.drainOrder(key, platform.Event{Object: o})
+		a.drainOrder(key, metastore.Event{Object: o})
 	}
-	return true, a.o.Store.Watch(ctx, key, version, func(e platform.Event) { a.drainOrder(key, e) })
+	return true, a.o.Store.Watch(ctx, key, version, func(e metastore.Event) { a.drainOrder(key, e) })
 }
 
 // drainOrder obeys a change of the order to drain. Only the exact key counts:
 // others may share its beginning.
-func (a *Agent) drainOrder(key string, e platform.Event) {
+func (a *Agent) drainOrder(key string, e metastore.Event) {
 	if e.Object.Key != key {
 		return
 	}
--- a/agent/hello.go
+++ b/agent/hello.go
@@ -1,7 +1,7 @@
 package agent
 
 import (
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -9,7 +9,7 @@
 	return wire.Hello{
 		VM:          a.o.Settings.VM,
 		Incarnation: a.o.Incarnation,
-		Role:        platform.RoleAgent,
+		Role:        metastore.RoleAgent,
 		Region:      a.o.Settings.Region,
 		Zone:        a.o.Settings.Zone,
 	}
--- a/agent/options.go
+++ b/agent/options.go
@@ -11,14 +11,14 @@
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/transport"
 )
 
 // Options configures an Agent.
 type Options struct {
 	Settings    config.AgentSettings
-	Store       platform.Store
+	Store       metastore.Store
 	Credentials transport.Credentials
 	// Engine is the admin API of a model engine; nil beside a plain service.
 	Engine engine.Client
--- a/agent/reporter.go
+++ b/agent/reporter.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -114,7 +114,7 @@
 	r := &wire.Report{
 		VM:          s.VM,
 		Incarnation: a.o.Incarnation,
-		Role:        platform.RoleAgent,
+		Role:        metastore.RoleAgent,
 		Region:      s.Region,
 		Zone:        s.Zone,
 		Upstream:    s.Upstream,
@@ -123,7 +123,7 @@
 		Concurrency: s.Concurrency,
 	}
 	if c := a.catalog.Load(); c != nil {
-		r.Configs = map[ident.Environment]platform.Version{s.Environment: c.Version()}
+		r.Configs = map[ident.Environment]metastore.Version{s.Environment: c.Version()}
 	}
 	if a.replicas != nil {
 		r.Models = a.replicas.Models()
--- a/agent/store_gate.go
+++ b/agent/store_gate.go
@@ -11,7 +11,7 @@
 	"github.com/laureltally/laureltally/gate"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/membership"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -101,7 +101,7 @@
 	var vms []ident.VM
 	for _, c := range g.a.listener.Conns() {
 		peer := c.Peer()
-		if peer.Role != platform.RoleRouter || conns[peer.VM] != nil || c == g.silent.Load() {
+		if peer.Role != metastore.RoleRouter || conns[peer.VM] != nil || c == g.silent.Load() {
 			continue
 		}
 		conns[peer.VM] = c
--- a/audit/read.go
+++ b/audit/read.go
@@ -6,11 +6,11 @@
 	"errors"
 	"fmt"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Read returns the records that match, oldest first.
-func Read(ctx context.Context, s platform.Store, q Query) ([]Record, error) {
+func Read(ctx context.Context, s metastore.Store, q Query) ([]Record, error) {
 	objects, _, err := s.List(ctx, rangePrefix(q.Environment, q.From, q.To))
 	if err != nil {
 		return nil, fmt.Errorf("read audit records: %w", err)
@@ -29,9 +29,9 @@
 }
 
 // Exists tells whether a record was stored.
-func Exists(ctx context.Context, s platform.Store, r Record) (bool, error) {
+func Exists(ctx context.Context, s metastore.Store, r Record) (bool, error) {
 	_, err := s.Get(ctx, Key(r))
-	var missing *platform.NotFoundError
+	var missing *metastore.NotFoundError
 	switch {
 	case err == nil:
 		return true, nil
--- a/audit/read_test.go
+++ b/audit/read_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 func TestReadByEnvironmentTimeAndActor(t *testing.T) {
--- a/audit/record.go
+++ b/audit/record.go
@@ -5,7 +5,7 @@
 
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // MaxChanges is how many changes a record lists; Truncated tells of more.
@@ -24,8 +24,8 @@
 	// Reason is the operator's own word.
 	Reason string `json:"reason,omitempty"`
 	// Version is that of the change, and Previous that of what it replaced.
-	Version  platform.Version `json:"version,omitempty"`
-	Previous platform.Version `json:"previous,omitempty"`
+	Version  metastore.Version `json:"version,omitempty"`
+	Previous metastore.Version `json:"previous,omitempty"`
 	// Digest is the SHA-256 of the document, in hexadecimal.
 	Digest    string          `json:"digest,omitempty"`
 	Changes   []config.Change `json:"changes,omitempty"`
--- a/audit/write.go
+++ b/audit/write.go
@@ -6,18 +6,18 @@
 	"errors"
 	"fmt"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Write stores a record. It is idempotent: a record that is there already stays
 // as it is.
-func Write(ctx context.Context, s platform.Store, r Record) error {
+func Write(ctx context.Context, s metastore.Store, r Record) error {
 	value, err := json.Marshal(r)
 	if err != nil {
 		return fmt.Errorf("encode audit record: %w", err)
 	}
 	_, err = s.Put(ctx, Key(r), value, 0)
-	var conflict *platform.ConflictError
+	var conflict *metastore.ConflictError
 	if err == nil || errors.As(err, &conflict) {
 		return nil
 	}
--- a/bench/hotpath/upstream.go
+++ b/bench/hotpath/upstream.go
@@ -8,7 +8,7 @@
 	"github.com/laureltally/laureltally/admission"
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -194,7 +194,7 @@
 		VM:           u.name,
 		Incarnation:  ident.Incarnation(u.life),
 		Seq:          u.seq,
-		Role:         platform.RoleAgent,
+		Role:         metastore.RoleAgent,
 		Region:       regionName(u.region),
 		Upstream:     "drafting",
 		Running:      st.Running,
--- a/bench/routing_cost.go
+++ b/bench/routing_cost.go
@@ -8,7 +8,7 @@
 
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/routing"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -38,7 +38,7 @@
 	for i := range replicas {
 		rep := &wire.Report{
 			VM:          ident.VM(fmt.Sprintf("vm-%d", i)),
-			Role:        platform.RoleAgent,
+			Role:        metastore.RoleAgent,
 			Seq:         1,
 			Region:      region(i / models % letterRegions),
 			Upstream:    "drafting",
--- a/capacity/agent_calls.go
+++ b/capacity/agent_calls.go
@@ -6,12 +6,12 @@
 
 	"github.com/laureltally/laureltally/agent"
 	"github.com/laureltally/laureltally/config"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // agentCalls counts the calls of n agents beside engines.
 func agentCalls(n int) (callCounts, error) {
-	return counting(n, &countingLister{}, func(ctx context.Context, i int, s platform.Store, keys *issuer) error {
+	return counting(n, &countingLister{}, func(ctx context.Context, i int, s metastore.Store, keys *issuer) error {
 		credentials, err := keys.issue(agentName(i))
 		if err != nil {
 			return err
--- a/capacity/claims.go
+++ b/capacity/claims.go
@@ -9,8 +9,8 @@
 
 	"github.com/laureltally/laureltally/claim"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 // claimsPerRouter is how many claims each router makes, one after the other.
@@ -36,7 +36,7 @@
 	return t.measure(spread, spreadWrites)
 }
 
-func newKeeper(s platform.Store, router int) *claim.Keeper {
+func newKeeper(s metastore.Store, router int) *claim.Keeper {
 	var mu sync.Mutex
 	n := 0
 	return claim.New(claim.Options{
@@ -63,7 +63,7 @@
 }
 
 // claimTogether makes n claims at one router at one time.
-func claimTogether(s platform.Store, n int) error {
+func claimTogether(s metastore.Store, n int) error {
 	k := newKeeper(s, 0)
 	defer k.Close()
 	errs := make([]error, n)
@@ -110,7 +110,7 @@
 	return float64(s.Counters().Writes) / float64(routers*claimsPerRouter), errors.Join(errs...)
 }
 
-func claimInTurn(s platform.Store, router int) error {
+func claimInTurn(s metastore.Store, router int) error {
 	k := newKeeper(s, router)
 	defer k.Close()
 	for i := range claimsPerRouter {
--- a/capacity/configuration.go
+++ b/capacity/configuration.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/document"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // inForceMilliseconds is how long a change may take to be in force everywhere.
@@ -40,14 +40,14 @@
 	return float64(len(o.Value)), err
 }
 
-func documentObject(ctx context.Context, adapters int) (platform.Object, error) {
+func documentObject(ctx context.Context, adapters int) (metastore.Object, error) {
 	s, err := storedDocument(ctx, targetModels, adapters, targetAgents)
 	if err != nil {
-		return platform.Object{}, err
+		return metastore.Object{}, err
 	}
 	o, err := s.Get(ctx, document.Key(environmentName, document.SlotProduction))
 	if err != nil {
-		return platform.Object{}, fmt.Errorf("read document: %w", err)
+		return metastore.Object{}, fmt.Errorf("read document: %w", err)
 	}
 	return o, nil
 }
@@ -106,7 +106,7 @@
 }
 
 // watchTwice follows the document and reports its first two versions.
-func watchTwice(ctx context.Context, s platform.Store, versions ...*sync.WaitGroup) {
+func watchTwice(ctx context.Context, s metastore.Store, versions ...*sync.WaitGroup) {
 	_ = document.NewWatcher(document.WatcherOptions{
 		Store: s, Environment: environmentName, Logger: quiet(),
 		Use: func(document.InForce) {
--- a/capacity/counting.go
+++ b/capacity/counting.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 const (
@@ -18,7 +18,7 @@
 )
 
 // counting runs n processes on one store and counts their calls.
-func counting(n int, lister *countingLister, run func(ctx context.Context, i int, s platform.Store, keys *issuer) error) (callCounts, error) {
+func counting(n int, lister *countingLister, run func(ctx context.Context, i int, s metastore.Store, keys *issuer) error) (callCounts, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	s, err := storedDocument(ctx, targetModels, 0, targetAgents)
--- a/capacity/counting_lister.go
+++ b/capacity/counting_lister.go
@@ -4,17 +4,17 @@
 	"context"
 	"sync/atomic"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // countingLister is a list of VMs that counts how often it is read.
 type countingLister struct {
-	vms   []platform.VM
+	vms   []metastore.VM
 	reads atomic.Int64
 }
 
-// ListVMs implements platform.VMLister.
-func (l *countingLister) ListVMs(context.Context) ([]platform.VM, error) {
+// ListVMs implements metastore.VMLister.
+func (l *countingLister) ListVMs(context.Context) ([]metastore.VM, error) {
 	l.reads.Add(1)
 	return l.vms, nil
 }
--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -5,7 +5,7 @@
 
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -32,12 +32,12 @@
 		VM:                agentName(i),
 		Incarnation:       ident.Incarnation(1<<60 + i),
 		Seq:               seq,
-		Role:              platform.RoleAgent,
+		Role:              metastore.RoleAgent,
 		Region:            regionName,
 		Zone:              zoneName,
 		Upstream:          upstreamName,
 		Address:           fmt.Sprintf("10.1.%d.%d:7443", i/256, i%256),
-		Configs:           map[ident.Environment]platform.Version{environmentName: 123_456},
+		Configs:           map[ident.Environment]metastore.Version{environmentName: 123_456},
 		FreeMB:            24_000,
 		Running:           int(seq % 8),
 		Waiting:           int(seq % 3),
--- a/capacity/grants.go
+++ b/capacity/grants.go
@@ -8,8 +8,8 @@
 
 	"github.com/laureltally/laureltally/grant"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 // grants measures what the rights to load models take.
@@ -86,16 +86,16 @@
 }
 
 // fleetFrom lists a router and replacedFleet agents from number i on.
-func fleetFrom(i int) []platform.VM {
-	vms := []platform.VM{{ID: "router-000", Role: platform.RoleRouter, Region: regionName, Zone: zoneName}}
+func fleetFrom(i int) []metastore.VM {
+	vms := []metastore.VM{{ID: "router-000", Role: metastore.RoleRouter, Region: regionName, Zone: zoneName}}
 	for n := range replacedFleet {
-		vms = append(vms, platform.VM{ID: agentName(i + n), Role: platform.RoleAgent, Region: regionName, Zone: zoneName, Upstream: upstreamName})
+		vms = append(vms, metastore.VM{ID: agentName(i + n), Role: metastore.RoleAgent, Region: regionName, Zone: zoneName, Upstream: upstreamName})
 	}
 	return vms
 }
 
 // settleWrites gives the planner the list until it writes no more.
-func settleWrites(s *memstore.Store, p *grant.Planner, vms []platform.VM) {
+func settleWrites(s *memstore.Store, p *grant.Planner, vms []metastore.VM) {
 	last, since := s.Counters().Writes, time.Now()
 	for time.Since(since) < quietTime {
 		p.SetVMs(vms)
--- a/capacity/link.go
+++ b/capacity/link.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -40,7 +40,7 @@
 		return err
 	}
 	l.listener, err = transport.Listen("127.0.0.1:0", transport.Options{
-		Hello:       wire.Hello{VM: agentName(0), Incarnation: 1, Role: platform.RoleAgent},
+		Hello:       wire.Hello{VM: agentName(0), Incarnation: 1, Role: metastore.RoleAgent},
 		Credentials: credentials, Logger: quiet(), Handler: transport.HandlerFunc(sendReports),
 	})
 	if err != nil {
@@ -68,7 +68,7 @@
 		return err
 	}
 	p := transport.NewPool(transport.Options{
-		Hello:       wire.Hello{VM: routerName(i), Incarnation: 1, Role: platform.RoleRouter},
+		Hello:       wire.Hello{VM: routerName(i), Incarnation: 1, Role: metastore.RoleRouter},
 		Credentials: credentials, Logger: quiet(),
 	})
 	l.pools = append(l.pools, p)
--- a/capacity/platform_calls.go
+++ b/capacity/platform_calls.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // platformCalls measures what routers and agents ask of the platform.
@@ -56,10 +56,10 @@
 // listBytes is the size of the platform's list of n VMs, which a router reads
 // once a second.
 func listBytes(n int) (float64, error) {
-	var vms []platform.VM
+	var vms []metastore.VM
 	for i := range n {
 		r := report(i, 0, 1)
-		vms = append(vms, platform.VM{ID: r.VM, Role: r.Role, Region: r.Region, Zone: r.Zone, Address: r.Address, Upstream: r.Upstream})
+		vms = append(vms, metastore.VM{ID: r.VM, Role: r.Role, Region: r.Region, Zone: r.Zone, Address: r.Address, Upstream: r.Upstream})
 	}
 	b, err := json.Marshal(vms)
 	if err != nil {
--- a/capacity/router_calls.go
+++ b/capacity/router_calls.go
@@ -7,14 +7,14 @@
 
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/router"
 )
 
 // routerCalls counts the calls of n routers of one environment.
 func routerCalls(n int) (callCounts, error) {
 	lister := &countingLister{vms: routerVMs(n)}
-	return counting(n, lister, func(ctx context.Context, i int, s platform.Store, keys *issuer) error {
+	return counting(n, lister, func(ctx context.Context, i int, s metastore.Store, keys *issuer) error {
 		vm := routerName(i)
 		credentials, err := keys.issue(vm)
 		if err != nil {
@@ -40,10 +40,10 @@
 
 func routerName(i int) ident.VM { return ident.VM(fmt.Sprintf("router-%03d", i)) }
 
-func routerVMs(n int) []platform.VM {
-	var vms []platform.VM
+func routerVMs(n int) []metastore.VM {
+	var vms []metastore.VM
 	for i := range n {
-		vms = append(vms, platform.VM{ID: routerName(i), Role: platform.RoleRouter, Region: regionName, Zone: zoneName})
+		vms = append(vms, metastore.VM{ID: routerName(i), Role: metastore.RoleRouter, Region: regionName, Zone: zoneName})
 	}
 	return vms
 }
--- a/capacity/router_state.go
+++ b/capacity/router_state.go
@@ -6,7 +6,7 @@
 	"github.com/laureltally/laureltally/digest"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/membership"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // agentSizes are the numbers of agents that a router knows.
@@ -36,10 +36,10 @@
 
 func newMembers(agents int) *membership.View {
 	v := membership.New(membership.Options{})
-	var listed []platform.VM
+	var listed []metastore.VM
 	for i := range agents {
 		r := report(i, 0, 1)
-		listed = append(listed, platform.VM{ID: r.VM, Role: r.Role, Region: r.Region, Zone: r.Zone, Address: r.Address, Upstream: r.Upstream})
+		listed = append(listed, metastore.VM{ID: r.VM, Role: r.Role, Region: r.Region, Zone: r.Zone, Address: r.Address, Upstream: r.Upstream})
 	}
 	v.Listed(time.Unix(0, 0), listed)
 	return v
--- a/capacity/silent_asker.go
+++ b/capacity/silent_asker.go
@@ -5,7 +5,7 @@
 
 	"github.com/laureltally/laureltally/claim"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -14,5 +14,5 @@
 
 // Inquire implements claim.Asker.
 func (silentAsker) Inquire(context.Context, claim.Target, ident.Attempt) (wire.AttemptState, error) {
-	return "", &platform.UnavailableError{Op: "inquire"}
+	return "", &metastore.UnavailableError{Op: "inquire"}
 }
--- a/capacity/stored_document.go
+++ b/capacity/stored_document.go
@@ -5,12 +5,12 @@
 	"fmt"
 
 	"github.com/laureltally/laureltally/document"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 // apply stores a document's text and returns its version.
-func apply(ctx context.Context, s platform.Store, text []byte, base platform.Version) (platform.Version, error) {
+func apply(ctx context.Context, s metastore.Store, text []byte, base metastore.Version) (metastore.Version, error) {
 	a, err := document.New(document.Options{Store: s, Logger: quiet()}).Apply(ctx, document.Update{
 		Environment: environmentName,
 		Slot:        document.SlotProduction,
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -5,12 +5,12 @@
 
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Catalog is an index of one version of a document.
 type Catalog struct {
-	version    platform.Version
+	version    metastore.Version
 	document   config.Document
 	priorities map[string]ident.Priority
 	models     map[ident.Model]*config.Model
@@ -25,7 +25,7 @@
 }
 
 // New indexes a checked document that was stored at version.
-func New(version platform.Version, d config.Document) *Catalog {
+func New(version metastore.Version, d config.Document) *Catalog {
 	c := &Catalog{
 		version:    version,
 		document:   d,
@@ -58,7 +58,7 @@
 }
 
 // Version returns the version of the document.
-func (c *Catalog) Version() platform.Version { return c.version }
+func (c *Catalog) Version() metastore.Version { return c.version }
 
 // Document returns the document; it must not be changed.
 func (c *Catalog) Document() config.Document { return c.document }
--- a/claim/action.go
+++ b/claim/action.go
@@ -1,6 +1,6 @@
 package claim
 
-import "github.com/laureltally/laureltally/platform"
+import "github.com/laureltally/laureltally/metastore"
 
 // action is what a machine's driver does next; none if all are unset.
 type action struct {
@@ -8,5 +8,5 @@
 	write bool
 	// value and expect are the arguments of the write.
 	value  []byte
-	expect platform.Version
+	expect metastore.Version
 }
--- a/claim/bucket.go
+++ b/claim/bucket.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // The wait before a retry doubles from retryBase to retryMax.
@@ -120,8 +120,8 @@
 	b.deliver()
 }
 
-func onRead(m *machine, o platform.Object, err error) {
-	var missing *platform.NotFoundError
+func onRead(m *machine, o metastore.Object, err error) {
+	var missing *metastore.NotFoundError
 	switch {
 	case err == nil:
 		m.loaded(o.Version, o.Value)
@@ -132,8 +132,8 @@
 	}
 }
 
-func onWrite(m *machine, v platform.Version, err error) {
-	var conflict *platform.ConflictError
+func onWrite(m *machine, v metastore.Version, err error) {
+	var conflict *metastore.ConflictError
 	switch {
 	case err == nil:
 		m.wrote(v)
@@ -147,11 +147,11 @@
 // unavailable takes any error that is no definite answer, such as a timeout of
 // the call itself, for the platform's being away.
 func unavailable(op string, err error) error {
-	var away *platform.UnavailableError
+	var away *metastore.UnavailableError
 	if errors.As(err, &away) {
 		return err
 	}
-	return &platform.UnavailableError{Op: op, Err: err}
+	return &metastore.UnavailableError{Op: op, Err: err}
 }
 
 // pause waits after a write that has to be tried again.
--- a/claim/example_test.go
+++ b/claim/example_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/laureltally/laureltally/claim"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 	"github.com/laureltally/laureltally/wire"
 )
 
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -158,7 +158,7 @@
 	if k.ctx.Err() != nil {
 		return &ClosedError{}
 	}
-	var away *platform.UnavailableError
+	var away *metastore.UnavailableError
 	if !errors.As(err, &away) {
 		return err
 	}
--- a/claim/keeper_test.go
+++ b/claim/keeper_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -28,47 +28,47 @@
 // fakeStore is one object store with a latency. Its faults apply to the next
 // writes.
 type fakeStore struct {
-	platform.Store
+	metastore.Store
 	mu       sync.Mutex
-	objects  map[string]platform.Object
-	version  platform.Version
+	objects  map[string]metastore.Object
+	version  metastore.Version
 	down     bool
 	loseNext int
 	puts     int
 }
 
-func newFakeStore() *fakeStore { return &fakeStore{objects: make(map[string]platform.Object)} }
+func newFakeStore() *fakeStore { return &fakeStore{objects: make(map[string]metastore.Object)} }
 
-func (s *fakeStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *fakeStore) Get(_ context.Context, key string) (metastore.Object, error) {
 	time.Sleep(callLatency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Object{}, &platform.UnavailableError{Op: "get", RetryAfter: 3 * time.Second, Err: context.DeadlineExceeded}
+		return metastore.Object{}, &metastore.UnavailableError{Op: "get", RetryAfter: 3 * time.Second, Err: context.DeadlineExceeded}
 	}
 	o, ok := s.objects[key]
 	if !ok {
-		return o, &platform.NotFoundError{Key: key}
+		return o, &metastore.NotFoundError{Key: key}
 	}
 	return o, nil
 }
 
-func (s *fakeStore) Put(_ context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (s *fakeStore) Put(_ context.Context, key string, value []byte, expect metastore.Version) (metastore.Version, error) {
 	time.Sleep(callLatency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.puts++
 	if s.down {
-		return 0, &platform.UnavailableError{Op: "put", Err: context.DeadlineExceeded}
+		return 0, &metastore.UnavailableError{Op: "put", Err: context.DeadlineExceeded}
 	}
 	if have := s.objects[key].Version; have != expect {
-		return 0, &platform.ConflictError{Key: key, Expected: expect, Actual: have}
+		return 0, &metastore.ConflictError{Key: key, Expected: expect, Actual: have}
 	}
 	s.version++
-	s.objects[key] = platform.Object{Key: key, Value: value, Version: s.version}
+	s.objects[key] = metastore.Object{Key: key, Value: value, Version: s.version}
 	if s.loseNext > 0 {
 		s.loseNext--
-		return 0, &platform.UnavailableError{Op: "put", Err: context.DeadlineExceeded}
+		return 0, &metastore.UnavailableError{Op: "put", Err: context.DeadlineExceeded}
 	}
 	return s.version, nil
 }
--- a/claim/machine.go
+++ b/claim/machine.go
@@ -4,7 +4,7 @@
 	"maps"
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // maxLost is how many writes in a row may get no answer before their ops are
@@ -22,7 +22,7 @@
 	opts machineOptions
 
 	known   bool
-	version platform.Version
+	version metastore.Version
 	table   table
 
 	queue []op
@@ -100,7 +100,7 @@
 
 // loaded reports the object as a read found it. Version zero means that there is
 // none.
-func (m *machine) loaded(version platform.Version, value []byte) {
+func (m *machine) loaded(version metastore.Version, value []byte) {
 	m.busy = false
 	t, err := decodeTable(m.opts.object, value)
 	if err != nil {
@@ -118,7 +118,7 @@
 }
 
 // wrote reports that the write took effect.
-func (m *machine) wrote(version platform.Version) {
+func (m *machine) wrote(version metastore.Version) {
 	m.busy = false
 	m.retries, m.lost = 0, 0
 	m.version, m.table = version, m.staged
@@ -262,7 +262,7 @@
 			return nil, err
 		}
 	}
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > metastore.MaxValueBytes {
 		return nil, overflow
 	}
 	return value, nil
--- a/claim/options.go
+++ b/claim/options.go
@@ -6,7 +6,7 @@
 	"github.com/apex/log"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Defaults of Options.
@@ -22,7 +22,7 @@
 // Options sets a Keeper for one environment. Zero fields take the defaults.
 type Options struct {
 	Environment ident.Environment
-	Store       platform.Store
+	Store       metastore.Store
 	Asker       Asker
 	// NewAttempt returns a name for an attempt that was never used before.
 	NewAttempt func() ident.Attempt
@@ -32,7 +32,7 @@
 	// must have the same number, or two of them could claim one key twice.
 	Buckets int
 	// BucketBytes bounds a bucket object for new claims, in bytes. It stays
-	// below platform.MaxValueBytes.
+	// below metastore.MaxValueBytes.
 	BucketBytes int
 	// InFlight bounds the calls to the platform at a time; a bucket has one at
 	// most. While calls wait, more claims gather for each.
--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/laureltally/laureltally/attempt"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -41,8 +41,8 @@
 	pick    func(n int) int
 	now     time.Time
 	end     time.Time
-	object  platform.Object
-	past    []platform.Object
+	object  metastore.Object
+	past    []metastore.Object
 	late    []lateWrite
 	agents  [worldAgents]*worldAgent
 	routers [worldRouters]*worldRouter
@@ -56,7 +56,7 @@
 
 type lateWrite struct {
 	value  []byte
-	expect platform.Version
+	expect metastore.Version
 }
 
 type dispatch struct {
@@ -118,7 +118,7 @@
 func (w *world) restartRouter(i int) {
 	w.routers[i] = &worldRouter{
 		machine: newMachine(machineOptions{
-			object: "claims", window: worldWindow, maxBytes: platform.MaxValueBytes,
+			object: "claims", window: worldWindow, maxBytes: metastore.MaxValueBytes,
 			skipReread: w.fault == noReread, blindMove: w.fault == blindMove,
 		}),
 		minter: attempt.NewMinter(ident.VM(fmt.Sprint("router", i)), w.life()),
@@ -193,7 +193,7 @@
 	object := w.object
 	switch w.pick(6) {
 	case 0:
-		r.machine.readFailed(&platform.UnavailableError{Op: "get", Err: context.DeadlineExceeded})
+		r.machine.readFailed(&metastore.UnavailableError{Op: "get", Err: context.DeadlineExceeded})
 		return
 	case 1:
 		if len(w.past) > 0 {
@@ -204,7 +204,7 @@
 }
 
 func (w *world) write(r *worldRouter, act action) {
-	lost := &platform.UnavailableError{Op: "put", Err: context.DeadlineExceeded}
+	lost := &metastore.UnavailableError{Op: "put", Err: context.DeadlineExceeded}
 	switch w.pick(4) {
 	case 0:
 		w.late = append(w.late, lateWrite{value: act.value, expect: act.expect})
@@ -221,12 +221,12 @@
 	}
 }
 
-func (w *world) put(value []byte, expect platform.Version) bool {
+func (w *world) put(value []byte, expect metastore.Version) bool {
 	if w.object.Version != expect {
 		return false
 	}
 	w.past = append(w.past, w.object)
-	w.object = platform.Object{Value: value, Version: expect + 1}
+	w.object = metastore.Object{Value: value, Version: expect + 1}
 	return true
 }
 
--- a/cmd/laureltally-standin/platform_command.go
+++ b/cmd/laureltally-standin/platform_command.go
@@ -8,8 +8,8 @@
 	"os"
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 	"github.com/laureltally/laureltally/standin"
 )
 
@@ -45,7 +45,7 @@
 	if err != nil {
 		return fmt.Errorf("VM list: %w", err)
 	}
-	var vms []platform.VM
+	var vms []metastore.VM
 	if err := json.Unmarshal(raw, &vms); err != nil {
 		return fmt.Errorf("VM list %s: %w", file, err)
 	}
--- a/cmd/laureltally/apply_command.go
+++ b/cmd/laureltally/apply_command.go
@@ -7,7 +7,7 @@
 	"os"
 
 	"github.com/laureltally/laureltally/document"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // applyCommand stores a document.
@@ -15,9 +15,9 @@
 	platformFlags
 	actorFlags
 	jsonFlag
-	File  string            `arg:"positional,required" placeholder:"FILE"`
-	Trial bool              `arg:"--trial" help:"store it for trial, not for production"`
-	Base  *platform.Version `arg:"--base" placeholder:"VERSION" help:"version that the document was edited from; default: the one stored now"`
+	File  string             `arg:"positional,required" placeholder:"FILE"`
+	Trial bool               `arg:"--trial" help:"store it for trial, not for production"`
+	Base  *metastore.Version `arg:"--base" placeholder:"VERSION" help:"version that the document was edited from; default: the one stored now"`
 }
 
 func (c *applyCommand) run(ctx context.Context, stdout, _ io.Writer) error {
@@ -41,7 +41,7 @@
 }
 
 // baseOf returns the version that the operator names, or the one stored now.
-func baseOf(ctx context.Context, r *document.Repository, f platformFlags, s document.Slot, named *platform.Version) (platform.Version, error) {
+func baseOf(ctx context.Context, r *document.Repository, f platformFlags, s document.Slot, named *metastore.Version) (metastore.Version, error) {
 	if named != nil {
 		return *named, nil
 	}
--- a/cmd/laureltally/audit_command.go
+++ b/cmd/laureltally/audit_command.go
@@ -9,7 +9,7 @@
 	"github.com/laureltally/laureltally/audit"
 	"github.com/laureltally/laureltally/document"
 	"github.com/laureltally/laureltally/drain"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // auditCommand lists audit records, after it has made up for copies that are
@@ -67,7 +67,7 @@
 	return t, nil
 }
 
-func (c *auditCommand) repair(ctx context.Context, s platform.Store) error {
+func (c *auditCommand) repair(ctx context.Context, s metastore.Store) error {
 	if _, err := document.New(document.Options{Store: s}).Repair(ctx, c.Environment); err != nil {
 		return err
 	}
--- a/cmd/laureltally/keys_flags.go
+++ b/cmd/laureltally/keys_flags.go
@@ -7,7 +7,7 @@
 
 	"github.com/laureltally/laureltally/audit"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform/persist"
+	"github.com/laureltally/laureltally/metastore/persist"
 )
 
 // keysFlags say where keys are kept and, if the act shall be recorded, where.
--- a/cmd/laureltally/lost_race.go
+++ b/cmd/laureltally/lost_race.go
@@ -4,14 +4,14 @@
 	"time"
 
 	"github.com/laureltally/laureltally/config"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // lostRace tells who changed the document before.
 type lostRace struct {
-	Base    platform.Version `json:"base"`
-	Version platform.Version `json:"version"`
-	Actor   string           `json:"actor"`
-	Time    time.Time        `json:"time"`
-	Changes []config.Change  `json:"changes"`
+	Base    metastore.Version `json:"base"`
+	Version metastore.Version `json:"version"`
+	Actor   string            `json:"actor"`
+	Time    time.Time         `json:"time"`
+	Changes []config.Change   `json:"changes"`
 }
--- a/cmd/laureltally/main_test.go
+++ b/cmd/laureltally/main_test.go
@@ -15,8 +15,8 @@
 	"github.com/laureltally/laureltally/daemon"
 	"github.com/laureltally/laureltally/examples"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 	"github.com/laureltally/laureltally/router"
 	"github.com/laureltally/laureltally/standin"
 	"github.com/laureltally/laureltally/wire"
@@ -184,8 +184,8 @@
 
 func TestStatus(t *testing.T) {
 	s := newShell(t)
-	at := func(v platform.Version) map[ident.Environment]platform.Version {
-		return map[ident.Environment]platform.Version{"muotiennuste": v}
+	at := func(v metastore.Version) map[ident.Environment]metastore.Version {
+		return map[ident.Environment]metastore.Version{"muotiennuste": v}
 	}
 	first := serveStatus(t, router.Status{
 		VM:      "entry-1",
--- a/cmd/laureltally/platform_flags.go
+++ b/cmd/laureltally/platform_flags.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform/objecthttp"
+	"github.com/laureltally/laureltally/metastore/objecthttp"
 )
 
 // platformFlags say where the platform is and which environment is meant.
--- a/cmd/laureltally/promote_command.go
+++ b/cmd/laureltally/promote_command.go
@@ -5,7 +5,7 @@
 	"io"
 
 	"github.com/laureltally/laureltally/document"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // promoteCommand brings what trial runs to production.
@@ -13,8 +13,8 @@
 	platformFlags
 	actorFlags
 	jsonFlag
-	Digest string            `arg:"--digest,required" placeholder:"SHA256" help:"digest of the document that was tried, as apply --trial printed it"`
-	Base   *platform.Version `arg:"--base" placeholder:"VERSION" help:"version of production that is replaced; default: the one stored now"`
+	Digest string             `arg:"--digest,required" placeholder:"SHA256" help:"digest of the document that was tried, as apply --trial printed it"`
+	Base   *metastore.Version `arg:"--base" placeholder:"VERSION" help:"version of production that is replaced; default: the one stored now"`
 }
 
 func (c *promoteCommand) run(ctx context.Context, stdout, _ io.Writer) error {
--- a/cmd/laureltally/status_command.go
+++ b/cmd/laureltally/status_command.go
@@ -14,7 +14,7 @@
 
 	"github.com/laureltally/laureltally/document"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/router"
 )
 
@@ -56,8 +56,8 @@
 }
 
 // storedVersions reads the version of each environment's document in production.
-func (c *statusCommand) storedVersions(ctx context.Context, names []ident.Environment) (map[ident.Environment]platform.Version, error) {
-	stored := make(map[ident.Environment]platform.Version)
+func (c *statusCommand) storedVersions(ctx context.Context, names []ident.Environment) (map[ident.Environment]metastore.Version, error) {
+	stored := make(map[ident.Environment]metastore.Version)
 	if c.Platform == "" {
 		return stored, nil
 	}
@@ -103,11 +103,11 @@
 	agents := r.agents()
 	processes := [][]string{{"VM", "ROLE", "UPSTREAM", "REGION", "STATE", "VERSIONS", "RUNNING", "WAITING", "FREE MIB"}}
 	for _, s := range r.Routers {
-		processes = append(processes, []string{string(s.VM), string(platform.RoleRouter), "", "", "serving", versions(s.Configs), "", "", ""})
+		processes = append(processes, []string{string(s.VM), string(metastore.RoleRouter), "", "", "serving", versions(s.Configs), "", "", ""})
 	}
 	for _, a := range agents {
 		processes = append(processes, []string{
-			string(a.VM), string(platform.RoleAgent), string(a.Upstream), string(a.Region), agentState(a),
+			string(a.VM), string(metastore.RoleAgent), string(a.Upstream), string(a.Region), agentState(a),
 			versions(a.Configs), fmt.Sprint(a.Running), fmt.Sprint(a.Waiting), fmt.Sprint(a.FreeMB),
 		})
 	}
@@ -138,7 +138,7 @@
 }
 
 // versions lists the version in force of each environment.
-func versions(configs map[ident.Environment]platform.Version) string {
+func versions(configs map[ident.Environment]metastore.Version) string {
 	var parts []string
 	for _, e := range slices.Sorted(maps.Keys(configs)) {
 		parts = append(parts, fmt.Sprintf("%s@%d", e, configs[e]))
--- a/cmd/laureltally/status_report.go
+++ b/cmd/laureltally/status_report.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/router"
 )
 
@@ -33,8 +33,8 @@
 }
 
 // configs lists the versions in force of each process that can be reached.
-func (r statusReport) configs() []map[ident.Environment]platform.Version {
-	var configs []map[ident.Environment]platform.Version
+func (r statusReport) configs() []map[ident.Environment]metastore.Version {
+	var configs []map[ident.Environment]metastore.Version
 	for _, s := range r.Routers {
 		configs = append(configs, s.Configs)
 	}
@@ -59,7 +59,7 @@
 
 // inForce compares the processes with the newest version that is stored or that
 // any of them has.
-func (r statusReport) inForce(stored map[ident.Environment]platform.Version) []forceReport {
+func (r statusReport) inForce(stored map[ident.Environment]metastore.Version) []forceReport {
 	reports := []forceReport{}
 	for _, e := range r.environments() {
 		f := forceReport{Environment: e, Version: stored[e]}
--- a/cmd/laureltally/stored_info.go
+++ b/cmd/laureltally/stored_info.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // storedInfo tells of a stored document.
 type storedInfo struct {
-	Version platform.Version `json:"version"`
-	Actor   string           `json:"actor"`
-	Time    time.Time        `json:"time"`
-	Digest  string           `json:"digest"`
+	Version metastore.Version `json:"version"`
+	Actor   string            `json:"actor"`
+	Time    time.Time         `json:"time"`
+	Digest  string            `json:"digest"`
 }
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -9,7 +9,7 @@
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/keys"
-	"github.com/laureltally/laureltally/platform/objecthttp"
+	"github.com/laureltally/laureltally/metastore/objecthttp"
 )
 
 // Parts are what every daemon is built from.
--- a/dev/cluster.go
+++ b/dev/cluster.go
@@ -18,9 +18,9 @@
 	"github.com/laureltally/laureltally/engine/enginehttp"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/keys"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
-	"github.com/laureltally/laureltally/platform/objecthttp"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
+	"github.com/laureltally/laureltally/metastore/objecthttp"
 	"github.com/laureltally/laureltally/router"
 	"github.com/laureltally/laureltally/standin"
 )
@@ -193,7 +193,7 @@
 		return fmt.Errorf("agent %s: %w", id, err)
 	}
 	c.wg.Go(func() { c.report(a.Run(ctx)) })
-	c.vms.Apply(standin.VMChange{Put: &platform.VM{ID: s.VM, Role: platform.RoleAgent, Region: region, Zone: zone, Address: address, Upstream: s.Upstream}})
+	c.vms.Apply(standin.VMChange{Put: &metastore.VM{ID: s.VM, Role: metastore.RoleAgent, Region: region, Zone: zone, Address: address, Upstream: s.Upstream}})
 	return nil
 }
 
@@ -262,7 +262,7 @@
 	if err != nil {
 		return fmt.Errorf("router: %w", err)
 	}
-	c.vms.Apply(standin.VMChange{Put: &platform.VM{ID: "router-0", Role: platform.RoleRouter, Region: region, Zone: zone}})
+	c.vms.Apply(standin.VMChange{Put: &metastore.VM{ID: "router-0", Role: metastore.RoleRouter, Region: region, Zone: zone}})
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
--- a/digest/view_test.go
+++ b/digest/view_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -23,7 +23,7 @@
 func newProcess(n int) *process {
 	p := &process{models: make(map[ident.Model]wire.ModelReport)}
 	p.VM = ident.VM(fmt.Sprintf("drafting-uusimaa-%04d", n))
-	p.Role, p.Region, p.Zone, p.Upstream = platform.RoleAgent, "uusimaa", "uusimaa-1", "drafting"
+	p.Role, p.Region, p.Zone, p.Upstream = metastore.RoleAgent, "uusimaa", "uusimaa-1", "drafting"
 	p.Address = fmt.Sprintf("10.20.%d.%d:7400", n/250, n%250)
 	p.restart()
 	return p
--- a/document/envelope.go
+++ b/document/envelope.go
@@ -7,7 +7,7 @@
 
 	"github.com/laureltally/laureltally/audit"
 	"github.com/laureltally/laureltally/config"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // maxRecent is how many ids an envelope lists.
@@ -22,7 +22,7 @@
 	Time   time.Time `json:"time"`
 	Digest string    `json:"digest"`
 	// Previous is the version that was replaced.
-	Previous platform.Version `json:"previous"`
+	Previous metastore.Version `json:"previous"`
 	// Recent lists the ids of the writes before this one, the last one last.
 	Recent []string `json:"recent,omitempty"`
 	// Text is the document as the operator wrote it, comments included.
--- a/document/example_test.go
+++ b/document/example_test.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"github.com/laureltally/laureltally/document"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 const exampleText = `{
--- a/document/fleet_test.go
+++ b/document/fleet_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 const (
--- a/document/in_force.go
+++ b/document/in_force.go
@@ -2,12 +2,12 @@
 
 import (
 	"github.com/laureltally/laureltally/config"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // InForce is a document that a process has brought in force.
 type InForce struct {
 	Document config.Document
-	Version  platform.Version
+	Version  metastore.Version
 	Digest   string
 }
--- a/document/lost_race_error.go
+++ b/document/lost_race_error.go
@@ -5,16 +5,16 @@
 	"time"
 
 	"github.com/laureltally/laureltally/config"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // LostRaceError reports a write that did not take effect since another operator
 // changed the document after it was read.
 type LostRaceError struct {
 	// Base is the version that the loser had read.
-	Base platform.Version
+	Base metastore.Version
 	// Version, Actor and Time are those of the document in place now.
-	Version platform.Version
+	Version metastore.Version
 	Actor   string
 	Time    time.Time
 	// Changes lead from the document in place to the one that lost.
--- a/document/options.go
+++ b/document/options.go
@@ -5,7 +5,7 @@
 
 	"github.com/apex/log"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // DefaultPatience is how long a write is tried while the platform is away.
@@ -13,7 +13,7 @@
 
 // Options configures a Repository.
 type Options struct {
-	Store platform.Store
+	Store metastore.Store
 	// Logger receives what goes wrong beside the write itself; nil takes
 	// log.Log.
 	Logger log.Interface
--- a/document/promotion.go
+++ b/document/promotion.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Promotion asks for the text that trial runs to become that of production.
@@ -14,5 +14,5 @@
 	// is promoted.
 	Digest string
 	// Base is the version of production's document that the operator read.
-	Base platform.Version
+	Base metastore.Version
 }
--- a/document/rejected.go
+++ b/document/rejected.go
@@ -1,9 +1,9 @@
 package document
 
-import "github.com/laureltally/laureltally/platform"
+import "github.com/laureltally/laureltally/metastore"
 
 // Rejected is a version that a process did not bring in force.
 type Rejected struct {
-	Version platform.Version
+	Version metastore.Version
 	Err     error
 }
--- a/document/repository.go
+++ b/document/repository.go
@@ -11,8 +11,8 @@
 	"github.com/laureltally/laureltally/audit"
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/persist"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/persist"
 )
 
 // maxRecords is how many audit records an envelope holds.
@@ -45,7 +45,7 @@
 }
 
 // readAtLeast reads a document that is known to have reached a version.
-func (r *Repository) readAtLeast(ctx context.Context, key string, v platform.Version) (Stored, error) {
+func (r *Repository) readAtLeast(ctx context.Context, key string, v metastore.Version) (Stored, error) {
 	o, err := persist.GetAtLeast(ctx, r.o.Store, key, v)
 	if err != nil {
 		return Stored{}, fmt.Errorf("read document: %w", err)
--- a/document/repository_test.go
+++ b/document/repository_test.go
@@ -18,8 +18,8 @@
 
 	"github.com/laureltally/laureltally/audit"
 	"github.com/laureltally/laureltally/config"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 var quiet = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
@@ -36,16 +36,16 @@
 }`, n, n+1)
 }
 
-func newRepository(s platform.Store, actor string) *Repository {
+func newRepository(s metastore.Store, actor string) *Repository {
 	n := 0
 	return New(Options{Store: s, Logger: quiet, NewID: func() string { n++; return fmt.Sprintf("%s-%d", actor, n) }})
 }
 
-func apply(ctx context.Context, r *Repository, n int, actor string, base platform.Version) (Accepted, error) {
+func apply(ctx context.Context, r *Repository, n int, actor string, base metastore.Version) (Accepted, error) {
 	return r.Apply(ctx, Update{Environment: "e", Slot: SlotProduction, Text: text(n), Actor: actor, Base: base})
 }
 
-func mustApply(t *testing.T, r *Repository, n int, base platform.Version) Accepted {
+func mustApply(t *testing.T, r *Repository, n int, base metastore.Version) Accepted {
 	t.Helper()
 	a, err := apply(t.Context(), r, n, "anna", base)
 	if err != nil {
@@ -54,7 +54,7 @@
 	return a
 }
 
-func records(t *testing.T, s platform.Store, q audit.Query) string {
+func records(t *testing.T, s metastore.Store, q audit.Query) string {
 	t.Helper()
 	q.Environment = "e"
 	found, err := audit.Read(t.Context(), s, q)
--- a/document/stored.go
+++ b/document/stored.go
@@ -2,13 +2,13 @@
 
 import (
 	"github.com/laureltally/laureltally/audit"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Stored is a stored document. A Version of zero means that there is none.
 type Stored struct {
 	Envelope
-	Version platform.Version
+	Version metastore.Version
 }
 
 // records returns the audit records with their versions.
--- a/document/update.go
+++ b/document/update.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Update asks for a new text of a document.
@@ -13,5 +13,5 @@
 	Actor       string
 	Reason      string
 	// Base is the version that the operator read, or zero if there was none.
-	Base platform.Version
+	Base metastore.Version
 }
--- a/document/watcher.go
+++ b/document/watcher.go
@@ -11,7 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/laureltally/laureltally/internal/wait"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Watcher brings each newer version of a document in force. It never goes back:
@@ -23,7 +23,7 @@
 
 	mu       sync.Mutex
 	current  InForce
-	seen     platform.Version
+	seen     metastore.Version
 	rejected *Rejected
 }
 
@@ -94,7 +94,7 @@
 
 // retryAfter returns when the platform asks to come back.
 func retryAfter(err error) time.Duration {
-	var unavailable *platform.UnavailableError
+	var unavailable *metastore.UnavailableError
 	if errors.As(err, &unavailable) {
 		return unavailable.RetryAfter
 	}
@@ -109,7 +109,7 @@
 		return err
 	}
 	for _, o := range objects {
-		w.take(platform.Event{Object: o})
+		w.take(metastore.Event{Object: o})
 	}
 	ctx, cancel := context.WithTimeout(ctx, w.relist())
 	defer cancel()
@@ -128,7 +128,7 @@
 
 // take brings a change in force if it is newer than all before. Other keys may
 // share the beginning of the document's.
-func (w *Watcher) take(e platform.Event) {
+func (w *Watcher) take(e metastore.Event) {
 	if e.Object.Key != w.key || e.Deleted || !w.advance(e.Object.Version) {
 		return
 	}
@@ -143,7 +143,7 @@
 }
 
 // advance tells whether a version is newer than all that were seen.
-func (w *Watcher) advance(v platform.Version) bool {
+func (w *Watcher) advance(v metastore.Version) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if v <= w.seen {
@@ -153,7 +153,7 @@
 	return true
 }
 
-func (w *Watcher) note(next InForce, v platform.Version, err error) {
+func (w *Watcher) note(next InForce, v metastore.Version, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil {
@@ -163,7 +163,7 @@
 	w.current, w.rejected = next, nil
 }
 
-func parse(o platform.Object) (InForce, error) {
+func parse(o metastore.Object) (InForce, error) {
 	e, err := decodeEnvelope(o.Value)
 	if err != nil {
 		return InForce{}, err
--- a/document/watcher_options.go
+++ b/document/watcher_options.go
@@ -6,7 +6,7 @@
 	"github.com/apex/log"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Defaults of a Watcher.
@@ -25,7 +25,7 @@
 
 // WatcherOptions configures a Watcher.
 type WatcherOptions struct {
-	Store       platform.Store
+	Store       metastore.Store
 	Environment ident.Environment
 	// Slot is the document to follow; empty takes SlotProduction.
 	Slot Slot
--- a/document/watcher_test.go
+++ b/document/watcher_test.go
@@ -10,12 +10,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/laureltally/laureltally/config"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 // watching runs a watcher for a test and collects what it brings in force.
-func watching(t *testing.T, s platform.Store) (*Watcher, *[]InForce) {
+func watching(t *testing.T, s metastore.Store) (*Watcher, *[]InForce) {
 	var used []InForce
 	w := NewWatcher(WatcherOptions{Store: s, Environment: "e", Logger: quiet, Use: func(f InForce) { used = append(used, f) }})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -94,7 +94,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		steps := rapid.SliceOfN(rapid.IntRange(0, 3), 1, 12).Draw(rt, "steps")
-		var newest platform.Version
+		var newest metastore.Version
 		var used *[]InForce
 		synctest.Test(t, func(t *testing.T) {
 			s := memstore.New(memstore.Options{Seed: seed})
@@ -115,7 +115,7 @@
 			s.SetFaults(memstore.Faults{})
 			time.Sleep(2 * DefaultRelist)
 		})
-		last := platform.Version(0)
+		last := metastore.Version(0)
 		for _, f := range *used {
 			if f.Version <= last {
 				rt.Fatalf("version %d after %d", f.Version, last)
--- a/document/write.go
+++ b/document/write.go
@@ -7,8 +7,8 @@
 
 	"github.com/laureltally/laureltally/audit"
 	"github.com/laureltally/laureltally/config"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/persist"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/persist"
 )
 
 // write is one attempt of an operator to replace a document.
@@ -118,7 +118,7 @@
 	if err == nil {
 		return w.accept(ctx, v), nil
 	}
-	var conflict *platform.ConflictError
+	var conflict *metastore.ConflictError
 	if !errors.As(err, &conflict) {
 		return Accepted{}, err
 	}
@@ -130,7 +130,7 @@
 }
 
 // accept copies the own audit record. If that fails it stays in the envelope.
-func (w *write) accept(ctx context.Context, v platform.Version) Accepted {
+func (w *write) accept(ctx context.Context, v metastore.Version) Accepted {
 	w.copyRecords(ctx, Stored{Envelope: w.envelope, Version: v})
 	return Accepted{Version: v, Digest: w.envelope.Digest}
 }
--- a/drain/options.go
+++ b/drain/options.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // DefaultPatience is how long an order is tried while the platform is away.
@@ -11,7 +11,7 @@
 
 // Options configures Orders.
 type Options struct {
-	Store platform.Store
+	Store metastore.Store
 	// Now is the clock; nil takes time.Now.
 	Now func() time.Time
 	// NewID draws the ids of audit records; nil takes random ones.
--- a/drain/order.go
+++ b/drain/order.go
@@ -6,7 +6,7 @@
 
 	"github.com/laureltally/laureltally/audit"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Prefix is that of the keys of all orders.
@@ -34,7 +34,7 @@
 
 // Active tells whether a change of an order leaves its VM draining. A value that
 // can't be read counts as an order.
-func Active(e platform.Event) bool {
+func Active(e metastore.Event) bool {
 	var order Order
 	return !e.Deleted && (json.Unmarshal(e.Object.Value, &order) != nil || !order.Ended)
 }
--- a/drain/orders.go
+++ b/drain/orders.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/laureltally/laureltally/audit"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/persist"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/persist"
 )
 
 // keepEnded is how long the object of an ended order is kept.
@@ -60,7 +60,7 @@
 
 // already names the operator whose order was faster.
 func (o *Orders) already(ctx context.Context, r Request, err error) error {
-	var conflict *platform.ConflictError
+	var conflict *metastore.ConflictError
 	if !errors.As(err, &conflict) {
 		return fmt.Errorf("begin drain: %w", err)
 	}
@@ -72,7 +72,7 @@
 }
 
 // End ends the order of a VM. No order is a *NotDrainingError, and one that
-// another operator changed meanwhile a *platform.ConflictError.
+// another operator changed meanwhile a *metastore.ConflictError.
 func (o *Orders) End(ctx context.Context, r Request) error {
 	ctx, cancel := context.WithTimeout(ctx, o.o.Patience)
 	defer cancel()
@@ -106,7 +106,7 @@
 	return nil
 }
 
-func (o *Orders) repair(ctx context.Context, object platform.Object) error {
+func (o *Orders) repair(ctx context.Context, object metastore.Object) error {
 	var order Order
 	if err := json.Unmarshal(object.Value, &order); err != nil {
 		return fmt.Errorf("drain %s: %w", object.Key, err)
@@ -134,7 +134,7 @@
 	return nil
 }
 
-func (o *Orders) put(ctx context.Context, order Order, expect platform.Version) (platform.Version, error) {
+func (o *Orders) put(ctx context.Context, order Order, expect metastore.Version) (metastore.Version, error) {
 	value, err := json.Marshal(order)
 	if err != nil {
 		return 0, fmt.Errorf("encode drain: %w", err)
@@ -142,8 +142,8 @@
 	return persist.Put(ctx, o.o.Store, Key(order.VM), value, expect)
 }
 
-func (o *Orders) read(ctx context.Context, r Request, atLeast platform.Version) (Order, platform.Version, error) {
-	object, err := persist.Retry(ctx, func() (platform.Object, error) {
+func (o *Orders) read(ctx context.Context, r Request, atLeast metastore.Version) (Order, metastore.Version, error) {
+	object, err := persist.Retry(ctx, func() (metastore.Object, error) {
 		return persist.GetAtLeast(ctx, o.o.Store, Key(r.VM), atLeast)
 	})
 	var order Order
--- a/drain/orders_test.go
+++ b/drain/orders_test.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"github.com/laureltally/laureltally/audit"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
-func acts(t *testing.T, s platform.Store) string {
+func acts(t *testing.T, s metastore.Store) string {
 	t.Helper()
 	records, err := audit.Read(t.Context(), s, audit.Query{Environment: "e"})
 	if err != nil {
@@ -57,7 +57,7 @@
 					t.Fatalf("got %q", got)
 				}
 				time.Sleep(time.Minute)
-				if object, err := s.Get(t.Context(), Key("v")); err != nil || Active(platform.Event{Object: object}) {
+				if object, err := s.Get(t.Context(), Key("v")); err != nil || Active(metastore.Event{Object: object}) {
 					t.Fatalf("a late write began the drain again: %s %v", object.Value, err)
 				}
 				s.SetFaults(memstore.Faults{})
@@ -117,7 +117,7 @@
 		{"deleted", `{"vm":"v"}`, true, false},
 	}
 	for _, tt := range tests {
-		e := platform.Event{Object: platform.Object{Value: []byte(tt.value)}, Deleted: tt.deleted}
+		e := metastore.Event{Object: metastore.Object{Value: []byte(tt.value)}, Deleted: tt.deleted}
 		if got := Active(e); got != tt.want {
 			t.Errorf("%s: got %v", tt.name, got)
 		}
--- a/grant/bench_test.go
+++ b/grant/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // BenchmarkPass looks for changes over 140 models with 11 slots each on 1,600
@@ -28,7 +28,7 @@
 			b.Fatal(err)
 		}
 		bytes = max(bytes, len(value))
-		p.view.Apply(platform.Object{Key: Key("env", m), Value: value, Version: 2})
+		p.view.Apply(metastore.Object{Key: Key("env", m), Value: value, Version: 2})
 	}
 	for b.Loop() {
 		if due, next := p.dueModels(); len(due) != 0 || !next.IsZero() {
@@ -40,7 +40,7 @@
 
 // BenchmarkFirstPlan plans one model of 11 replicas on 1,600 VMs.
 func BenchmarkFirstPlan(b *testing.B) {
-	vms := make(map[ident.VM]platform.VM)
+	vms := make(map[ident.VM]metastore.VM)
 	for _, v := range fleet(1600) {
 		vms[v.ID] = v
 	}
@@ -53,4 +53,4 @@
 }
 
 // unusedStore is a store that is never called.
-type unusedStore struct{ platform.Store }
+type unusedStore struct{ metastore.Store }
--- a/grant/example_test.go
+++ b/grant/example_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/laureltally/laureltally/grant"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // A plan gives slots up to the limit of the document. A slot over a lowered
@@ -17,9 +17,9 @@
 		Limit:    2,
 		NeedMB:   24000,
 		Upstream: "drafting",
-		VMs: map[ident.VM]platform.VM{
-			"drafting-1": {ID: "drafting-1", Role: platform.RoleAgent, Upstream: "drafting"},
-			"drafting-2": {ID: "drafting-2", Role: platform.RoleAgent, Upstream: "drafting"},
+		VMs: map[ident.VM]metastore.VM{
+			"drafting-1": {ID: "drafting-1", Role: metastore.RoleAgent, Upstream: "drafting"},
+			"drafting-2": {ID: "drafting-2", Role: metastore.RoleAgent, Upstream: "drafting"},
 		},
 		Gone: func(ident.VM) bool { return false },
 	}
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -6,14 +6,14 @@
 	"slices"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Grant is the set of slots of one model. A VM has at most one slot of it.
 type Grant struct {
 	// Document is the version of the document that last changed Limit. A
 	// planner that holds a lower version leaves the grant alone.
-	Document platform.Version `json:"document"`
+	Document metastore.Version `json:"document"`
 	// Limit is the decided number of replicas. More slots than that remain only
 	// while those of an earlier, higher limit are being revoked.
 	Limit int `json:"limit"`
--- a/grant/input.go
+++ b/grant/input.go
@@ -2,14 +2,14 @@
 
 import (
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Input is what a plan for one model is made from.
 type Input struct {
 	Model ident.Model
 	// Document is the version of the document that gives Limit.
-	Document platform.Version
+	Document metastore.Version
 	// Limit is the decided number of replicas, zero if the document lacks the
 	// model.
 	Limit int
@@ -18,7 +18,7 @@
 	// Upstream is the group that the replicas run on.
 	Upstream ident.Upstream
 	// VMs is the platform's list, leaving VMs included.
-	VMs map[ident.VM]platform.VM
+	VMs map[ident.VM]metastore.VM
 	// Gone tells whether a VM was seen in the platform's list and has gone.
 	Gone func(ident.VM) bool
 	// Slots counts the slots of each VM over all models. FreeMB is a hint; a VM
--- a/grant/options.go
+++ b/grant/options.go
@@ -9,7 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Defaults of Options.
@@ -34,7 +34,7 @@
 	// Self is the VM of this router, as the platform lists it.
 	Self        ident.VM
 	Incarnation ident.Incarnation
-	Store       platform.Store
+	Store       metastore.Store
 	Logger      log.Interface
 	Metrics     tally.Scope
 	Now         func() time.Time
--- a/grant/plan.go
+++ b/grant/plan.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Plan returns the grant that in calls for, and whether it differs from g. It
@@ -66,8 +66,8 @@
 }
 
 // suits tells whether a listed VM may have a slot of the model.
-func (d *draft) suits(v platform.VM) bool {
-	return v.Role == platform.RoleAgent && v.Upstream == d.in.Upstream && !v.Leaving
+func (d *draft) suits(v metastore.VM) bool {
+	return v.Role == metastore.RoleAgent && v.Upstream == d.in.Upstream && !v.Leaving
 }
 
 // revokeExcess revokes held slots over the limit, first those of the region
--- a/grant/planner.go
+++ b/grant/planner.go
@@ -12,7 +12,7 @@
 
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Planner keeps the grants of one environment as the document and the VMs call
@@ -27,7 +27,7 @@
 
 	mu      sync.Mutex
 	doc     *config.Document
-	version platform.Version
+	version metastore.Version
 	roster  *Roster
 	free    map[ident.VM]int64
 	due     map[ident.Model]time.Time
@@ -58,7 +58,7 @@
 
 // SetDocument gives the document in force. A version below the present one is
 // ignored.
-func (p *Planner) SetDocument(version platform.Version, d config.Document) {
+func (p *Planner) SetDocument(version metastore.Version, d config.Document) {
 	p.mu.Lock()
 	if p.doc == nil || version >= p.version {
 		p.doc, p.version = &d, version
@@ -69,7 +69,7 @@
 
 // SetVMs gives the platform's list, each time that it was read successfully.
 // The caller marks a VM as leaving also when its agent says that it drains.
-func (p *Planner) SetVMs(vms []platform.VM) {
+func (p *Planner) SetVMs(vms []metastore.VM) {
 	p.mu.Lock()
 	used := p.roster.Update(vms, p.o.Now())
 	p.mu.Unlock()
@@ -233,7 +233,7 @@
 		WithField("document", uint64(next.Document)).Info("grant written")
 }
 
-func (p *Planner) plan(m ident.Model) (Grant, platform.Version, bool) {
+func (p *Planner) plan(m ident.Model) (Grant, metastore.Version, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g, version := p.view.Grant(m)
@@ -254,7 +254,7 @@
 
 // put writes a grant. A write without a definite answer is looked for by its
 // writer token.
-func (p *Planner) put(ctx context.Context, m ident.Model, g Grant, version platform.Version) error {
+func (p *Planner) put(ctx context.Context, m ident.Model, g Grant, version metastore.Version) error {
 	key := Key(p.o.Environment, m)
 	value, err := g.Encode()
 	if err != nil {
@@ -262,7 +262,7 @@
 	}
 	written, err := p.o.Store.Put(ctx, key, value, version)
 	if err == nil {
-		p.view.Apply(platform.Object{Key: key, Value: value, Version: written})
+		p.view.Apply(metastore.Object{Key: key, Value: value, Version: written})
 		return nil
 	}
 	o, getErr := p.o.Store.Get(ctx, key)
--- a/grant/planner_test.go
+++ b/grant/planner_test.go
@@ -10,16 +10,16 @@
 
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 // fleet is a list of two routers and n agents in three regions.
-func fleet(n int) []platform.VM {
-	vms := []platform.VM{{ID: "r0", Role: platform.RoleRouter}, {ID: "r1", Role: platform.RoleRouter}}
+func fleet(n int) []metastore.VM {
+	vms := []metastore.VM{{ID: "r0", Role: metastore.RoleRouter}, {ID: "r1", Role: metastore.RoleRouter}}
 	for i := range n {
 		region := ident.Region(fmt.Sprint("region", i%3))
-		vms = append(vms, platform.VM{ID: ident.VM(fmt.Sprint("vm", i)), Role: platform.RoleAgent, Upstream: "u", Region: region, Zone: ident.Zone(region)})
+		vms = append(vms, metastore.VM{ID: ident.VM(fmt.Sprint("vm", i)), Role: metastore.RoleAgent, Upstream: "u", Region: region, Zone: ident.Zone(region)})
 	}
 	return vms
 }
@@ -59,7 +59,7 @@
 	})
 }
 
-func give(planners []*Planner, version platform.Version, d config.Document, vms []platform.VM) {
+func give(planners []*Planner, version metastore.Version, d config.Document, vms []metastore.VM) {
 	for _, p := range planners {
 		p.SetDocument(version, d)
 		p.SetVMs(vms)
@@ -129,12 +129,12 @@
 }
 
 func TestPlan(t *testing.T) {
-	vms := make(map[ident.VM]platform.VM)
+	vms := make(map[ident.VM]metastore.VM)
 	for _, v := range fleet(6) {
 		vms[v.ID] = v
 	}
-	vms["old"] = platform.VM{ID: "old", Role: platform.RoleAgent, Upstream: "u", Leaving: true}
-	vms["other"] = platform.VM{ID: "other", Role: platform.RoleAgent, Upstream: "w"}
+	vms["old"] = metastore.VM{ID: "old", Role: metastore.RoleAgent, Upstream: "u", Leaving: true}
+	vms["other"] = metastore.VM{ID: "other", Role: metastore.RoleAgent, Upstream: "w"}
 	in := Input{Model: "m", Document: 5, Limit: 3, Upstream: "u", VMs: vms, Gone: func(v ident.VM) bool { return v == "gone" }}
 	held := func(vm ident.VM, f ident.Fence) Slot { return Slot{VM: vm, Fence: f, State: Held} }
 	revoking := func(vm ident.VM, f ident.Fence) Slot { return Slot{VM: vm, Fence: f, State: Revoking} }
--- a/grant/planner_watch.go
+++ b/grant/planner_watch.go
@@ -7,7 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // watch keeps the view current.
@@ -39,7 +39,7 @@
 	return nil
 }
 
-func (p *Planner) take(e platform.Event) {
+func (p *Planner) take(e metastore.Event) {
 	if !e.Deleted && p.view.Apply(e.Object) {
 		p.poke()
 	}
--- a/grant/roster.go
+++ b/grant/roster.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Roster remembers the platform's list of VMs and tells which VMs are gone from
@@ -18,7 +18,7 @@
 	self    ident.VM
 	confirm time.Duration
 	lag     time.Duration
-	vms     map[ident.VM]platform.VM
+	vms     map[ident.VM]metastore.VM
 	// missing holds the VMs that were seen, by the first list without them.
 	missing map[ident.VM]time.Time
 	// unseen holds VMs that no list has shown, by when they were first asked for.
@@ -34,7 +34,7 @@
 		self:    self,
 		confirm: confirm,
 		lag:     lag,
-		vms:     make(map[ident.VM]platform.VM),
+		vms:     make(map[ident.VM]metastore.VM),
 		missing: make(map[ident.VM]time.Time),
 		unseen:  make(map[ident.VM]time.Time),
 	}
@@ -42,13 +42,13 @@
 
 // Update takes a list that was read at now and returns whether it was used. A
 // list that lacks the reader's own VM, once seen, is older or wrong.
-func (r *Roster) Update(vms []platform.VM, now time.Time) bool {
-	hasSelf := slices.ContainsFunc(vms, func(v platform.VM) bool { return v.ID == r.self })
+func (r *Roster) Update(vms []metastore.VM, now time.Time) bool {
+	hasSelf := slices.ContainsFunc(vms, func(v metastore.VM) bool { return v.ID == r.self })
 	if r.Seen(r.self) && !hasSelf {
 		return false
 	}
 	previous := r.vms
-	r.vms = make(map[ident.VM]platform.VM, len(vms))
+	r.vms = make(map[ident.VM]metastore.VM, len(vms))
 	for _, v := range vms {
 		r.vms[v.ID] = v
 		delete(r.missing, v.ID)
@@ -86,14 +86,14 @@
 }
 
 // VMs returns the newest list. The caller must not change it.
-func (r *Roster) VMs() map[ident.VM]platform.VM { return r.vms }
+func (r *Roster) VMs() map[ident.VM]metastore.VM { return r.vms }
 
 // Routers returns the listed routers that are not leaving, in no particular
 // order.
 func (r *Roster) Routers() []ident.VM {
 	var ids []ident.VM
 	for id, v := range r.vms {
-		if v.Role == platform.RoleRouter && !v.Leaving {
+		if v.Role == metastore.RoleRouter && !v.Leaving {
 			ids = append(ids, id)
 		}
 	}
--- a/grant/versioned.go
+++ b/grant/versioned.go
@@ -1,9 +1,9 @@
 package grant
 
-import "github.com/laureltally/laureltally/platform"
+import "github.com/laureltally/laureltally/metastore"
 
 // versioned is a grant with the version of its object.
 type versioned struct {
 	grant   Grant
-	version platform.Version
+	version metastore.Version
 }
--- a/grant/view.go
+++ b/grant/view.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // View holds the newest known grants of one environment. It is safe for
@@ -17,7 +17,7 @@
 	mu sync.RWMutex
 	// known is set by the first listing, which is at version zero in a new store.
 	known  bool
-	listed platform.Version
+	listed metastore.Version
 	grants map[ident.Model]versioned
 }
 
@@ -28,7 +28,7 @@
 
 // Replace takes a listing of all grants at version v. An older listing than the
 // last is ignored, and Replace returns false.
-func (w *View) Replace(objects []platform.Object, v platform.Version) bool {
+func (w *View) Replace(objects []metastore.Object, v metastore.Version) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if v < w.listed {
@@ -43,13 +43,13 @@
 
 // Apply takes one object and returns whether it was newer than the known one.
 // An object that cannot be read is ignored.
-func (w *View) Apply(o platform.Object) bool {
+func (w *View) Apply(o metastore.Object) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.apply(o)
 }
 
-func (w *View) apply(o platform.Object) bool {
+func (w *View) apply(o metastore.Object) bool {
 	m, ok := ModelOf(w.env, o.Key)
 	if !ok || o.Version <= w.grants[m].version {
 		return false
@@ -71,7 +71,7 @@
 
 // Grant returns the grant of m and the version of its object, both zero if
 // there is none.
-func (w *View) Grant(m ident.Model) (Grant, platform.Version) {
+func (w *View) Grant(m ident.Model) (Grant, metastore.Version) {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
 	v := w.grants[m]
--- a/internal/harness/apply.go
+++ b/internal/harness/apply.go
@@ -8,7 +8,7 @@
 
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/document"
-	"github.com/laureltally/laureltally/platform/objecthttp"
+	"github.com/laureltally/laureltally/metastore/objecthttp"
 )
 
 // Apply changes the document as an operator does: read, edit, apply, and again
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -13,8 +13,8 @@
 	"github.com/laureltally/laureltally/document"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/keys"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/objecthttp"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/objecthttp"
 	"github.com/laureltally/laureltally/standin"
 )
 
@@ -182,7 +182,7 @@
 		return err
 	}
 	c.Agents = append(c.Agents, p)
-	return c.PutVM(ctx, platform.VM{ID: s.VM, Role: platform.RoleAgent, Region: Region, Zone: Zone, Address: box.Address(), Upstream: s.Upstream})
+	return c.PutVM(ctx, metastore.VM{ID: s.VM, Role: metastore.RoleAgent, Region: Region, Zone: Zone, Address: box.Address(), Upstream: s.Upstream})
 }
 
 func (c *Cluster) startRouters(ctx context.Context) error {
@@ -211,7 +211,7 @@
 		c.Routers = append(c.Routers, p)
 		c.RouterURLs = append(c.RouterURLs, "http://"+addresses[0])
 		c.AdminURLs = append(c.AdminURLs, "http://"+addresses[1])
-		if err := c.PutVM(ctx, platform.VM{ID: s.VM, Role: platform.RoleRouter, Region: Region, Zone: Zone, Address: addresses[2]}); err != nil {
+		if err := c.PutVM(ctx, metastore.VM{ID: s.VM, Role: metastore.RoleRouter, Region: Region, Zone: Zone, Address: addresses[2]}); err != nil {
 			return err
 		}
 	}
@@ -255,7 +255,7 @@
 }
 
 // PutVM adds or replaces a VM in the platform's list.
-func (c *Cluster) PutVM(ctx context.Context, vm platform.VM) error {
+func (c *Cluster) PutVM(ctx context.Context, vm metastore.VM) error {
 	return c.Post(ctx, c.PlatformURL+"/control/vms", standin.VMChange{Put: &vm})
 }
 
--- a/membership/member.go
+++ b/membership/member.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -12,7 +12,7 @@
 // be changed.
 type Member struct {
 	ID       ident.VM
-	Role     platform.Role
+	Role     metastore.Role
 	Region   ident.Region
 	Zone     ident.Zone
 	Address  string
--- a/membership/view.go
+++ b/membership/view.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -29,7 +29,7 @@
 
 // Listed takes a whole list of VMs as read now. An instance that was listed and
 // is no more is gone for good. A list that could not be read is no event.
-func (v *View) Listed(now time.Time, vms []platform.VM) {
+func (v *View) Listed(now time.Time, vms []metastore.VM) {
 	present := make(map[ident.VM]bool, len(vms))
 	for _, vm := range vms {
 		present[vm.ID] = true
@@ -50,7 +50,7 @@
 	}
 }
 
-func (v *View) listedOne(now time.Time, vm platform.VM) {
+func (v *View) listedOne(now time.Time, vm metastore.VM) {
 	m := v.member(now, vm.ID)
 	if !m.listed {
 		m.listed = true
@@ -114,7 +114,7 @@
 // Candidates returns the members of an upstream that may get new work, by name.
 func (v *View) Candidates(u ident.Upstream) []Member {
 	return v.collect(func(m *Member) bool {
-		return m.Role == platform.RoleAgent && m.Upstream == u && m.Usable()
+		return m.Role == metastore.RoleAgent && m.Upstream == u && m.Usable()
 	})
 }
 
@@ -123,7 +123,7 @@
 func (v *View) Routers(region ident.Region) []Member {
 	return v.collect(func(m *Member) bool {
 		draining := m.Report != nil && m.Report.Draining
-		return m.Role == platform.RoleRouter && !m.Leaving && !draining && !m.Replaced &&
+		return m.Role == metastore.RoleRouter && !m.Leaving && !draining && !m.Replaced &&
 			(region == "" || m.Region == region)
 	})
 }
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -10,19 +10,19 @@
 	"pgregory.net/rapid"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
 var start = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
 
-func vm(id ident.VM, address string, leaving bool) platform.VM {
-	return platform.VM{ID: id, Role: platform.RoleAgent, Region: "uusimaa", Zone: "z", Address: address, Upstream: "portal", Leaving: leaving}
+func vm(id ident.VM, address string, leaving bool) metastore.VM {
+	return metastore.VM{ID: id, Role: metastore.RoleAgent, Region: "uusimaa", Zone: "z", Address: address, Upstream: "portal", Leaving: leaving}
 }
 
 func report(id ident.VM, inc ident.Incarnation, started int64, seq uint64) *wire.Report {
 	return &wire.Report{
-		VM: id, Incarnation: inc, Started: started, Seq: seq, Role: platform.RoleAgent,
+		VM: id, Incarnation: inc, Started: started, Seq: seq, Role: metastore.RoleAgent,
 		Region: "uusimaa", Zone: "z", Upstream: "portal", Address: "10.0.0.1:1",
 	}
 }
@@ -33,7 +33,7 @@
 }
 
 func TestWhoGetsNewWork(t *testing.T) {
-	list := func(vms ...platform.VM) func(*View) { return func(v *View) { v.Listed(start, vms) } }
+	list := func(vms ...metastore.VM) func(*View) { return func(v *View) { v.Listed(start, vms) } }
 	hear := func(r *wire.Report) func(*View) { return func(v *View) { v.Reported(start, r, false) } }
 	direct := func(r *wire.Report) func(*View) { return func(v *View) { v.Reported(start, r, true) } }
 	tests := []struct {
@@ -62,7 +62,7 @@
 		{"link up again", []func(*View){hear(report("a", 1, 1, 1)), func(v *View) { v.Connected("a", LinkDown); v.Connected("a", LinkUp) }}, 1},
 		{"address taken over", []func(*View){
 			list(vm("a", "x", false)), hear(report("a", 1, 1, 1)),
-			func(v *View) { v.Listed(start.Add(1), []platform.VM{vm("a", "x", false), vm("b", "x", false)}) },
+			func(v *View) { v.Listed(start.Add(1), []metastore.VM{vm("a", "x", false), vm("b", "x", false)}) },
 			direct(report("a", 1, 1, 2)),
 		}, 0},
 		{"never listed", []func(*View){hear(report("a", 1, 1, 1)), func(v *View) { v.Listed(start.Add(DefaultUnlisted), nil) }}, 0},
@@ -103,11 +103,11 @@
 			now := start.Add(time.Duration(i) * time.Second)
 			switch rapid.IntRange(0, 6).Draw(t, "source") {
 			case 0:
-				v.Listed(now, []platform.VM{vm("a", "x", leaving)})
+				v.Listed(now, []metastore.VM{vm("a", "x", leaving)})
 				left = left || leaving
 			case 1:
 				if _, there := v.Member("a"); there && rapid.IntRange(0, 3).Draw(t, "gone") == 0 {
-					v.Listed(now, []platform.VM{vm("a", "x", false)})
+					v.Listed(now, []metastore.VM{vm("a", "x", false)})
 					v.Listed(now, nil)
 					left = true
 				}
--- a/platform/event.go
+++ b/metastore/event.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 // Event is one change that a watch delivers.
 type Event struct {
--- a/platform/memstore/change.go
+++ b/metastore/memstore/change.go
@@ -1,10 +1,10 @@
 package memstore
 
-import "github.com/laureltally/laureltally/platform"
+import "github.com/laureltally/laureltally/metastore"
 
 // change is one entry of the history, with the object that it replaced. A
 // missing object has version zero.
 type change struct {
-	event platform.Event
-	prev  platform.Object
+	event metastore.Event
+	prev  metastore.Object
 }
--- a/platform/memstore/faults.go
+++ b/metastore/memstore/faults.go
@@ -9,10 +9,10 @@
 	// Delay is added to each call before it takes effect.
 	Delay time.Duration
 	// LoseAnswers is how many of the next writes take effect and yet end in a
-	// *platform.UnavailableError.
+	// *metastore.UnavailableError.
 	LoseAnswers int
 	// LateWrites is how many of the next writes end in a
-	// *platform.UnavailableError at once and are tried LateBy later.
+	// *metastore.UnavailableError at once and are tried LateBy later.
 	LateWrites int
 	LateBy     time.Duration
 	// StaleMin and StaleMax bound how many versions old the state is that a Get
--- a/platform/memstore/read.go
+++ b/metastore/memstore/read.go
@@ -7,13 +7,13 @@
 	"slices"
 	"strings"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements metastore.Store.
+func (s *Store) Get(ctx context.Context, key string) (metastore.Object, error) {
 	if err := s.admit(ctx, "get", s.reads); err != nil {
-		return platform.Object{}, err
+		return metastore.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -29,13 +29,13 @@
 		}
 	}
 	if o.Version == 0 {
-		return platform.Object{}, &platform.NotFoundError{Key: key}
+		return metastore.Object{}, &metastore.NotFoundError{Key: key}
 	}
 	return clone(o), nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Object, platform.Version, error) {
+// List implements metastore.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]metastore.Object, metastore.Version, error) {
 	if err := s.admit(ctx, "list", s.reads); err != nil {
 		return nil, 0, err
 	}
@@ -44,7 +44,7 @@
 	s.counters.Reads++
 	at := s.readVersion()
 	objects := s.stateAt(at)
-	var found []platform.Object
+	var found []metastore.Object
 	for _, key := range slices.Sorted(maps.Keys(objects)) {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, clone(objects[key]))
@@ -54,16 +54,16 @@
 }
 
 // readVersion draws the version that a read reflects. The caller holds mu.
-func (s *Store) readVersion() platform.Version {
+func (s *Store) readVersion() metastore.Version {
 	behind := s.faults.StaleMin
 	if spread := s.faults.StaleMax - s.faults.StaleMin; spread > 0 {
 		behind += s.random.IntN(spread + 1)
 	}
-	return s.version - min(platform.Version(behind), s.version-s.dropped)
+	return s.version - min(metastore.Version(behind), s.version-s.dropped)
 }
 
 // stateAt returns the objects as of a version. The caller holds mu.
-func (s *Store) stateAt(at platform.Version) map[string]platform.Object {
+func (s *Store) stateAt(at metastore.Version) map[string]metastore.Object {
 	if at == s.version {
 		return s.objects
 	}
@@ -81,7 +81,7 @@
 	return objects
 }
 
-func clone(o platform.Object) platform.Object {
+func clone(o metastore.Object) metastore.Object {
 	o.Value = bytes.Clone(o.Value)
 	return o
 }
--- a/platform/memstore/store.go
+++ b/metastore/memstore/store.go
@@ -10,10 +10,10 @@
 	"golang.org/x/time/rate"
 
 	"github.com/laureltally/laureltally/internal/wait"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
-// Store is a platform.Store in memory. It is safe for concurrent use.
+// Store is a metastore.Store in memory. It is safe for concurrent use.
 type Store struct {
 	logger log.Interface
 	reads  *rate.Limiter
@@ -21,17 +21,17 @@
 	limit  int
 
 	mu       sync.Mutex
-	version  platform.Version
-	objects  map[string]platform.Object
+	version  metastore.Version
+	objects  map[string]metastore.Object
 	history  []change
-	dropped  platform.Version
+	dropped  metastore.Version
 	changed  chan struct{}
 	faults   Faults
 	counters Counters
 	random   *rand.Rand
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ metastore.Store = (*Store)(nil)
 
 // New returns an empty store.
 func New(o Options) *Store {
@@ -46,7 +46,7 @@
 		reads:   limiter(o.ReadsPerSecond),
 		writes:  limiter(o.WritesPerSecond),
 		limit:   o.History,
-		objects: make(map[string]platform.Object),
+		objects: make(map[string]metastore.Object),
 		changed: make(chan struct{}),
 		random:  rand.New(rand.NewPCG(o.Seed, 0)),
 	}
@@ -83,7 +83,7 @@
 }
 
 // Version returns the number of the newest change.
-func (s *Store) Version() platform.Version {
+func (s *Store) Version() metastore.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.version
@@ -99,17 +99,17 @@
 // limit to a call.
 func (s *Store) admit(ctx context.Context, op string, limit *rate.Limiter) error {
 	if err := wait.Sleep(ctx, s.Faults().Delay); err != nil {
-		return &platform.UnavailableError{Op: op, Err: err}
+		return &metastore.UnavailableError{Op: op, Err: err}
 	}
 	if s.Faults().Outage {
 		s.countRefusal()
-		return &platform.UnavailableError{Op: op, Err: &OutageError{}}
+		return &metastore.UnavailableError{Op: op, Err: &OutageError{}}
 	}
 	r := limit.Reserve()
 	if wait := r.Delay(); wait > 0 {
 		r.Cancel()
 		s.countRefusal()
-		return &platform.UnavailableError{Op: op, RetryAfter: wait, Err: &RateError{}}
+		return &metastore.UnavailableError{Op: op, RetryAfter: wait, Err: &RateError{}}
 	}
 	return nil
 }
--- a/platform/memstore/store_test.go
+++ b/metastore/memstore/store_test.go
@@ -10,10 +10,10 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
-func put(t *testing.T, s *Store, key, value string, expect platform.Version) platform.Version {
+func put(t *testing.T, s *Store, key, value string, expect metastore.Version) metastore.Version {
 	t.Helper()
 	v, err := s.Put(t.Context(), key, []byte(value), expect)
 	if err != nil {
@@ -35,18 +35,18 @@
 	s := New(Options{})
 	v1 := put(t, s, "a", "1", 0)
 	_, err := s.Put(t.Context(), "a", nil, 0)
-	if c := wantError[*platform.ConflictError](t, err); c.Actual != v1 {
+	if c := wantError[*metastore.ConflictError](t, err); c.Actual != v1 {
 		t.Fatalf("conflict names version %d, want %d", c.Actual, v1)
 	}
 	v2 := put(t, s, "a", "2", v1)
-	wantError[*platform.ConflictError](t, s.Delete(t.Context(), "a", v1))
+	wantError[*metastore.ConflictError](t, s.Delete(t.Context(), "a", v1))
 	if err := s.Delete(t.Context(), "a", v2); err != nil {
 		t.Fatal(err)
 	}
 	_, err = s.Get(t.Context(), "a")
-	wantError[*platform.NotFoundError](t, err)
-	_, err = s.Put(t.Context(), "a", make([]byte, platform.MaxValueBytes+1), 0)
-	wantError[*platform.ValueSizeError](t, err)
+	wantError[*metastore.NotFoundError](t, err)
+	_, err = s.Put(t.Context(), "a", make([]byte, metastore.MaxValueBytes+1), 0)
+	wantError[*metastore.ValueSizeError](t, err)
 	if v4 := put(t, s, "a", "3", 0); v4 <= v2+1 {
 		t.Fatalf("version %d after a delete, want more than %d", v4, v2+1)
 	}
@@ -56,7 +56,7 @@
 	s := New(Options{})
 	s.SetFaults(Faults{LoseAnswers: 1})
 	_, err := s.Put(t.Context(), "a", []byte("1"), 0)
-	wantError[*platform.UnavailableError](t, err)
+	wantError[*metastore.UnavailableError](t, err)
 	wantError[*LostAnswerError](t, err)
 	if o, err := s.Get(t.Context(), "a"); err != nil || string(o.Value) != "1" {
 		t.Fatalf("got %v %v", o, err)
@@ -71,9 +71,9 @@
 				s := New(Options{})
 				s.SetFaults(Faults{LateWrites: 1, LateBy: time.Minute})
 				_, err := s.Put(t.Context(), "a", []byte("late"), 0)
-				wantError[*platform.UnavailableError](t, err)
+				wantError[*metastore.UnavailableError](t, err)
 				_, err = s.Get(t.Context(), "a")
-				wantError[*platform.NotFoundError](t, err)
+				wantError[*metastore.NotFoundError](t, err)
 				want := "late"
 				if overtaken {
 					want = "first"
@@ -106,7 +106,7 @@
 			t.Errorf("%d behind: got %q %v, want %q", tt.behind, o.Value, err, tt.a)
 		}
 		objects, at, err := s.List(t.Context(), "")
-		if err != nil || len(objects) != tt.listed || at != platform.Version(max(0, 3-tt.behind)) {
+		if err != nil || len(objects) != tt.listed || at != metastore.Version(max(0, 3-tt.behind)) {
 			t.Errorf("%d behind: listed %v at %d %v", tt.behind, objects, at, err)
 		}
 	}
@@ -116,7 +116,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Options{})
 		ended := make(chan error, 1)
-		go func() { ended <- s.Watch(t.Context(), "", 0, func(platform.Event) {}) }()
+		go func() { ended <- s.Watch(t.Context(), "", 0, func(metastore.Event) {}) }()
 		synctest.Wait()
 		if n := s.Counters().Watches; n != 1 {
 			t.Fatalf("%d watches wait, want 1", n)
@@ -138,7 +138,7 @@
 		put(t, s, "b", "", 0)
 		_, err := s.Put(t.Context(), "c", nil, 0)
 		wantError[*RateError](t, err)
-		time.Sleep(wantError[*platform.UnavailableError](t, err).RetryAfter)
+		time.Sleep(wantError[*metastore.UnavailableError](t, err).RetryAfter)
 		put(t, s, "c", "", 0)
 	})
 }
@@ -150,7 +150,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := s.Put(ctx, "a", nil, 0)
-		wantError[*platform.UnavailableError](t, err)
+		wantError[*metastore.UnavailableError](t, err)
 		if s.Version() != 0 {
 			t.Fatal("a cancelled write took effect")
 		}
@@ -159,11 +159,11 @@
 
 func TestCompactedWatchIsRefused(t *testing.T) {
 	s := New(Options{History: 2})
-	for v := range platform.Version(4) {
+	for v := range metastore.Version(4) {
 		put(t, s, "a", "", v)
 	}
-	err := s.Watch(t.Context(), "", 0, func(platform.Event) {})
-	wantError[*platform.CompactedError](t, err)
+	err := s.Watch(t.Context(), "", 0, func(metastore.Event) {})
+	wantError[*metastore.CompactedError](t, err)
 }
 
 // TestWatchFollowsAllChanges replays a watch that starts anywhere on top of a
@@ -171,7 +171,7 @@
 func TestWatchFollowsAllChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := New(Options{})
-		versions := map[string]platform.Version{}
+		versions := map[string]metastore.Version{}
 		step := func() {
 			key := rapid.SampledFrom([]string{"p/a", "p/b", "q"}).Draw(t, "key")
 			if v := versions[key]; v != 0 && rapid.Bool().Draw(t, "delete") {
@@ -199,7 +199,7 @@
 		for range rapid.IntRange(0, 20).Draw(t, "after") {
 			step()
 		}
-		got := map[string]platform.Version{}
+		got := map[string]metastore.Version{}
 		for _, o := range objects {
 			got[o.Key] = o.Version
 		}
--- a/platform/memstore/watch.go
+++ b/metastore/memstore/watch.go
@@ -5,11 +5,11 @@
 	"slices"
 	"strings"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, since platform.Version, deliver func(platform.Event)) error {
+// Watch implements metastore.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, since metastore.Version, deliver func(metastore.Event)) error {
 	if err := s.admit(ctx, "watch", s.reads); err != nil {
 		return err
 	}
@@ -43,22 +43,22 @@
 
 // eventsSince returns the newer changes below prefix and a channel that is
 // closed at the next change.
-func (s *Store) eventsSince(prefix string, since platform.Version) ([]platform.Event, <-chan struct{}, error) {
+func (s *Store) eventsSince(prefix string, since metastore.Version) ([]metastore.Event, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Outage {
-		return nil, nil, &platform.UnavailableError{Op: "watch", Err: &OutageError{}}
+		return nil, nil, &metastore.UnavailableError{Op: "watch", Err: &OutageError{}}
 	}
 	if s.faults.SilentWatches {
 		return nil, s.changed, nil
 	}
 	if since < s.dropped {
-		return nil, nil, &platform.CompactedError{Since: since, Oldest: s.dropped + 1}
+		return nil, nil, &metastore.CompactedError{Since: since, Oldest: s.dropped + 1}
 	}
-	start, _ := slices.BinarySearchFunc(s.history, since+1, func(c change, v platform.Version) int {
+	start, _ := slices.BinarySearchFunc(s.history, since+1, func(c change, v metastore.Version) int {
 		return int(int64(c.event.Object.Version) - int64(v))
 	})
-	var events []platform.Event
+	var events []metastore.Event
 	for _, c := range s.history[start:] {
 		if strings.HasPrefix(c.event.Object.Key, prefix) {
 			e := c.event
--- a/platform/memstore/write.go
+++ b/metastore/memstore/write.go
@@ -5,33 +5,33 @@
 	"context"
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // mutation tries one conditional write. The caller holds mu.
-type mutation func() (platform.Version, error)
+type mutation func() (metastore.Version, error)
 
-// Put implements platform.Store.
-func (s *Store) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, &platform.ValueSizeError{Key: key, Bytes: len(value)}
+// Put implements metastore.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expect metastore.Version) (metastore.Version, error) {
+	if len(value) > metastore.MaxValueBytes {
+		return 0, &metastore.ValueSizeError{Key: key, Bytes: len(value)}
 	}
 	value = bytes.Clone(value)
-	return s.write(ctx, "put", func() (platform.Version, error) {
+	return s.write(ctx, "put", func() (metastore.Version, error) {
 		return s.put(key, value, expect)
 	})
 }
 
-// Delete implements platform.Store. Deleting an object that does not exist is a
-// *platform.NotFoundError.
-func (s *Store) Delete(ctx context.Context, key string, expect platform.Version) error {
-	_, err := s.write(ctx, "delete", func() (platform.Version, error) {
+// Delete implements metastore.Store. Deleting an object that does not exist is a
+// *metastore.NotFoundError.
+func (s *Store) Delete(ctx context.Context, key string, expect metastore.Version) error {
+	_, err := s.write(ctx, "delete", func() (metastore.Version, error) {
 		return s.remove(key, expect)
 	})
 	return err
 }
 
-func (s *Store) write(ctx context.Context, op string, m mutation) (platform.Version, error) {
+func (s *Store) write(ctx context.Context, op string, m mutation) (metastore.Version, error) {
 	if err := s.admit(ctx, op, s.writes); err != nil {
 		return 0, err
 	}
@@ -41,12 +41,12 @@
 	if s.faults.LateWrites > 0 {
 		s.faults.LateWrites--
 		time.AfterFunc(s.faults.LateBy, func() { s.applyLate(op, m) })
-		return 0, &platform.UnavailableError{Op: op, Err: &LostAnswerError{}}
+		return 0, &metastore.UnavailableError{Op: op, Err: &LostAnswerError{}}
 	}
 	v, err := m()
 	if err == nil && s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
-		return 0, &platform.UnavailableError{Op: op, Err: &LostAnswerError{}}
+		return 0, &metastore.UnavailableError{Op: op, Err: &LostAnswerError{}}
 	}
 	return v, err
 }
@@ -58,30 +58,30 @@
 	s.logger.WithError(err).WithField("op", op).WithField("version", v).Debug("late write tried")
 }
 
-func (s *Store) put(key string, value []byte, expect platform.Version) (platform.Version, error) {
+func (s *Store) put(key string, value []byte, expect metastore.Version) (metastore.Version, error) {
 	prev := s.objects[key]
 	if prev.Version != expect {
-		return 0, &platform.ConflictError{Key: key, Expected: expect, Actual: prev.Version}
+		return 0, &metastore.ConflictError{Key: key, Expected: expect, Actual: prev.Version}
 	}
 	s.version++
-	o := platform.Object{Key: key, Value: value, Version: s.version}
+	o := metastore.Object{Key: key, Value: value, Version: s.version}
 	s.objects[key] = o
-	s.record(change{event: platform.Event{Object: o}, prev: prev})
+	s.record(change{event: metastore.Event{Object: o}, prev: prev})
 	return s.version, nil
 }
 
-func (s *Store) remove(key string, expect platform.Version) (platform.Version, error) {
+func (s *Store) remove(key string, expect metastore.Version) (metastore.Version, error) {
 	prev := s.objects[key]
 	if prev.Version == 0 {
-		return 0, &platform.NotFoundError{Key: key}
+		return 0, &metastore.NotFoundError{Key: key}
 	}
 	if prev.Version != expect {
-		return 0, &platform.ConflictError{Key: key, Expected: expect, Actual: prev.Version}
+		return 0, &metastore.ConflictError{Key: key, Expected: expect, Actual: prev.Version}
 	}
 	s.version++
 	delete(s.objects, key)
-	o := platform.Object{Key: key, Version: s.version}
-	s.record(change{event: platform.Event{Object: o, Deleted: true}, prev: prev})
+	o := metastore.Object{Key: key, Version: s.version}
+	s.record(change{event: metastore.Event{Object: o, Deleted: true}, prev: prev})
 	return s.version, nil
 }
 
--- a/platform/object.go
+++ b/metastore/object.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 // Object is one stored value with its version.
 type Object struct {
--- a/platform/objecthttp/client.go
+++ b/metastore/objecthttp/client.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Client calls the object API. It is safe for concurrent use.
@@ -24,8 +24,8 @@
 }
 
 var (
-	_ platform.Store    = (*Client)(nil)
-	_ platform.VMLister = (*Client)(nil)
+	_ metastore.Store    = (*Client)(nil)
+	_ metastore.VMLister = (*Client)(nil)
 )
 
 // New returns a client. A base URL that is not absolute is a *URLError.
@@ -62,23 +62,23 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Object, error) {
-	body, header, err := c.call(ctx, request{op: "get", method: http.MethodGet, key: key, limit: platform.MaxValueBytes})
+// Get implements metastore.Store.
+func (c *Client) Get(ctx context.Context, key string) (metastore.Object, error) {
+	body, header, err := c.call(ctx, request{op: "get", method: http.MethodGet, key: key, limit: metastore.MaxValueBytes})
 	if err != nil {
-		return platform.Object{}, err
+		return metastore.Object{}, err
 	}
 	v, err := ParseETag(header.Get("ETag"))
 	if err != nil {
-		return platform.Object{}, &platform.UnavailableError{Op: "get", Err: err}
+		return metastore.Object{}, &metastore.UnavailableError{Op: "get", Err: err}
 	}
-	return platform.Object{Key: key, Value: body, Version: v}, nil
+	return metastore.Object{Key: key, Value: body, Version: v}, nil
 }
 
-// Put implements platform.Store.
-func (c *Client) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, &platform.ValueSizeError{Key: key, Bytes: len(value)}
+// Put implements metastore.Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expect metastore.Version) (metastore.Version, error) {
+	if len(value) > metastore.MaxValueBytes {
+		return 0, &metastore.ValueSizeError{Key: key, Bytes: len(value)}
 	}
 	r := request{op: "put", method: http.MethodPut, key: key, body: value, header: http.Header{}, limit: maxProblemBytes}
 	if expect == 0 {
@@ -92,21 +92,21 @@
 	}
 	v, err := ParseETag(header.Get("ETag"))
 	if err != nil {
-		return 0, &platform.UnavailableError{Op: "put", Err: err}
+		return 0, &metastore.UnavailableError{Op: "put", Err: err}
 	}
 	return v, nil
 }
 
-// Delete implements platform.Store.
-func (c *Client) Delete(ctx context.Context, key string, expect platform.Version) error {
+// Delete implements metastore.Store.
+func (c *Client) Delete(ctx context.Context, key string, expect metastore.Version) error {
 	r := request{op: "delete", method: http.MethodDelete, key: key, header: http.Header{}, limit: maxProblemBytes}
 	r.header.Set("If-Match", FormatETag(expect))
 	_, _, err := c.call(ctx, r)
 	return err
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Object, platform.Version, error) {
+// List implements metastore.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]metastore.Object, metastore.Version, error) {
 	r := request{op: "list", method: http.MethodGet, path: "/objects", query: url.Values{"prefix": {prefix}}, limit: c.maxList}
 	var l Listing
 	if err := c.decode(ctx, r, &l); err != nil {
@@ -115,9 +115,9 @@
 	return l.Objects, l.Version, nil
 }
 
-// ListVMs implements platform.VMLister.
-func (c *Client) ListVMs(ctx context.Context) ([]platform.VM, error) {
-	var vms []platform.VM
+// ListVMs implements metastore.VMLister.
+func (c *Client) ListVMs(ctx context.Context) ([]metastore.VM, error) {
+	var vms []metastore.VM
 	r := request{op: "vms", method: http.MethodGet, path: "/vms", limit: c.maxList}
 	if err := c.decode(ctx, r, &vms); err != nil {
 		return nil, err
@@ -132,7 +132,7 @@
 		return err
 	}
 	if err := json.Unmarshal(body, out); err != nil {
-		return &platform.UnavailableError{Op: r.op, Err: fmt.Errorf("decode answer: %w", err)}
+		return &metastore.UnavailableError{Op: r.op, Err: fmt.Errorf("decode answer: %w", err)}
 	}
 	return nil
 }
@@ -148,7 +148,7 @@
 	defer resp.Body.Close()
 	body, err := readBounded(resp.Body, r.limit)
 	if err != nil {
-		return nil, nil, &platform.UnavailableError{Op: r.op, Err: err}
+		return nil, nil, &metastore.UnavailableError{Op: r.op, Err: err}
 	}
 	return body, resp.Header, nil
 }
@@ -157,11 +157,11 @@
 func (c *Client) send(ctx context.Context, r request) (*http.Response, error) {
 	req, err := r.build(ctx, c.base)
 	if err != nil {
-		return nil, &platform.UnavailableError{Op: r.op, Err: err}
+		return nil, &metastore.UnavailableError{Op: r.op, Err: err}
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, &platform.UnavailableError{Op: r.op, Err: err}
+		return nil, &metastore.UnavailableError{Op: r.op, Err: err}
 	}
 	if resp.StatusCode < http.StatusMultipleChoices {
 		return resp, nil
@@ -178,7 +178,7 @@
 		err = json.Unmarshal(body, &p)
 	}
 	if err != nil || p.Code == "" {
-		return &platform.UnavailableError{Op: r.op, RetryAfter: retryAfter(resp.Header), Err: &StatusError{Status: resp.StatusCode}}
+		return &metastore.UnavailableError{Op: r.op, RetryAfter: retryAfter(resp.Header), Err: &StatusError{Status: resp.StatusCode}}
 	}
 	return p.err(r.op, r.key)
 }
--- a/platform/objecthttp/client_test.go
+++ b/metastore/objecthttp/client_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
-	"github.com/laureltally/laureltally/platform/objecthttp"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
+	"github.com/laureltally/laureltally/metastore/objecthttp"
 	"github.com/laureltally/laureltally/standin"
 )
 
@@ -19,7 +19,7 @@
 	t.Helper()
 	store := memstore.New(o)
 	vms := standin.NewVMList(0)
-	vms.Apply(standin.VMChange{Put: &platform.VM{ID: "vm-1", Region: "trøndelag"}})
+	vms.Apply(standin.VMChange{Put: &metastore.VM{ID: "vm-1", Region: "trøndelag"}})
 	server := httptest.NewServer(standin.NewObjectAPI(standin.ObjectAPIOptions{Store: store, VMs: vms, Heartbeat: 10 * time.Millisecond}))
 	t.Cleanup(server.Close)
 	c, err := objecthttp.New(objecthttp.Options{BaseURL: server.URL, Silence: silence, MaxListBytes: 1 << 10})
@@ -47,7 +47,7 @@
 		t.Fatal(err)
 	}
 	_, err = c.Put(t.Context(), key, nil, 0)
-	if got := wantError[*platform.ConflictError](t, err); *got != (platform.ConflictError{Key: key, Actual: v1}) {
+	if got := wantError[*metastore.ConflictError](t, err); *got != (metastore.ConflictError{Key: key, Actual: v1}) {
 		t.Fatalf("got %+v", got)
 	}
 	v2, err := c.Put(t.Context(), key, []byte("2"), v1)
@@ -58,7 +58,7 @@
 	if err != nil || o.Version != v2 || string(o.Value) != "2" {
 		t.Fatalf("got %+v %v", o, err)
 	}
-	wantError[*platform.ConflictError](t, c.Delete(t.Context(), key, v1))
+	wantError[*metastore.ConflictError](t, c.Delete(t.Context(), key, v1))
 	objects, at, err := c.List(t.Context(), "config/")
 	if err != nil || at != v2 || len(objects) != 1 || objects[0].Key != key {
 		t.Fatalf("got %v at %d %v", objects, at, err)
@@ -67,9 +67,9 @@
 		t.Fatal(err)
 	}
 	_, err = c.Get(t.Context(), key)
-	wantError[*platform.NotFoundError](t, err)
-	_, err = c.Put(t.Context(), "big", make([]byte, platform.MaxValueBytes+1), 0)
-	wantError[*platform.ValueSizeError](t, err)
+	wantError[*metastore.NotFoundError](t, err)
+	_, err = c.Put(t.Context(), "big", make([]byte, metastore.MaxValueBytes+1), 0)
+	wantError[*metastore.ValueSizeError](t, err)
 }
 
 func TestUnavailableTellsWhenToComeBack(t *testing.T) {
@@ -78,7 +78,7 @@
 		t.Fatal(err)
 	}
 	_, err := c.Put(t.Context(), "b", nil, 0)
-	if u := wantError[*platform.UnavailableError](t, err); u.RetryAfter < time.Minute {
+	if u := wantError[*metastore.UnavailableError](t, err); u.RetryAfter < time.Minute {
 		t.Fatalf("retry after %v, want about 100s", u.RetryAfter)
 	}
 }
@@ -87,7 +87,7 @@
 	store, c := newPair(t, memstore.Options{}, 0)
 	store.SetFaults(memstore.Faults{LoseAnswers: 1})
 	_, err := c.Put(t.Context(), "a", nil, 0)
-	wantError[*platform.UnavailableError](t, err)
+	wantError[*metastore.UnavailableError](t, err)
 	if n := store.Counters().Writes; n != 1 {
 		t.Fatalf("%d writes, want 1", n)
 	}
@@ -110,16 +110,16 @@
 	}
 	store.SetFaults(memstore.Faults{Outage: true})
 	_, err = c.ListVMs(t.Context())
-	wantError[*platform.UnavailableError](t, err)
+	wantError[*metastore.UnavailableError](t, err)
 }
 
 func TestWatchDeliversAndEndsWithItsCaller(t *testing.T) {
 	store, c := newPair(t, memstore.Options{}, 0)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	events := make(chan platform.Event, 4)
+	events := make(chan metastore.Event, 4)
 	ended := make(chan error, 1)
-	go func() { ended <- c.Watch(ctx, "p/", 0, func(e platform.Event) { events <- e }) }()
+	go func() { ended <- c.Watch(ctx, "p/", 0, func(e metastore.Event) { events <- e }) }()
 	for _, key := range []string{"p/a", "q", "p/b"} {
 		if _, err := store.Put(t.Context(), key, []byte(key), 0); err != nil {
 			t.Fatal(err)
@@ -150,7 +150,7 @@
 		}},
 		{"outage", memstore.Faults{Outage: true}, time.Hour, func(t *testing.T, err error) {
 			var silence *objecthttp.SilenceError
-			if wantError[*platform.UnavailableError](t, err); errors.As(err, &silence) {
+			if wantError[*metastore.UnavailableError](t, err); errors.As(err, &silence) {
 				t.Fatal("an outage was taken for silence")
 			}
 		}},
@@ -159,7 +159,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			store, c := newPair(t, memstore.Options{}, tt.silence)
 			store.SetFaults(tt.faults)
-			tt.check(t, c.Watch(t.Context(), "", 0, func(platform.Event) {}))
+			tt.check(t, c.Watch(t.Context(), "", 0, func(metastore.Event) {}))
 		})
 	}
 }
@@ -175,7 +175,7 @@
 		t.Fatal(err)
 	}
 	_, err = c.Get(t.Context(), "a")
-	if u := wantError[*platform.UnavailableError](t, err); u.RetryAfter != 7*time.Second {
+	if u := wantError[*metastore.UnavailableError](t, err); u.RetryAfter != 7*time.Second {
 		t.Fatalf("retry after %v", u.RetryAfter)
 	}
 	wantError[*objecthttp.StatusError](t, err)
--- a/platform/objecthttp/etag.go
+++ b/metastore/objecthttp/etag.go
@@ -4,19 +4,19 @@
 	"strconv"
 	"strings"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // FormatETag writes a version as an entity tag.
-func FormatETag(v platform.Version) string {
+func FormatETag(v metastore.Version) string {
 	return strconv.Quote(strconv.FormatUint(uint64(v), 10))
 }
 
 // ParseETag reads an entity tag. Any other text is an *ETagError.
-func ParseETag(tag string) (platform.Version, error) {
+func ParseETag(tag string) (metastore.Version, error) {
 	v, err := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
 	if err != nil {
 		return 0, &ETagError{Tag: tag}
 	}
-	return platform.Version(v), nil
+	return metastore.Version(v), nil
 }
--- a/platform/objecthttp/listing.go
+++ b/metastore/objecthttp/listing.go
@@ -1,10 +1,10 @@
 package objecthttp
 
-import "github.com/laureltally/laureltally/platform"
+import "github.com/laureltally/laureltally/metastore"
 
 // Listing is the answer to a list of objects.
 type Listing struct {
-	Objects []platform.Object `json:"objects"`
+	Objects []metastore.Object `json:"objects"`
 	// Version is that of the store which the listing reflects.
-	Version platform.Version `json:"version"`
+	Version metastore.Version `json:"version"`
 }
--- a/platform/objecthttp/problem.go
+++ b/metastore/objecthttp/problem.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Problem is the body of a failed call.
@@ -14,9 +14,9 @@
 	Code   ProblemCode `json:"code"`
 	Detail string      `json:"detail,omitempty"`
 	// Expected and Actual are versions; Actual is also the oldest change kept.
-	Expected platform.Version `json:"expected,omitempty"`
-	Actual   platform.Version `json:"actual,omitempty"`
-	Bytes    int              `json:"bytes,omitempty"`
+	Expected metastore.Version `json:"expected,omitempty"`
+	Actual   metastore.Version `json:"actual,omitempty"`
+	Bytes    int               `json:"bytes,omitempty"`
 	// RetryAfterMS is in milliseconds.
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
 }
@@ -24,15 +24,15 @@
 // Error implements error.
 func (p *Problem) Error() string { return fmt.Sprintf("object API: %s: %s", p.Code, p.Detail) }
 
-// NewProblem describes an error of a platform.Store.
+// NewProblem describes an error of a metastore.Store.
 func NewProblem(err error) *Problem {
 	p := &Problem{Code: ProblemUnavailable, Detail: err.Error()}
 	var (
-		notFound    *platform.NotFoundError
-		conflict    *platform.ConflictError
-		compacted   *platform.CompactedError
-		size        *platform.ValueSizeError
-		unavailable *platform.UnavailableError
+		notFound    *metastore.NotFoundError
+		conflict    *metastore.ConflictError
+		compacted   *metastore.CompactedError
+		size        *metastore.ValueSizeError
+		unavailable *metastore.UnavailableError
 	)
 	switch {
 	case errors.As(err, &notFound):
@@ -71,15 +71,15 @@
 func (p *Problem) err(op, key string) error {
 	switch p.Code {
 	case ProblemNotFound:
-		return &platform.NotFoundError{Key: key}
+		return &metastore.NotFoundError{Key: key}
 	case ProblemConflict:
-		return &platform.ConflictError{Key: key, Expected: p.Expected, Actual: p.Actual}
+		return &metastore.ConflictError{Key: key, Expected: p.Expected, Actual: p.Actual}
 	case ProblemCompacted:
-		return &platform.CompactedError{Since: p.Expected, Oldest: p.Actual}
+		return &metastore.CompactedError{Since: p.Expected, Oldest: p.Actual}
 	case ProblemTooLarge:
-		return &platform.ValueSizeError{Key: key, Bytes: p.Bytes}
+		return &metastore.ValueSizeError{Key: key, Bytes: p.Bytes}
 	default:
 		after := time.Duration(p.RetryAfterMS) * time.Millisecond
-		return &platform.UnavailableError{Op: op, RetryAfter: after, Err: p}
+		return &metastore.UnavailableError{Op: op, RetryAfter: after, Err: p}
 	}
 }
--- a/platform/objecthttp/watch.go
+++ b/metastore/objecthttp/watch.go
@@ -12,12 +12,12 @@
 	"strconv"
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
-// Watch implements platform.Store. A watch on which not even heartbeats arrive
-// ends with a *platform.UnavailableError that wraps a *SilenceError.
-func (c *Client) Watch(ctx context.Context, prefix string, since platform.Version, deliver func(platform.Event)) error {
+// Watch implements metastore.Store. A watch on which not even heartbeats arrive
+// ends with a *metastore.UnavailableError that wraps a *SilenceError.
+func (c *Client) Watch(ctx context.Context, prefix string, since metastore.Version, deliver func(metastore.Event)) error {
 	inner, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(c.silence, func() { cancel(&SilenceError{After: c.silence}) })
@@ -44,7 +44,7 @@
 	}
 	var silence *SilenceError
 	if errors.As(context.Cause(inner), &silence) {
-		return &platform.UnavailableError{Op: "watch", Err: silence}
+		return &metastore.UnavailableError{Op: "watch", Err: silence}
 	}
 	return err
 }
@@ -56,7 +56,7 @@
 	for lines.Scan() {
 		var l WatchLine
 		if err := json.Unmarshal(lines.Bytes(), &l); err != nil {
-			return &platform.UnavailableError{Op: "watch", Err: fmt.Errorf("decode line: %w", err)}
+			return &metastore.UnavailableError{Op: "watch", Err: fmt.Errorf("decode line: %w", err)}
 		}
 		if l.Problem != nil {
 			return l.Problem.err("watch", "")
@@ -67,5 +67,5 @@
 	if err == nil {
 		err = io.ErrUnexpectedEOF
 	}
-	return &platform.UnavailableError{Op: "watch", Err: err}
+	return &metastore.UnavailableError{Op: "watch", Err: err}
 }
--- a/platform/objecthttp/watch_line.go
+++ b/metastore/objecthttp/watch_line.go
@@ -1,10 +1,10 @@
 package objecthttp
 
-import "github.com/laureltally/laureltally/platform"
+import "github.com/laureltally/laureltally/metastore"
 
 // WatchLine is one line of a watch. A line without an event is a heartbeat.
 type WatchLine struct {
-	Event *platform.Event `json:"event,omitempty"`
+	Event *metastore.Event `json:"event,omitempty"`
 	// Problem ends the watch.
 	Problem *Problem `json:"problem,omitempty"`
 }
--- a/platform/persist/persist_test.go
+++ b/metastore/persist/persist_test.go
@@ -7,8 +7,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 func TestPut(t *testing.T) {
@@ -33,7 +33,7 @@
 			if err != nil || v != first+1 {
 				t.Errorf("%s: got %d %v", tt.name, v, err)
 			}
-			var conflict *platform.ConflictError
+			var conflict *metastore.ConflictError
 			if _, err = Put(t.Context(), s, "a", []byte("3"), first); !errors.As(err, &conflict) {
 				t.Errorf("%s: got %v", tt.name, err)
 			}
--- a/platform/persist/retry.go
+++ b/metastore/persist/retry.go
@@ -6,7 +6,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Retry repeats an operation while the platform is away or answers from the
@@ -21,7 +21,7 @@
 
 // classify tells the loop whether and when to try again.
 func classify(err error) error {
-	var unavailable *platform.UnavailableError
+	var unavailable *metastore.UnavailableError
 	switch {
 	case err == nil:
 		return nil
@@ -37,7 +37,7 @@
 // Transient tells whether another attempt may fare better.
 func Transient(err error) bool {
 	var (
-		unavailable *platform.UnavailableError
+		unavailable *metastore.UnavailableError
 		stale       *StaleReadError
 	)
 	return errors.As(err, &unavailable) || errors.As(err, &stale)
--- a/platform/persist/stale_read_error.go
+++ b/metastore/persist/stale_read_error.go
@@ -3,14 +3,14 @@
 import (
 	"fmt"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // StaleReadError reports a read that is older than a version known to exist.
 type StaleReadError struct {
 	Key    string
-	Got    platform.Version
-	Wanted platform.Version
+	Got    metastore.Version
+	Wanted metastore.Version
 }
 
 // Error implements error.
--- a/platform/role.go
+++ b/metastore/role.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 // Role tells which process of the system runs on a VM.
 type Role string
--- a/platform/version.go
+++ b/metastore/version.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 // Version is a store-wide, strictly increasing change number. Zero means that
 // the object does not exist.
--- a/platform/vm_lister.go
+++ b/metastore/vm_lister.go
@@ -1,4 +1,4 @@
-package platform
+package metastore
 
 import "context"
 
--- a/replica/fake_client_test.go
+++ b/replica/fake_client_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/orderbook"
-	"github.com/laureltally/laureltally/platform"
 )
 
 // fakeClient is an engine.Client over a simEngine with load times.
@@ -46,7 +46,7 @@
 	})
 	if c.loseAnswers > 0 {
 		c.loseAnswers--
-		return &platform.UnavailableError{Op: "submit"}
+		return &metastore.UnavailableError{Op: "submit"}
 	}
 	return nil
 }
--- a/replica/machine.go
+++ b/replica/machine.go
@@ -9,8 +9,8 @@
 	"github.com/laureltally/laureltally/grant"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/ledger"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/orderbook"
-	"github.com/laureltally/laureltally/platform"
 )
 
 // machine decides for one engine. Each event takes the time at which it
@@ -29,8 +29,8 @@
 
 	// barrier is a version of the store that was written by this incarnation.
 	// Only what is newer proves a right.
-	barrier    platform.Version
-	listed     platform.Version
+	barrier    metastore.Version
+	listed     metastore.Version
 	grantsRead bool
 	stateRead  bool
 	draining   bool
--- a/replica/machine_grants.go
+++ b/replica/machine_grants.go
@@ -5,18 +5,18 @@
 
 	"github.com/laureltally/laureltally/grant"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // barrierWritten records a version that this incarnation wrote. A listing or a
 // change at that version or above was made after the incarnation began, so no
 // earlier incarnation's release can be missing from it.
-func (m *machine) barrierWritten(v platform.Version) { m.barrier = v }
+func (m *machine) barrierWritten(v metastore.Version) { m.barrier = v }
 
 // listing takes the VM's slots out of a listing of all grants at version v.
 // A listing that may be older than the incarnation, or than what is known
 // already, proves nothing and is dropped; listing then returns false.
-func (m *machine) listing(v platform.Version, slots map[ident.Model]grant.Slot, now time.Time) bool {
+func (m *machine) listing(v metastore.Version, slots map[ident.Model]grant.Slot, now time.Time) bool {
 	if !m.fresh(v) || v < m.listed {
 		return false
 	}
@@ -36,7 +36,7 @@
 
 // changed takes the VM's slot of one model, zero if there is none, out of a
 // grant at version v.
-func (m *machine) changed(name ident.Model, slot grant.Slot, v platform.Version, now time.Time) {
+func (m *machine) changed(name ident.Model, slot grant.Slot, v metastore.Version, now time.Time) {
 	if !m.fresh(v) {
 		return
 	}
@@ -45,11 +45,11 @@
 	m.step(now)
 }
 
-func (m *machine) fresh(v platform.Version) bool {
+func (m *machine) fresh(v metastore.Version) bool {
 	return m.o.flaws.staleRights || (m.barrier != 0 && v >= m.barrier)
 }
 
-func (m *machine) setSlot(s *modelState, slot grant.Slot, v platform.Version) {
+func (m *machine) setSlot(s *modelState, slot grant.Slot, v metastore.Version) {
 	if v < s.version && !m.o.flaws.reuseFence {
 		return
 	}
--- a/replica/manager_grants.go
+++ b/replica/manager_grants.go
@@ -10,14 +10,14 @@
 
 	"github.com/laureltally/laureltally/grant"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // watchGrants keeps the machine's slots current. The platform may be away for
 // long; the slots that are known stay usable meanwhile.
 func (m *Manager) watchGrants(ctx context.Context) error {
 	b := backoff.NewExponentialBackOff()
-	var barrier platform.Version
+	var barrier metastore.Version
 	for ctx.Err() == nil {
 		err := m.followOnce(ctx, &barrier, b)
 		if ctx.Err() == nil && err != nil {
@@ -29,7 +29,7 @@
 }
 
 // followOnce lists the grants and watches them from there until the watch ends.
-func (m *Manager) followOnce(ctx context.Context, barrier *platform.Version, b *backoff.ExponentialBackOff) error {
+func (m *Manager) followOnce(ctx context.Context, barrier *metastore.Version, b *backoff.ExponentialBackOff) error {
 	if *barrier == 0 {
 		v, err := m.writeBarrier(ctx)
 		if err != nil {
@@ -57,10 +57,10 @@
 // writeBarrier writes an object of this incarnation alone and returns its
 // version. A listing at that version or above cannot be older than the
 // incarnation, even where listings are served from copies that lag.
-func (m *Manager) writeBarrier(ctx context.Context) (platform.Version, error) {
+func (m *Manager) writeBarrier(ctx context.Context) (metastore.Version, error) {
 	key := fmt.Sprintf("barriers/%s/%s/%x", m.o.Environment, m.o.VM, uint64(m.o.Incarnation))
 	v, err := m.o.Store.Put(ctx, key, []byte("{}"), 0)
-	var conflict *platform.ConflictError
+	var conflict *metastore.ConflictError
 	if errors.As(err, &conflict) && conflict.Actual != 0 {
 		// An earlier try of this incarnation took effect.
 		v, err = conflict.Actual, nil
@@ -74,7 +74,7 @@
 	return v, nil
 }
 
-func (m *Manager) takeListing(objects []platform.Object, version platform.Version) bool {
+func (m *Manager) takeListing(objects []metastore.Object, version metastore.Version) bool {
 	slots := make(map[ident.Model]grant.Slot)
 	for _, o := range objects {
 		if name, slot, ok := m.slotOf(o); ok && slot.Fence != 0 {
@@ -86,7 +86,7 @@
 	return taken
 }
 
-func (m *Manager) takeEvent(e platform.Event) {
+func (m *Manager) takeEvent(e metastore.Event) {
 	o := e.Object
 	if e.Deleted {
 		// Grants are never deleted; a deletion by hand ends the right.
@@ -99,7 +99,7 @@
 
 // slotOf reads the VM's slot out of a grant object. An object that cannot be
 // read gives no right.
-func (m *Manager) slotOf(o platform.Object) (ident.Model, grant.Slot, bool) {
+func (m *Manager) slotOf(o metastore.Object) (ident.Model, grant.Slot, bool) {
 	name, ok := grant.ModelOf(m.o.Environment, o.Key)
 	if !ok {
 		return "", grant.Slot{}, false
@@ -143,7 +143,7 @@
 			return fmt.Errorf("write grant: %w", err)
 		}
 	}
-	m.takeEvent(platform.Event{Object: o})
+	m.takeEvent(metastore.Event{Object: o})
 	return nil
 }
 
--- a/replica/manager_test.go
+++ b/replica/manager_test.go
@@ -11,7 +11,7 @@
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/grant"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 // bench is a running manager of the VM "vm1" with a slot for models a and b.
--- a/replica/model_state.go
+++ b/replica/model_state.go
@@ -6,7 +6,7 @@
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/grant"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // modelState is what the machine knows of one model.
@@ -15,7 +15,7 @@
 
 	// slot is the VM's slot as of version; its fence is zero if there is none.
 	slot    grant.Slot
-	version platform.Version
+	version metastore.Version
 	// gaveUp is the highest fence that this incarnation has begun to give up.
 	// It never uses that fence or a lower one again.
 	gaveUp ident.Fence
--- a/replica/options.go
+++ b/replica/options.go
@@ -10,7 +10,7 @@
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Defaults of Options.
@@ -50,7 +50,7 @@
 	Environment ident.Environment
 	VM          ident.VM
 	Incarnation ident.Incarnation
-	Store       platform.Store
+	Store       metastore.Store
 	Engine      engine.Client
 	// Spec returns a model of the document in force. It must not block.
 	Spec     func(ident.Model) (config.Model, bool)
--- a/replica/sim_actions_test.go
+++ b/replica/sim_actions_test.go
@@ -9,8 +9,8 @@
 	"github.com/laureltally/laureltally/grant"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/ledger"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/orderbook"
-	"github.com/laureltally/laureltally/platform"
 )
 
 // actions are the events of spec/grants.pml, and those of memory and time.
@@ -52,7 +52,7 @@
 	r.roster.Update(w.lists[r.list], w.now)
 	read := w.store.at(m, w.staleVersion())
 	next, changed := grant.Plan(read.grant, grant.Input{
-		Model: m, Document: platform.Version(r.document + 1), Limit: w.documents[r.document][m],
+		Model: m, Document: metastore.Version(r.document + 1), Limit: w.documents[r.document][m],
 		Upstream: "u", VMs: r.roster.VMs(), Gone: r.roster.Gone,
 	})
 	if w.simFlaws.freeOnTimeout {
@@ -92,7 +92,7 @@
 
 func (w *world) listGrants() { w.listAt(w.anyVM(), w.staleVersion()) }
 
-func (w *world) listAt(v *simVM, at platform.Version) {
+func (w *world) listAt(v *simVM, at metastore.Version) {
 	slots := make(map[ident.Model]grant.Slot)
 	for _, m := range simModels {
 		if s := w.slot(v, w.store.at(m, at).grant); s.Fence != 0 {
--- a/replica/sim_store_test.go
+++ b/replica/sim_store_test.go
@@ -3,12 +3,12 @@
 import (
 	"github.com/laureltally/laureltally/grant"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // simGrant is one version of a grant object.
 type simGrant struct {
-	version platform.Version
+	version metastore.Version
 	grant   grant.Grant
 }
 
@@ -16,19 +16,19 @@
 type simWrite struct {
 	model  ident.Model
 	grant  grant.Grant
-	expect platform.Version
+	expect metastore.Version
 }
 
 // simStore keeps every version of every grant, so that reads can be stale.
 type simStore struct {
-	version platform.Version
+	version metastore.Version
 	history map[ident.Model][]simGrant
 	late    []simWrite
 	// raised is set when a write gave a model more slots than its limit.
 	raised bool
 }
 
-func (s *simStore) at(m ident.Model, v platform.Version) simGrant {
+func (s *simStore) at(m ident.Model, v metastore.Version) simGrant {
 	var found simGrant
 	for _, g := range s.history[m] {
 		if g.version <= v {
--- a/replica/sim_world_test.go
+++ b/replica/sim_world_test.go
@@ -10,7 +10,7 @@
 	"github.com/laureltally/laureltally/grant"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/ledger"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 const (
@@ -52,7 +52,7 @@
 	store     simStore
 	vms       []*simVM
 	born      int
-	lists     [][]platform.VM
+	lists     [][]metastore.VM
 	documents []map[ident.Model]int
 	routers   []*simRouter
 	lives     uint64
@@ -107,9 +107,9 @@
 
 // list appends the true list of VMs to what readers may come to see.
 func (w *world) list() {
-	l := []platform.VM{{ID: "router", Role: platform.RoleRouter}}
+	l := []metastore.VM{{ID: "router", Role: metastore.RoleRouter}}
 	for i, v := range w.vms {
-		l = append(l, platform.VM{ID: v.id, Role: platform.RoleAgent, Upstream: "u", Region: ident.Region(fmt.Sprint(i % 2))})
+		l = append(l, metastore.VM{ID: v.id, Role: metastore.RoleAgent, Upstream: "u", Region: ident.Region(fmt.Sprint(i % 2))})
 	}
 	w.lists = append(w.lists, l)
 }
@@ -119,8 +119,8 @@
 func (w *world) anyModel() ident.Model { return simModels[w.pick(len(simModels))] }
 
 // staleVersion draws a version that a read may reflect.
-func (w *world) staleVersion() platform.Version {
-	return w.store.version - min(platform.Version(w.pick(simStale)), w.store.version)
+func (w *world) staleVersion() metastore.Version {
+	return w.store.version - min(metastore.Version(w.pick(simStale)), w.store.version)
 }
 
 func (w *world) slot(v *simVM, g grant.Grant) grant.Slot {
--- a/replica/stale_list_error.go
+++ b/replica/stale_list_error.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // StaleListError reports a listing that may be older than this incarnation or
 // than what it knows already.
-type StaleListError struct{ Version platform.Version }
+type StaleListError struct{ Version metastore.Version }
 
 // Error implements error.
 func (e *StaleListError) Error() string {
--- a/router/delivery_test.go
+++ b/router/delivery_test.go
@@ -10,8 +10,8 @@
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -43,11 +43,11 @@
 
 // addVM makes a VM known that serves env and holds a slot of model m.
 func addVM(s *Server, env ident.Environment, id ident.VM, phase engine.Phase) {
-	u := &upstreamVM{listed: platform.VM{ID: id, Upstream: "u", Region: "x"}, connected: true, stop: func() {}}
+	u := &upstreamVM{listed: metastore.VM{ID: id, Upstream: "u", Region: "x"}, connected: true, stop: func() {}}
 	s.fleet.vms[id] = u
 	s.fleet.take(u, &wire.Report{
-		VM: id, Incarnation: 1, Seq: 1, Role: platform.RoleAgent, Region: "x", Upstream: "u", FreeMB: 80000,
-		Configs: map[ident.Environment]platform.Version{env: 1},
+		VM: id, Incarnation: 1, Seq: 1, Role: metastore.RoleAgent, Region: "x", Upstream: "u", FreeMB: 80000,
+		Configs: map[ident.Environment]metastore.Version{env: 1},
 		Models:  []wire.ModelReport{{Model: "m", Fence: 1, Phase: phase, Tier: engine.TierRemote}},
 	})
 }
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -10,7 +10,7 @@
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/eject"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/routing"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -80,7 +80,7 @@
 	seen := make(map[ident.VM]bool, len(listed))
 	peers := 0
 	for _, vm := range listed {
-		if vm.Role != platform.RoleAgent {
+		if vm.Role != metastore.RoleAgent {
 			if vm.Region == f.s.o.Settings.Region && !vm.Leaving {
 				peers++
 			}
@@ -99,7 +99,7 @@
 
 // informPlanners passes the list on, with the VMs marked as leaving whose agents
 // say so, and what memory is free.
-func (f *fleet) informPlanners(listed []platform.VM) {
+func (f *fleet) informPlanners(listed []metastore.VM) {
 	free := make(map[ident.VM]int64)
 	f.mu.Lock()
 	for i := range listed {
@@ -117,7 +117,7 @@
 	}
 }
 
-func (f *fleet) listedLocked(ctx context.Context, vm platform.VM) {
+func (f *fleet) listedLocked(ctx context.Context, vm metastore.VM) {
 	if u, ok := f.vms[vm.ID]; ok {
 		u.listed.Leaving = u.listed.Leaving || vm.Leaving
 		return
@@ -208,12 +208,12 @@
 }
 
 // find returns where an agent is, if it is still listed.
-func (f *fleet) find(id ident.VM) (platform.VM, bool) {
+func (f *fleet) find(id ident.VM) (metastore.VM, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u, ok := f.vms[id]
 	if !ok {
-		return platform.VM{}, false
+		return metastore.VM{}, false
 	}
 	return u.listed, true
 }
--- a/router/options.go
+++ b/router/options.go
@@ -10,15 +10,15 @@
 
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/transport"
 )
 
 // Options configures a Server.
 type Options struct {
 	Settings    config.RouterSettings
-	Store       platform.Store
-	VMs         platform.VMLister
+	Store       metastore.Store
+	VMs         metastore.VMLister
 	Credentials transport.Credentials
 	Incarnation ident.Incarnation
 	Logger      log.Interface
--- a/router/server.go
+++ b/router/server.go
@@ -14,7 +14,7 @@
 	"github.com/laureltally/laureltally/catalog"
 	"github.com/laureltally/laureltally/document"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -67,7 +67,7 @@
 	return wire.Hello{
 		VM:          s.o.Settings.VM,
 		Incarnation: s.o.Incarnation,
-		Role:        platform.RoleRouter,
+		Role:        metastore.RoleRouter,
 		Region:      s.o.Settings.Region,
 		Zone:        s.o.Settings.Zone,
 	}
--- a/router/status.go
+++ b/router/status.go
@@ -4,37 +4,37 @@
 	"net/http"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
 // Status is what a router knows, for operators.
 type Status struct {
-	VM      ident.VM                               `json:"vm"`
-	Configs map[ident.Environment]platform.Version `json:"configs"`
-	Agents  []AgentStatus                          `json:"agents"`
+	VM      ident.VM                                `json:"vm"`
+	Configs map[ident.Environment]metastore.Version `json:"configs"`
+	Agents  []AgentStatus                           `json:"agents"`
 }
 
 // AgentStatus is one agent as the router knows it.
 type AgentStatus struct {
-	VM          ident.VM                               `json:"vm"`
-	Upstream    ident.Upstream                         `json:"upstream"`
-	Region      ident.Region                           `json:"region"`
-	Zone        ident.Zone                             `json:"zone"`
-	Reachable   bool                                   `json:"reachable"`
-	Leaving     bool                                   `json:"leaving"`
-	Incarnation ident.Incarnation                      `json:"incarnation,omitempty"`
-	Configs     map[ident.Environment]platform.Version `json:"configs,omitempty"`
-	FreeMB      int64                                  `json:"free_mb"`
-	Running     int                                    `json:"running"`
-	Waiting     int                                    `json:"waiting"`
-	Models      []wire.ModelReport                     `json:"models,omitempty"`
+	VM          ident.VM                                `json:"vm"`
+	Upstream    ident.Upstream                          `json:"upstream"`
+	Region      ident.Region                            `json:"region"`
+	Zone        ident.Zone                              `json:"zone"`
+	Reachable   bool                                    `json:"reachable"`
+	Leaving     bool                                    `json:"leaving"`
+	Incarnation ident.Incarnation                       `json:"incarnation,omitempty"`
+	Configs     map[ident.Environment]metastore.Version `json:"configs,omitempty"`
+	FreeMB      int64                                   `json:"free_mb"`
+	Running     int                                     `json:"running"`
+	Waiting     int                                     `json:"waiting"`
+	Models      []wire.ModelReport                      `json:"models,omitempty"`
 }
 
 func (s *Server) handleStatus(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.status()) }
 
 func (s *Server) status() Status {
-	st := Status{VM: s.o.Settings.VM, Configs: make(map[ident.Environment]platform.Version)}
+	st := Status{VM: s.o.Settings.VM, Configs: make(map[ident.Environment]metastore.Version)}
 	for name, env := range s.environments {
 		if c := env.catalog.Load(); c != nil {
 			st.Configs[name] = c.Version()
--- a/router/upstream_vm.go
+++ b/router/upstream_vm.go
@@ -7,13 +7,13 @@
 	"github.com/laureltally/laureltally/coldstart"
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
 // upstreamVM is one VM with an upstream, guarded by the fleet's lock.
 type upstreamVM struct {
-	listed    platform.VM
+	listed    metastore.VM
 	stop      context.CancelFunc
 	report    *wire.Report
 	connected bool
--- a/routing/table.go
+++ b/routing/table.go
@@ -6,7 +6,7 @@
 
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -41,7 +41,7 @@
 // Report takes the report of an agent that was made age ago. It returns false
 // for a report of a router and for one that is older than what is known.
 func (t *Table) Report(now time.Time, r *wire.Report, age time.Duration) bool {
-	if r.Role != platform.RoleAgent {
+	if r.Role != metastore.RoleAgent {
 		return false
 	}
 	s := t.vms[r.VM]
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -21,7 +21,7 @@
 		VM:          vm,
 		Incarnation: 1,
 		Seq:         seq,
-		Role:        platform.RoleAgent,
+		Role:        metastore.RoleAgent,
 		Region:      "r1",
 		Upstream:    "u",
 		Concurrency: 4,
@@ -62,7 +62,7 @@
 		{"another life", report("a", 0, func(r *wire.Report) { r.Incarnation = 2 }), true, 2},
 		{"model unloaded", report("a", 2, func(r *wire.Report) { r.Models = []wire.ModelReport{{Model: "n", Phase: engine.PhaseLoaded}} }), true, 1},
 		{"model loading", report("a", 2, func(r *wire.Report) { r.Models[0].Phase = engine.PhaseLoading }), true, 1},
-		{"router", report("c", 1, func(r *wire.Report) { r.Role = platform.RoleRouter }), false, 2},
+		{"router", report("c", 1, func(r *wire.Report) { r.Role = metastore.RoleRouter }), false, 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/standin/fakes_test.go
+++ b/standin/fakes_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/config"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 func call(h http.Handler, method, target, body string) (w *httptest.ResponseRecorder) {
@@ -100,10 +100,10 @@
 func TestVMListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := NewVMList(time.Second)
-		l.Apply(VMChange{Put: &platform.VM{ID: "b"}})
-		l.Apply(VMChange{Put: &platform.VM{ID: "a"}})
+		l.Apply(VMChange{Put: &metastore.VM{ID: "b"}})
+		l.Apply(VMChange{Put: &metastore.VM{ID: "a"}})
 		time.Sleep(500 * time.Millisecond)
-		l.Apply(VMChange{Put: &platform.VM{ID: "a", Leaving: true}})
+		l.Apply(VMChange{Put: &metastore.VM{ID: "a", Leaving: true}})
 		l.Apply(VMChange{Remove: "b"})
 		want := []string{"", "a b", "a(leaving)"}
 		for i, wait := range []time.Duration{0, 500 * time.Millisecond, 500 * time.Millisecond} {
--- a/standin/line_writer.go
+++ b/standin/line_writer.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/laureltally/laureltally/platform/objecthttp"
+	"github.com/laureltally/laureltally/metastore/objecthttp"
 )
 
 // lineWriter writes the lines of a watch and its heartbeats.
--- a/standin/object_api.go
+++ b/standin/object_api.go
@@ -13,9 +13,9 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/laureltally/laureltally/platform"
-	"github.com/laureltally/laureltally/platform/memstore"
-	"github.com/laureltally/laureltally/platform/objecthttp"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/metastore/memstore"
+	"github.com/laureltally/laureltally/metastore/objecthttp"
 )
 
 // ObjectAPI serves a memstore.Store and a VMList over the protocol of package
@@ -90,7 +90,7 @@
 		refuse(w, &objecthttp.Problem{Code: objecthttp.ProblemMalformed, Detail: err.Error()})
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, metastore.MaxValueBytes+1))
 	if err != nil {
 		refuse(w, &objecthttp.Problem{Code: objecthttp.ProblemMalformed, Detail: err.Error()})
 		return
@@ -117,7 +117,7 @@
 }
 
 // condition returns the version that a write expects.
-func condition(h http.Header) (platform.Version, error) {
+func condition(h http.Header) (metastore.Version, error) {
 	if h.Get("If-None-Match") == "*" {
 		return 0, nil
 	}
@@ -144,7 +144,7 @@
 	defer cancel()
 	var beats sync.WaitGroup
 	beats.Go(func() { s.beat(ctx, a.heartbeat) })
-	err = a.store.Watch(ctx, r.URL.Query().Get("prefix"), platform.Version(since), func(e platform.Event) {
+	err = a.store.Watch(ctx, r.URL.Query().Get("prefix"), metastore.Version(since), func(e metastore.Event) {
 		s.write(objecthttp.WatchLine{Event: &e})
 	})
 	cancel()
@@ -156,7 +156,7 @@
 
 func (a *ObjectAPI) listVMs(w http.ResponseWriter, r *http.Request) {
 	if a.store.Faults().Outage {
-		refuse(w, objecthttp.NewProblem(&platform.UnavailableError{Op: "vms", Err: &memstore.OutageError{}}))
+		refuse(w, objecthttp.NewProblem(&metastore.UnavailableError{Op: "vms", Err: &memstore.OutageError{}}))
 		return
 	}
 	vms, err := a.vms.ListVMs(r.Context())
--- a/standin/object_api_options.go
+++ b/standin/object_api_options.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 // DefaultHeartbeat is the time between heartbeats on a watch.
--- a/standin/store_faults.go
+++ b/standin/store_faults.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/config"
-	"github.com/laureltally/laureltally/platform/memstore"
+	"github.com/laureltally/laureltally/metastore/memstore"
 )
 
 // StoreFaults is the body of /control/faults of the object API.
--- a/standin/vm_change.go
+++ b/standin/vm_change.go
@@ -2,12 +2,12 @@
 
 import (
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // VMChange is the body of /control/vms: a VM to add or replace, or the id of
 // one to remove. A VM is marked as leaving by its field.
 type VMChange struct {
-	Put    *platform.VM `json:"put,omitempty"`
-	Remove ident.VM     `json:"remove,omitempty"`
+	Put    *metastore.VM `json:"put,omitempty"`
+	Remove ident.VM      `json:"remove,omitempty"`
 }
--- a/standin/vm_list.go
+++ b/standin/vm_list.go
@@ -9,23 +9,23 @@
 	"time"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
-// VMList is a platform.VMLister whose changes are seen after a lag.
+// VMList is a metastore.VMLister whose changes are seen after a lag.
 type VMList struct {
 	lag time.Duration
 
 	mu      sync.Mutex
-	visible map[ident.VM]platform.VM
+	visible map[ident.VM]metastore.VM
 	pending []pendingVMChange
 }
 
-var _ platform.VMLister = (*VMList)(nil)
+var _ metastore.VMLister = (*VMList)(nil)
 
 // NewVMList returns an empty list with the given lag.
 func NewVMList(lag time.Duration) *VMList {
-	return &VMList{lag: lag, visible: make(map[ident.VM]platform.VM)}
+	return &VMList{lag: lag, visible: make(map[ident.VM]metastore.VM)}
 }
 
 // Apply makes a change that is seen after the lag.
@@ -35,15 +35,15 @@
 	l.pending = append(l.pending, pendingVMChange{change: c, at: time.Now().Add(l.lag)})
 }
 
-// ListVMs implements platform.VMLister.
-func (l *VMList) ListVMs(ctx context.Context) ([]platform.VM, error) {
+// ListVMs implements metastore.VMLister.
+func (l *VMList) ListVMs(ctx context.Context) ([]metastore.VM, error) {
 	if ctx.Err() != nil {
-		return nil, &platform.UnavailableError{Op: "vms", Err: ctx.Err()}
+		return nil, &metastore.UnavailableError{Op: "vms", Err: ctx.Err()}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settle(time.Now())
-	return slices.SortedFunc(maps.Values(l.visible), func(a, b platform.VM) int {
+	return slices.SortedFunc(maps.Values(l.visible), func(a, b metastore.VM) int {
 		return cmp.Compare(a.ID, b.ID)
 	}), nil
 }
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -2,14 +2,14 @@
 
 import (
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Hello opens every connection, in both directions.
 type Hello struct {
 	VM          ident.VM          `cbor:"1,keyasint"`
 	Incarnation ident.Incarnation `cbor:"2,keyasint"`
-	Role        platform.Role     `cbor:"3,keyasint"`
+	Role        metastore.Role    `cbor:"3,keyasint"`
 	Region      ident.Region      `cbor:"4,keyasint"`
 	Zone        ident.Zone        `cbor:"5,keyasint"`
 }
--- a/wire/report.go
+++ b/wire/report.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/metastore"
 )
 
 // Report is what a process says of itself. Of two reports of the same
@@ -14,15 +14,15 @@
 	VM          ident.VM          `cbor:"1,keyasint"`
 	Incarnation ident.Incarnation `cbor:"2,keyasint"`
 	Seq         uint64            `cbor:"3,keyasint"`
-	Role        platform.Role     `cbor:"4,keyasint"`
+	Role        metastore.Role    `cbor:"4,keyasint"`
 	Region      ident.Region      `cbor:"5,keyasint"`
 	Zone        ident.Zone        `cbor:"6,keyasint"`
 	Upstream    ident.Upstream    `cbor:"7,keyasint,omitempty"`
 	Address     string            `cbor:"8,keyasint"`
 	Draining    bool              `cbor:"9,keyasint,omitempty"`
 	// Configs gives the version of each environment's document in force.
-	Configs map[ident.Environment]platform.Version `cbor:"10,keyasint,omitempty"`
-	Models  []ModelReport                          `cbor:"11,keyasint,omitempty"`
+	Configs map[ident.Environment]metastore.Version `cbor:"10,keyasint,omitempty"`
+	Models  []ModelReport                           `cbor:"11,keyasint,omitempty"`
 	// FreeMB is the accelerator memory that the ledger could still reserve.
 	FreeMB  int64 `cbor:"12,keyasint,omitempty"`
 	Running int   `cbor:"13,keyasint,omitempty"`
