ingress: the thin whole path on the users' platform

A router on every entry VM: routes by host and prefix, VMs from the store read each second, requests forwarded over kept connections, streams event by event. platform/ translates, deploy/ builds and fills in the settings.

--- /dev/null
+++ b/cmd/laureltally-ingress/main.go
@@ -0,0 +1,54 @@
+// Command laureltally-ingress serves callers on an entry VM of a hosted
+// installation.
+//
+// The exit code is 0 after a graceful shutdown, 1 after a failure and 2 for a
+// wrong command line.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/daemon"
+	"github.com/laureltally/laureltally/ingress"
+	"github.com/laureltally/laureltally/keys"
+	"github.com/laureltally/laureltally/platform"
+)
+
+func main() { os.Exit(daemon.Main("laureltally-ingress", run)) }
+
+func run(ctx context.Context, a daemon.Arguments) error {
+	s, err := config.ReadIngressSettingsFile(a.Settings)
+	if err != nil {
+		return err
+	}
+	parts, err := daemon.NewHostedParts("ingress", s.VM, s.Log)
+	if err != nil {
+		return err
+	}
+	defer parts.Close()
+	credentials, err := keys.NewEphemeral(s.VM, nil)
+	if err != nil {
+		return fmt.Errorf("credentials: %w", err)
+	}
+	regions := make(platform.Regions)
+	for _, z := range s.Zones {
+		regions[z.Zone] = z.Region
+	}
+	server, err := ingress.New(ingress.Options{
+		Settings:       s,
+		Directory:      &platform.Directory{Store: platform.NewStore(s.MetadataStore), Regions: regions},
+		Protocol:       platform.Protocol{},
+		Credentials:    credentials,
+		Logger:         parts.Logger,
+		Metrics:        parts.Metrics.Scope,
+		MetricsHandler: parts.Metrics.Handler,
+		ReadinessPath:  platform.ReadinessPath,
+	})
+	if err != nil {
+		return err
+	}
+	return server.Run(ctx)
+}
--- /dev/null
+++ b/config/ingress_settings.go
@@ -0,0 +1,56 @@
+package config
+
+import (
+	"slices"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// IngressSettings are the settings of laureltally-ingress.
+type IngressSettings struct {
+	VM     ident.VM     `json:"vm"`
+	Region ident.Region `json:"region"`
+	Zone   ident.Zone   `json:"zone"`
+	// Zones lists the installation's availability zones.
+	Zones []ZoneSettings `json:"zones"`
+	// Listen is the IP address and TCP port for callers.
+	Listen string `json:"listen"`
+	// ReadinessListen is the IP address and TCP port that the balancer probes.
+	ReadinessListen string `json:"readiness_listen"`
+	// AdminListen serves metrics; IP address and TCP port.
+	AdminListen string `json:"admin_listen"`
+	// SidecarPort is the UDP port of the sidecars, on their upstreams' addresses.
+	SidecarPort int `json:"sidecar_port"`
+	// MetadataStore is the IP address and TCP port of the metadata store.
+	MetadataStore string `json:"metadata_store"`
+	// RetryShare is how many second attempts each answered request pays for, over
+	// all routers, and RetrySlack how many there may be besides.
+	RetryShare float64 `json:"retry_share"`
+	RetrySlack float64 `json:"retry_slack"`
+	// ShutdownTimeout bounds a graceful shutdown.
+	ShutdownTimeout Duration    `json:"shutdown_timeout"`
+	Log             LogSettings `json:"log"`
+}
+
+func (s *IngressSettings) setDefaults() { s.Log.setDefaults() }
+
+func (s *IngressSettings) check(c *checker) {
+	c.name("vm", string(s.VM))
+	c.name("region", string(s.Region))
+	c.name("zone", string(s.Zone))
+	if !slices.Contains(s.Zones, ZoneSettings{Zone: s.Zone, Region: s.Region}) {
+		c.report("zones", ProblemMissing, "the VM's own availability zone is not listed with its region")
+	}
+	c.address("listen", s.Listen)
+	c.address("readiness_listen", s.ReadinessListen)
+	c.address("admin_listen", s.AdminListen)
+	atLeast(c, "sidecar_port", s.SidecarPort, 1)
+	c.address("metadata_store", s.MetadataStore)
+	within(c, "retry_share", s.RetryShare, 0, 1)
+	within(c, "retry_slack", s.RetrySlack, 0, maxRetrySlack)
+	positive(c, "shutdown_timeout", s.ShutdownTimeout)
+	s.Log.check(c)
+}
+
+// maxRetrySlack catches a figure in the wrong unit.
+const maxRetrySlack = 1e6
--- a/config/read.go
+++ b/config/read.go
@@ -89,3 +89,15 @@
 	p.Detail = strings.TrimPrefix(p.Detail, place[0])
 	return p
 }
+
+// ReadIngressSettingsFile reads and checks the settings of an ingress, with
+// errors as of ReadDocument.
+func ReadIngressSettingsFile(path string) (IngressSettings, error) {
+	return readFile(path, func(text []byte) (IngressSettings, error) { return read(text, (*IngressSettings).check) })
+}
+
+// ReadSidecarSettingsFile reads and checks the settings of a sidecar, with
+// errors as of ReadDocument.
+func ReadSidecarSettingsFile(path string) (SidecarSettings, error) {
+	return readFile(path, func(text []byte) (SidecarSettings, error) { return read(text, (*SidecarSettings).check) })
+}
--- /dev/null
+++ b/daemon/hosted_parts.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"os"
+
+	"github.com/apex/log"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/trail"
+)
+
+// HostedParts are what every daemon of a hosted installation is built from.
+type HostedParts struct {
+	Logger  log.Interface
+	Metrics *Metrics
+	trail   *trail.Writer
+}
+
+// NewHostedParts builds the parts. Logs go to standard output and never block;
+// Close writes the last of them.
+func NewHostedParts(program string, vm ident.VM, s config.LogSettings) (*HostedParts, error) {
+	w := trail.New(os.Stdout, trail.Options{})
+	logger, err := NewLogger(w, s, vm)
+	if err != nil {
+		return nil, err
+	}
+	return &HostedParts{Logger: logger, Metrics: NewMetrics(program), trail: w}, nil
+}
+
+// Close writes what is queued.
+func (p *HostedParts) Close() {
+	p.Metrics.Close()
+	_ = p.trail.Close()
+}
--- /dev/null
+++ b/ingress/attempt.go
@@ -0,0 +1,161 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/laureltally/laureltally/serving"
+	"github.com/laureltally/laureltally/upstreamhttp"
+)
+
+// maxWholeBytes bounds the answers that are read whole before they are passed
+// on; longer ones are passed on as they come.
+const maxWholeBytes = 256 << 10
+
+// attempt sends the request to the chosen VM and relays the answer.
+func (d *delivery) attempt(ctx context.Context, _ *place) result {
+	now := d.s.o.Now()
+	vm, need := d.counted()
+	d.s.belief.started(now, vm, need)
+	d.s.metrics.attempts.Inc(1)
+	begun := d.s.o.Now()
+	res := d.exchange(ctx, begun)
+	if res.kind != notSent {
+		d.attempts++
+	}
+	took := time.Duration(0)
+	if res.kind == delivered {
+		took = res.took
+		d.s.metrics.firstEvent.RecordDuration(res.firstEvent)
+	}
+	if res.kind == otherVM && need.Model == "" {
+		d.s.belief.block(d.s.o.Now(), vm)
+	}
+	d.s.belief.ended(d.s.o.Now(), vm, need, took, !blames(res.kind))
+	return res
+}
+
+// blames tells whether an end speaks against the VM.
+func blames(k resultKind) bool { return k == notSent || k == broken || k == failedAnswer }
+
+// exchange is the attempt's I/O.
+func (d *delivery) exchange(ctx context.Context, begun time.Time) result {
+	answer, err := d.s.client.Send(ctx, d.choice.VM.Address, d.request(begun))
+	if err != nil {
+		return d.failure(ctx, err)
+	}
+	defer answer.Close()
+	info := d.s.o.Protocol.ReadAnswer(answer.Status, answer.Header)
+	if info.HasLoad {
+		d.s.belief.load(d.s.o.Now(), d.choice.VM.ID, info.Load)
+	}
+	if info.NotRun {
+		return d.declined(answer, info)
+	}
+	if !info.Sealed || info.Encoded {
+		return result{kind: broken, err: &UnsealedError{Status: answer.Status}}
+	}
+	if d.route.Kind == serving.Streaming && answer.Status == http.StatusOK {
+		return d.relayStream(ctx, answer, begun)
+	}
+	return d.relayWhole(ctx, answer, begun)
+}
+
+// declined reads an answer that says that the request has not run.
+func (d *delivery) declined(answer *upstreamhttp.Answer, info serving.AnswerInfo) result {
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxWholeBytes))
+	kind := notRun
+	if info.OtherVM {
+		kind = otherVM
+	}
+	return result{kind: kind, err: &DeclinedError{Status: answer.Status}}
+}
+
+// request is the caller's request as it is sent to the chosen VM.
+func (d *delivery) request(now time.Time) *upstreamhttp.Request {
+	h := forwardHeader(d.r.Header)
+	a := serving.AttemptInfo{VM: d.choice.VM.ID, Remaining: d.deadline.Sub(now)}
+	if d.stream.begun {
+		a.LastEventID = d.stream.lastID
+	}
+	d.s.o.Protocol.PrepareAttempt(h, a)
+	return &upstreamhttp.Request{
+		Method: d.r.Method, Target: d.r.RequestURI, Host: d.r.Host, Header: h, Body: d.body,
+		HasBody: d.r.ContentLength != 0 || len(d.r.TransferEncoding) > 0,
+		Matches: func(h http.Header) bool {
+			id := d.s.o.Protocol.ReadAnswer(0, h).RequestID
+			return id == "" || id == d.info.ID
+		},
+	}
+}
+
+// failure tells what a failed exchange means.
+func (d *delivery) failure(ctx context.Context, err error) result {
+	var dial *upstreamhttp.DialError
+	switch {
+	case d.r.Context().Err() != nil:
+		return result{kind: callerGone, err: err}
+	case errors.As(err, &dial):
+		return result{kind: notSent, err: err}
+	case ctx.Err() != nil:
+		return result{kind: timedOut, err: err}
+	}
+	return result{kind: broken, err: err}
+}
+
+// relayWhole reads an answer to its end before the caller sees any of it, so
+// that a broken one can be made good by another VM.
+func (d *delivery) relayWhole(ctx context.Context, answer *upstreamhttp.Answer, begun time.Time) result {
+	first := d.s.o.Now().Sub(begun)
+	var body bytes.Buffer
+	n, err := io.Copy(&body, io.LimitReader(answer, maxWholeBytes))
+	if err != nil {
+		return d.failure(ctx, err)
+	}
+	if n == maxWholeBytes {
+		return d.relayLong(ctx, answer, body.Bytes(), begun)
+	}
+	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body.Bytes()}
+	res := result{kind: delivered, answer: whole, firstEvent: first, took: d.s.o.Now().Sub(begun)}
+	if answer.Status >= http.StatusInternalServerError {
+		res.kind = failedAnswer
+		return res
+	}
+	d.deliverWhole(whole)
+	return res
+}
+
+func (d *delivery) deliverWhole(a *wholeAnswer) {
+	copyHeader(d.w.Header(), a.header)
+	length := strconv.Itoa(len(a.body))
+	if d.r.Method == http.MethodHead {
+		length = a.header.Get("Content-Length")
+	}
+	if length != "" && a.status != http.StatusNoContent && a.status != http.StatusNotModified {
+		d.w.Header().Set("Content-Length", length)
+	}
+	d.w.WriteHeader(a.status)
+	_, _ = d.w.Write(a.body)
+}
+
+// relayLong passes on an answer that is too long to be kept.
+func (d *delivery) relayLong(ctx context.Context, answer *upstreamhttp.Answer, head []byte, begun time.Time) result {
+	copyHeader(d.w.Header(), answer.Header)
+	if answer.Length >= 0 {
+		d.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	d.w.WriteHeader(answer.Status)
+	d.stream.begun = true
+	if _, err := d.w.Write(head); err != nil {
+		return result{kind: callerGone, err: err}
+	}
+	if _, err := io.Copy(d.w, answer); err != nil {
+		return d.failure(ctx, err)
+	}
+	return result{kind: delivered, firstEvent: d.s.o.Now().Sub(begun), took: d.s.o.Now().Sub(begun)}
+}
--- /dev/null
+++ b/ingress/handler.go
@@ -0,0 +1,86 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/laureltally/laureltally/serving"
+)
+
+// maxRequestTime bounds a request before its route is known.
+const maxRequestTime = time.Minute
+
+// ServeHTTP serves one request of a caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := s.o.Now()
+	_ = http.NewResponseController(w).SetWriteDeadline(now.Add(maxRequestTime))
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	d := &delivery{
+		s: s, w: w, r: r, start: now,
+		info: s.o.Protocol.ReadRequest(r.Header),
+		snap: s.inForce.Get(),
+	}
+	if !d.admit() {
+		return
+	}
+	d.run()
+}
+
+// admit finds the route and reads the body. It answers the caller itself if that
+// fails.
+func (d *delivery) admit() bool {
+	if d.snap == nil {
+		d.finish(refuse, http.StatusServiceUnavailable, "no configuration yet", time.Second)
+		return false
+	}
+	path, _, _ := strings.Cut(d.r.RequestURI, "?")
+	d.route = d.snap.Table.Lookup(d.r.Host, path)
+	if d.route == nil {
+		d.noRoute()
+		return false
+	}
+	limits := d.snap.Config.Limits
+	if limits.HeaderBytes > 0 && headerBytes(d.r) > limits.HeaderBytes {
+		d.finish(refuse, http.StatusRequestHeaderFieldsTooLarge, "header too large", 0)
+		return false
+	}
+	return d.readBody(limits)
+}
+
+// noRoute answers 404 only while the configuration is known to be fresh: a
+// process that has lost touch can't say that a route is missing.
+func (d *delivery) noRoute() {
+	if d.s.configAge(d.start) > d.s.o.BelievedFor {
+		d.finish(refuse, http.StatusServiceUnavailable, "route unknown and configuration stale", time.Second)
+		return
+	}
+	d.finish(refuse, http.StatusNotFound, "no such route", 0)
+}
+
+func (d *delivery) readBody(limits serving.Limits) bool {
+	body := io.Reader(d.r.Body)
+	if limits.BodyBytes > 0 {
+		body = http.MaxBytesReader(d.w, d.r.Body, limits.BodyBytes)
+	}
+	var err error
+	d.body, err = io.ReadAll(body)
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &large):
+		d.finish(refuse, http.StatusRequestEntityTooLarge, "body too large", 0)
+	default:
+		d.log(stop, 0, log.Fields{"reason": "body not read", "error": err.Error()})
+		// The rest of the connection can't be framed any more.
+		panic(http.ErrAbortHandler)
+	}
+	return false
+}
--- /dev/null
+++ b/ingress/protocol.go
@@ -0,0 +1,17 @@
+package ingress
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/laureltally/laureltally/serving"
+)
+
+// Protocol translates headers between callers, the system and upstreams.
+type Protocol interface {
+	ReadRequest(http.Header) serving.RequestInfo
+	PrepareAttempt(http.Header, serving.AttemptInfo)
+	ReadAnswer(status int, h http.Header) serving.AnswerInfo
+	// RetryAfter writes the value of a Retry-After header.
+	RetryAfter(time.Duration) string
+}
--- /dev/null
+++ b/placement/board.go
@@ -0,0 +1,335 @@
+package placement
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/laureltally/laureltally/coldstart"
+	"github.com/laureltally/laureltally/eject"
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/fleet"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/routing"
+	"github.com/laureltally/laureltally/serving"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// blockTime is how long a VM whose address answers as another is left alone; its
+// registration changes within about a second.
+const blockTime = 2 * time.Second
+
+// silentConcurrency is the part of an engine's places that is used while its
+// agent does not report how many it can serve in time.
+const silentConcurrency = 0.2
+
+// Board is the belief of one router.
+type Board struct {
+	opts    Options
+	table   *routing.Table
+	members map[ident.VM]*member
+	// byAddress finds the VM of an agent's report.
+	byAddress map[string]ident.VM
+	ejectors  map[ident.Upstream]*eject.Ejector
+	services  map[ident.Upstream]*serving.Service
+}
+
+// New returns an empty Board.
+func New(o Options) (*Board, error) {
+	o = o.withDefaults()
+	chooser, err := routing.New(routing.Options{Rand: o.Rand, RegionDelay: o.LinkDelay})
+	if err != nil {
+		return nil, fmt.Errorf("chooser: %w", err)
+	}
+	return &Board{
+		opts:      o,
+		table:     routing.NewTable(chooser),
+		members:   make(map[ident.VM]*member),
+		byAddress: make(map[string]ident.VM),
+		ejectors:  make(map[ident.Upstream]*eject.Ejector),
+		services:  make(map[ident.Upstream]*serving.Service),
+	}, nil
+}
+
+// Configure takes the services of the configuration in force.
+func (b *Board) Configure(services map[ident.Upstream]*serving.Service) { b.services = services }
+
+// Apply takes changes of the roster.
+func (b *Board) Apply(now time.Time, changes []fleet.Change) error {
+	for _, c := range changes {
+		old := b.members[c.VM.ID]
+		if old != nil && (c.Kind == fleet.Gone || c.Kind == fleet.Restarted) {
+			b.remove(old)
+			old = nil
+		}
+		if c.Kind == fleet.Gone {
+			continue
+		}
+		if old == nil {
+			if err := b.add(c.VM); err != nil {
+				return err
+			}
+			old = b.members[c.VM.ID]
+		}
+		old.vm = c.VM
+		b.register(now, old)
+	}
+	return nil
+}
+
+func (b *Board) add(vm *fleet.VM) error {
+	e := b.ejectors[vm.Service]
+	if e == nil {
+		var err error
+		e, err = eject.New(eject.Options{Rand: b.opts.Rand})
+		if err != nil {
+			return fmt.Errorf("ejector: %w", err)
+		}
+		b.ejectors[vm.Service] = e
+	}
+	e.Add(vm.ID)
+	b.members[vm.ID] = &member{vm: vm}
+	b.byAddress[vm.Address] = vm.ID
+	return nil
+}
+
+func (b *Board) remove(m *member) {
+	b.table.Remove(m.vm.ID)
+	b.ejectors[m.vm.Service].Remove(m.vm.ID)
+	delete(b.members, m.vm.ID)
+	if b.byAddress[m.vm.Address] == m.vm.ID {
+		delete(b.byAddress, m.vm.Address)
+	}
+}
+
+// register makes up a report from a registration, unless the agent reports
+// itself.
+func (b *Board) register(now time.Time, m *member) {
+	if m.fresh(now, b.opts.ReportTimeout) {
+		m.report.Draining = m.report.Draining || m.vm.Leaving
+		b.publish(now, m, *m.report)
+		return
+	}
+	r := wire.Report{Concurrency: m.vm.Concurrency}
+	for _, name := range m.vm.Models {
+		r.Models = append(r.Models, wire.ModelReport{Model: name, Phase: engine.PhaseLoaded})
+	}
+	if len(r.Models) > 0 {
+		r.Concurrency = max(1, int(silentConcurrency*float64(m.vm.Concurrency)))
+	}
+	b.publish(now, m, r)
+}
+
+// publish passes a report on to the table under the VM's id.
+func (b *Board) publish(now time.Time, m *member, r wire.Report) {
+	m.seq++
+	r.VM, r.Upstream, r.Region, r.Zone = m.vm.ID, m.vm.Service, m.vm.Region, m.vm.Zone
+	r.Role, r.Incarnation, r.Seq = metastore.RoleAgent, 1, m.seq
+	r.Draining = r.Draining || m.vm.Leaving
+	b.table.Report(now, &r, 0)
+}
+
+// Report takes the report of the agent at an upstream address. It returns false
+// if no such VM is registered.
+func (b *Board) Report(now time.Time, address string, r *wire.Report) bool {
+	m := b.members[b.byAddress[address]]
+	if m == nil {
+		return false
+	}
+	m.take(now, r)
+	b.publish(now, m, *r)
+	return true
+}
+
+// AgentLost forgets an agent's report, since its connection has ended.
+func (b *Board) AgentLost(now time.Time, address string) {
+	if m := b.members[b.byAddress[address]]; m != nil && m.report != nil {
+		m.report, m.models = nil, nil
+		b.register(now, m)
+	}
+}
+
+// Load takes what a plain VM says of its load in an answer.
+func (b *Board) Load(now time.Time, vm ident.VM, l serving.Load) {
+	m := b.members[vm]
+	if m == nil || len(m.vm.Models) > 0 || m.report != nil {
+		return
+	}
+	b.publish(now, m, wire.Report{Running: l.Running, Waiting: l.Waiting, Concurrency: l.Concurrency})
+}
+
+// Block leaves a VM alone for a while, since its address answers as another VM.
+func (b *Board) Block(now time.Time, vm ident.VM) {
+	if m := b.members[vm]; m != nil {
+		m.blocked = now.Add(blockTime)
+	}
+}
+
+// Started counts a request that is sent to a VM.
+func (b *Board) Started(now time.Time, vm ident.VM, p ident.Priority) {
+	m := b.members[vm]
+	if m == nil {
+		return
+	}
+	m.inFlight++
+	b.table.Started(now, vm, p)
+	b.ejectors[m.vm.Service].Started(now, vm)
+}
+
+// Ended counts the end of a request that Started counted. Took is zero if it
+// gave no whole answer. Ok is false only for failures that speak against the VM.
+func (b *Board) Ended(now time.Time, vm ident.VM, n Need, took time.Duration, ok bool) {
+	m := b.members[vm]
+	if m == nil {
+		return
+	}
+	m.inFlight = max(0, m.inFlight-1)
+	b.table.Ended(now, vm, routing.Target{Upstream: n.Service, Model: n.Model}, n.Priority, took)
+	b.ejectors[m.vm.Service].Ended(now, vm, ok)
+}
+
+// Choose picks the VM for a request. It fails with a *NoVMError.
+func (b *Board) Choose(now time.Time, n Need) (Choice, error) {
+	loaded, found := b.chooseLoaded(now, n)
+	if found && loaded.Wait == 0 || n.Model == "" {
+		if !found {
+			return Choice{}, b.none(n)
+		}
+		return loaded, nil
+	}
+	other, ok := b.chooseToLoad(now, n)
+	switch {
+	case ok && (!found || other.Wait < loaded.Wait):
+		return other, nil
+	case found:
+		return loaded, nil
+	}
+	return Choice{}, b.none(n)
+}
+
+func (b *Board) none(n Need) error {
+	known := 0
+	for _, m := range b.members {
+		if m.vm.Service == n.Service {
+			known++
+		}
+	}
+	return &NoVMError{Service: n.Service, Known: known, RetryAfter: b.opts.RetryAfter}
+}
+
+// chooseLoaded picks among the VMs that have the model loaded, or that serve the
+// plain service.
+func (b *Board) chooseLoaded(now time.Time, n Need) (Choice, bool) {
+	exclude := ident.VM("")
+	if len(n.Exclude) > 0 {
+		exclude = n.Exclude[len(n.Exclude)-1]
+	}
+	vm, ch, err := b.table.Choose(now, routing.Lookup{
+		Request: routing.Request{
+			Region: b.opts.Region, Zone: b.opts.Zone, Priority: n.Priority, Remaining: n.Remaining,
+			Affinity: n.Affinity, Exclude: exclude, AllowCrossing: true,
+		},
+		Target:  routing.Target{Upstream: n.Service, Model: n.Model},
+		Adapter: n.Adapter,
+		Health:  b.health,
+	})
+	if err != nil {
+		return Choice{}, false
+	}
+	m := b.members[vm]
+	if m == nil || !m.usable(now) || slices.Contains(n.Exclude, vm) {
+		return Choice{}, false
+	}
+	wait := ch.Wait
+	if ch.Crosses {
+		wait = max(0, wait-2*b.opts.LinkDelay)
+	}
+	return b.choice(now, m, Loaded, wait), true
+}
+
+func (b *Board) health(now time.Time, vm ident.VM) routing.Health {
+	m := b.members[vm]
+	if m == nil {
+		return routing.Health{Ejected: true}
+	}
+	s := b.ejectors[m.vm.Service].Status(now, vm)
+	return routing.Health{Ejected: s.Blocked || !m.usable(now), Share: s.Share}
+}
+
+// chooseToLoad picks the VM that can load the model soonest. Of equal ones all
+// routers take the same, so that a burst at many routers causes one load.
+func (b *Board) chooseToLoad(now time.Time, n Need) (Choice, bool) {
+	service := b.services[n.Service]
+	if service == nil || service.Engine == nil {
+		return Choice{}, false
+	}
+	spec := service.Engine.Model(n.Model)
+	if spec == nil {
+		return Choice{}, false
+	}
+	var (
+		best     *member
+		bestCost time.Duration
+	)
+	for _, m := range b.members {
+		if m.vm.Service != n.Service || !m.usable(now) || !m.fresh(now, b.opts.ReportTimeout) || slices.Contains(n.Exclude, m.vm.ID) {
+			continue
+		}
+		if b.ejectors[n.Service].Status(now, m.vm.ID).Blocked || m.readiness(n.Model) == Loaded {
+			continue
+		}
+		cost := b.loadCost(m, spec)
+		if best == nil || cost < bestCost || cost == bestCost && b.before(n.Model, m, best) {
+			best, bestCost = m, cost
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return b.choice(now, best, best.readiness(n.Model), b.loadWait(best, spec)), true
+}
+
+func (b *Board) before(model ident.Model, x, y *member) bool {
+	return coldstart.Rank(model, ident.VM(x.vm.Address)) > coldstart.Rank(model, ident.VM(y.vm.Address))
+}
+
+// loadWait estimates when a VM would have the model loaded.
+func (b *Board) loadWait(m *member, spec *serving.Model) time.Duration {
+	switch m.readiness(spec.Name) {
+	case Loading:
+		return m.model(spec.Name).ReadyIn
+	case AtHand:
+		return m.report.SwapWait + spec.LoadTime(m.model(spec.Name).Tier)
+	}
+	return m.report.FetchWait + spec.RemoteLoad
+}
+
+// loadCost is what is compared among VMs.
+func (b *Board) loadCost(m *member, spec *serving.Model) time.Duration {
+	cost := b.loadWait(m, spec) + time.Duration(m.loadShare()*float64(b.opts.LoadCost))
+	if m.vm.Region != b.opts.Region {
+		cost += 2 * b.opts.LinkDelay
+	}
+	return cost
+}
+
+func (b *Board) choice(now time.Time, m *member, r Readiness, wait time.Duration) Choice {
+	c := Choice{VM: m.vm, Readiness: r, Wait: wait}
+	if m.report != nil {
+		c.ReportAge = now.Sub(m.reportedAt)
+		c.Agent = m.fresh(now, b.opts.ReportTimeout)
+		c.AgentAddress = b.AgentAddress(m.vm)
+	}
+	return c
+}
+
+// AgentAddress is the UDP address of the agent beside a VM.
+func (b *Board) AgentAddress(vm *fleet.VM) string {
+	host, err := netip.ParseAddrPort(vm.Address)
+	if err != nil {
+		return ""
+	}
+	return netip.AddrPortFrom(host.Addr(), b.opts.AgentPort).String()
+}
--- /dev/null
+++ b/placement/need.go
@@ -0,0 +1,22 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// Need is what a request asks of a VM.
+type Need struct {
+	Service ident.Upstream
+	// Model and Adapter are empty for a plain service.
+	Model    ident.Model
+	Adapter  ident.Adapter
+	Priority ident.Priority
+	// Remaining is the time to the caller's deadline.
+	Remaining time.Duration
+	// Affinity is a hash of the prompt's leading parts, or zero.
+	Affinity uint64
+	// Exclude lists VMs that have refused or failed this request.
+	Exclude []ident.VM
+}
--- /dev/null
+++ b/serving/route.go
@@ -0,0 +1,58 @@
+package serving
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// Route is one rule that sends requests to a service.
+type Route struct {
+	Name string
+	// Host is compared without case and without a port.
+	Host string
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string
+	Kind       RouteKind
+	// Resumable streams may be continued by another VM after the last event that
+	// the caller has received.
+	Resumable bool
+	Targets   []Target
+	// Timeout bounds the whole request, answer included.
+	Timeout time.Duration
+	// Objective is when an answer should have begun.
+	Objective time.Duration
+	// MaxEventGap is the longest pause between events that callers accept.
+	MaxEventGap time.Duration
+	Priority    ident.Priority
+	// MaxAttempts is how many VMs one request may be sent to.
+	MaxAttempts int
+}
+
+// Repeatable tells whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Pick chooses the service of a request. The same id always gives the same
+// service.
+func (r *Route) Pick(requestID string) ident.Upstream {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	var total float64
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	// The upper 53 bits fill a float64 without rounding.
+	point := float64(xxhash.Sum64String(requestID)>>11) / (1 << 53) * total
+	for _, t := range r.Targets {
+		if point < t.Weight {
+			return t.Service
+		}
+		point -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- /dev/null
+++ b/trail/options.go
@@ -0,0 +1,38 @@
+package trail
+
+import "time"
+
+// Defaults of Options.
+const (
+	// DefaultQueueBytes holds about two seconds of lines at the full rate.
+	DefaultQueueBytes = 256 << 10
+	// DefaultLinesPerSecond bounds the volume of one process under overload.
+	DefaultLinesPerSecond = 400
+	// DefaultFlushInterval is how long a line may lie before it is written.
+	DefaultFlushInterval = 50 * time.Millisecond
+)
+
+// Options configures a Writer.
+type Options struct {
+	QueueBytes     int
+	LinesPerSecond int
+	FlushInterval  time.Duration
+	// Now is the clock; nil takes time.Now.
+	Now func() time.Time
+}
+
+func (o Options) withDefaults() Options {
+	if o.QueueBytes == 0 {
+		o.QueueBytes = DefaultQueueBytes
+	}
+	if o.LinesPerSecond == 0 {
+		o.LinesPerSecond = DefaultLinesPerSecond
+	}
+	if o.FlushInterval == 0 {
+		o.FlushInterval = DefaultFlushInterval
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -47,3 +47,6 @@
 func (s *Stream) Context() context.Context { return s.raw.Context() }
 
 const codeStreamReset quic.StreamErrorCode = 1
+
+// CloseRecv ends reading; what the peer still sends is dropped.
+func (s *Stream) CloseRecv() { s.raw.CancelRead(codeStreamReset) }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -96,6 +96,12 @@
 		return new(Wake), nil
 	case KindTicket:
 		return new(Ticket), nil
+	case KindReserve:
+		return new(Reserve), nil
+	case KindReserved:
+		return new(Reserved), nil
+	case KindSettle:
+		return new(Settle), nil
 	default:
 		return nil, &KindError{Kind: kind}
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -52,7 +52,7 @@
 }
 
 func TestEveryKindHasAMessage(t *testing.T) {
-	for k := KindHello; k <= KindWake; k++ {
+	for k := KindHello; k <= KindSettle; k++ {
 		m, err := newMessage(k)
 		if err != nil || m.Kind() != k {
 			t.Fatalf("kind %d: %v %v", k, m, err)
--- a/wire/kind.go
+++ b/wire/kind.go
@@ -25,4 +25,7 @@
 	KindTicketRequest Kind = 18
 	KindTicket        Kind = 19
 	KindWake          Kind = 20
+	KindReserve       Kind = 21
+	KindReserved      Kind = 22
+	KindSettle        Kind = 23
 )
--- a/wire/model_report.go
+++ b/wire/model_report.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"time"
+
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
 )
@@ -19,4 +21,6 @@
 	// the clock of the VM. Zero means that the tier is the first known.
 	TierBefore engine.Tier `cbor:"8,keyasint,omitempty"`
 	TierSince  int64       `cbor:"9,keyasint,omitempty"`
+	// ReadyIn is when a model that is being loaded is expected to be.
+	ReadyIn time.Duration `cbor:"10,keyasint,omitempty"`
 }
--- a/wire/report.go
+++ b/wire/report.go
@@ -45,6 +45,10 @@
 	// RunTime is how long a request takes on average once it has started. Zero
 	// means that none has finished yet.
 	RunTime time.Duration `cbor:"20,keyasint,omitempty"`
+	// SwapWait is how long it would take before a load of weights that are at hand
+	// could begin; FetchWait is the same for a load from the weight store.
+	SwapWait  time.Duration `cbor:"21,keyasint,omitempty"`
+	FetchWait time.Duration `cbor:"22,keyasint,omitempty"`
 }
 
 // Kind implements Message.
--- /dev/null
+++ b/wire/reserve.go
@@ -0,0 +1,29 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// Reserve asks an agent for a place in its upstream, with a model and an adapter
+// loaded. The reply is a Reserved or a Refusal. The place is held until the
+// asker ends the stream, which it may do with a Settle.
+type Reserve struct {
+	// Request is the id of the caller's request, for logs.
+	Request  string         `cbor:"1,keyasint"`
+	Model    ident.Model    `cbor:"2,keyasint"`
+	Adapter  ident.Adapter  `cbor:"3,keyasint,omitempty"`
+	Priority ident.Priority `cbor:"4,keyasint,omitempty"`
+	// Tokens is how much of the engine's cache the request may take.
+	Tokens int `cbor:"5,keyasint,omitempty"`
+	// Patience is how long the asker waits for the place.
+	Patience time.Duration `cbor:"6,keyasint,omitempty"`
+	// Objective is how soon the place is wanted; later it is worth less.
+	Objective time.Duration `cbor:"7,keyasint,omitempty"`
+	// Gap is the longest pause between events that the caller accepts.
+	Gap time.Duration `cbor:"8,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*Reserve) Kind() Kind { return KindReserve }
