sidecar: models are loaded, swapped and queued for beside their engine

Now a sidecar on each engine's VM queues requests for places, loads and unloads models and adapters, and asks one router for places at the weight store.

--- /dev/null
+++ b/cmd/laureltally-sidecar/main.go
@@ -0,0 +1,48 @@
+// Command laureltally-sidecar manages the model engine of one upstream VM of a
+// hosted installation.
+//
+// The exit code is 0 after a graceful shutdown, 1 after a failure and 2 for a
+// wrong command line.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/daemon"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/keys"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/sidecar"
+)
+
+func main() { os.Exit(daemon.Main("laureltally-sidecar", run)) }
+
+func run(ctx context.Context, a daemon.Arguments) error {
+	s, err := config.ReadSidecarSettingsFile(a.Settings)
+	if err != nil {
+		return err
+	}
+	parts, err := daemon.NewHostedParts("sidecar", s.VM, s.Log)
+	if err != nil {
+		return err
+	}
+	defer parts.Close()
+	credentials, err := keys.NewEphemeral(ident.VM(s.EngineAddress), nil)
+	if err != nil {
+		return fmt.Errorf("credentials: %w", err)
+	}
+	store := platform.NewStore(s.MetadataStore)
+	return sidecar.New(sidecar.Options{
+		Settings:       s,
+		Engine:         platform.NewEngine(s.EngineAddress),
+		Store:          store,
+		Directory:      &platform.Directory{Store: store, Regions: platform.Regions{s.Zone: s.Region}},
+		Credentials:    credentials,
+		Logger:         parts.Logger,
+		Metrics:        parts.Metrics.Scope,
+		MetricsHandler: parts.Metrics.Handler,
+	}).Run(ctx)
+}
--- a/ingress/directory.go
+++ b/fleet/directory.go
@@ -1,9 +1,8 @@
-package ingress
+package fleet
 
 import (
 	"context"
 
-	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/serving"
 )
 
@@ -12,5 +11,5 @@
 type Directory interface {
 	Config(context.Context) (*serving.Config, error)
 	// VMs also returns the errors of entries that make no sense.
-	VMs(context.Context) (vms []fleet.VM, malformed []error, err error)
+	VMs(context.Context) (vms []VM, malformed []error, err error)
 }
--- a/ingress/belief.go
+++ b/ingress/belief.go
@@ -163,3 +163,15 @@
 	defer b.mu.Unlock()
 	return b.board.AgentAddress(vm)
 }
+
+// fetch notes that a VM is about to load a model from the weight store. An empty
+// model stands for the one that is most worth it.
+func (b *belief) fetch(now time.Time, service ident.Upstream, model ident.Model) ident.Model {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if model == "" {
+		return b.board.NextFetch(now, service)
+	}
+	b.board.Promise(now, model)
+	return model
+}
--- a/ingress/options.go
+++ b/ingress/options.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/transport"
 )
 
@@ -28,7 +29,7 @@
 // Options configures a Server.
 type Options struct {
 	Settings    config.IngressSettings
-	Directory   Directory
+	Directory   fleet.Directory
 	Protocol    Protocol
 	Credentials transport.Credentials
 	Logger      log.Interface
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -62,6 +62,7 @@
 	s.pool = transport.NewPool(transport.Options{
 		Hello:       wire.Hello{VM: o.Settings.VM, Role: metastore.RoleRouter, Region: o.Settings.Region, Zone: o.Settings.Zone},
 		Credentials: o.Credentials,
+		Handler:     transport.HandlerFunc(newGatekeeper(s).handle),
 		Logger:      o.Logger,
 	})
 	return s, nil
--- a/placement/board.go
+++ b/placement/board.go
@@ -34,6 +34,9 @@
 	byAddress map[string]ident.VM
 	ejectors  map[ident.Upstream]*eject.Ejector
 	services  map[ident.Upstream]*serving.Service
+	demand    map[ident.Model]*demand
+	// promised is until when a model counts as coming.
+	promised map[ident.Model]time.Time
 }
 
 // New returns an empty Board.
@@ -50,6 +53,8 @@
 		byAddress: make(map[string]ident.VM),
 		ejectors:  make(map[ident.Upstream]*eject.Ejector),
 		services:  make(map[ident.Upstream]*serving.Service),
+		demand:    make(map[ident.Model]*demand),
+		promised:  make(map[ident.Model]time.Time),
 	}, nil
 }
 
@@ -138,6 +143,12 @@
 	if m == nil {
 		return false
 	}
+	if r.SameModels {
+		if m.report == nil {
+			return false
+		}
+		r.Models = m.report.Models
+	}
 	m.take(now, r)
 	b.publish(now, m, *r)
 	return true
@@ -199,6 +210,9 @@
 		}
 		return loaded, nil
 	}
+	if !found {
+		b.Missed(now, n)
+	}
 	other, ok := b.chooseToLoad(now, n)
 	switch {
 	case ok && (!found || other.Wait < loaded.Wait):
--- /dev/null
+++ b/residency/action.go
@@ -0,0 +1,49 @@
+package residency
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+)
+
+// Action is something for the driver to do: *Grant, *Refuse, *Submit or *Fetch.
+type Action interface{ action() }
+
+// Grant gives a request its place.
+type Grant struct {
+	ID     RequestID
+	Waited time.Duration
+}
+
+// Refuse tells that a request gets no place. It has not run.
+type Refuse struct {
+	ID         RequestID
+	RetryAfter time.Duration
+	Reason     Reason
+}
+
+// Submit sends an order to the engine. It holds only if the engine has accepted
+// After orders; the driver reports the answer with Submitted.
+type Submit struct {
+	Kind    engine.OrderKind
+	Model   ident.Model
+	Adapter ident.Adapter
+	After   uint64
+	// Why names what the order is for, for logs.
+	Why string
+}
+
+// Fetch asks for a place at the weight store, reported with Fetching. An empty
+// Model leaves the choice to whoever hands out the places.
+type Fetch struct {
+	Model    ident.Model
+	Priority ident.Priority
+	// Within is how long the load is of use, or zero.
+	Within time.Duration
+}
+
+func (*Grant) action()  {}
+func (*Refuse) action() {}
+func (*Submit) action() {}
+func (*Fetch) action()  {}
--- /dev/null
+++ b/residency/estimate.go
@@ -0,0 +1,128 @@
+package residency
+
+import (
+	"slices"
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+)
+
+// swapOverhead is the time of an unload and of the reports between two orders.
+const swapOverhead = 150 * time.Millisecond
+
+// estimate is how long a request would wait for its place, and what for.
+func (m *Machine) estimate(now time.Time, p *pending) (time.Duration, Reason) {
+	room := m.roomWait(p)
+	if _, loaded := m.snap.Loaded[p.Model]; loaded && !m.unloading(p.Model, p.Adapter) {
+		return room, ReasonFull
+	}
+	load := m.loadWait(now, p.Model)
+	if room > load {
+		return room, ReasonFull
+	}
+	return load, ReasonLoad
+}
+
+// roomWait is how long until a place is free: those that wait already come first,
+// and places are freed evenly.
+func (m *Machine) roomWait(p *pending) time.Duration {
+	waiting := 0
+	for _, q := range m.requests {
+		if !q.holds() && q != p {
+			waiting++
+		}
+	}
+	over := float64(m.active+waiting+1) - m.limit.value
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over / max(1, m.limit.value) * float64(m.runTime))
+}
+
+// loadWait is how long until a model that is not loaded would be.
+func (m *Machine) loadWait(now time.Time, name ident.Model) time.Duration {
+	spec := m.spec.Model(name)
+	wait := time.Duration(0)
+	if m.order != nil {
+		wait = m.order.left(now)
+		if m.order.loads() && m.order.Model == name {
+			return wait
+		}
+	}
+	for _, other := range m.wanted(now) {
+		if other == name {
+			break
+		}
+		wait += m.swapTime(other)
+	}
+	if m.tier(name) == engine.TierRemote {
+		return wait + spec.RemoteLoad + swapOverhead
+	}
+	return wait + m.swapTime(name)
+}
+
+// swapTime is how long it takes to make room for a model and load it.
+func (m *Machine) swapTime(name ident.Model) time.Duration {
+	t := swapOverhead + m.spec.Model(name).LoadTime(m.tier(name))
+	if !m.hasMemory(name) && m.victim(time.Time{}, name) == "" {
+		t += m.runTime
+	}
+	return t
+}
+
+// tier is where a model's weights are nearest.
+func (m *Machine) tier(name ident.Model) engine.Tier {
+	if t, ok := m.snap.Tiers[name]; ok {
+		return t
+	}
+	return engine.TierRemote
+}
+
+// wanted lists the models that are not loaded and that requests wait for, those
+// whose first request is due first coming first, and then those that refused
+// callers will come back for. Loads from the weight store count only once they
+// have their place.
+func (m *Machine) wanted(now time.Time) []ident.Model {
+	var out []ident.Model
+	waiting := slices.DeleteFunc(slices.Clone(m.requests), func(p *pending) bool {
+		_, loaded := m.snap.Loaded[p.Model]
+		return p.holds() || loaded && !m.unloading(p.Model, "")
+	})
+	slices.SortStableFunc(waiting, func(a, b *pending) int { return a.due().Compare(b.due()) })
+	for _, p := range waiting {
+		if m.order != nil && m.order.loads() && m.order.Model == p.Model {
+			continue
+		}
+		if m.tier(p.Model) == engine.TierRemote && !m.mayFetch(p.Model) {
+			continue
+		}
+		if !slices.Contains(out, p.Model) {
+			out = append(out, p.Model)
+		}
+	}
+	for _, w := range m.wishes {
+		_, loaded := m.snap.Loaded[w.model]
+		reachable := m.tier(w.model) != engine.TierRemote || m.mayFetch(w.model)
+		if now.Before(w.until) && !loaded && reachable && !slices.Contains(out, w.model) {
+			out = append(out, w.model)
+		}
+	}
+	return out
+}
+
+// wishedRemote is the first model from the weight store that callers will come
+// back for, or empty.
+func (m *Machine) wishedRemote(now time.Time) ident.Model {
+	for _, w := range m.wishes {
+		if _, loaded := m.snap.Loaded[w.model]; !loaded && now.Before(w.until) && m.tier(w.model) == engine.TierRemote {
+			return w.model
+		}
+	}
+	return ""
+}
+
+// mayFetch tells whether a model has its place at the weight store.
+func (m *Machine) mayFetch(name ident.Model) bool {
+	return m.fetch != nil && m.fetch.granted && m.fetch.Model == name
+}
--- /dev/null
+++ b/residency/limit.go
@@ -0,0 +1,44 @@
+package residency
+
+import "time"
+
+const (
+	// limitBackoff and limitStep are the factors of additive increase and
+	// multiplicative decrease: the limit halves in about seven bad answers and
+	// recovers within some dozen good ones.
+	limitBackoff = 0.9
+	limitStep    = 0.5
+	// lateShare is the part of an objective from which an answer counts as slow, so
+	// that the limit falls before answers are late.
+	lateShare = 0.85
+	// backoffPause is the least time between two decreases: answers that ran side
+	// by side tell of the same overload.
+	backoffPause = 500 * time.Millisecond
+	// busyShare is the part of the limit that must be in use for a good answer to
+	// prove that more would go well too.
+	busyShare = 0.8
+)
+
+// limit is how many requests the engine takes at once such that they stay within
+// their objectives. It answers sustained overload, where each further request
+// slows all others.
+type limit struct {
+	value, least, most float64
+	lowered            time.Time
+}
+
+// learn takes the outcome of a request that ran beside active others.
+func (l *limit) learn(now time.Time, r *Request, o Outcome, active int) {
+	if o.FirstEvent == 0 {
+		return
+	}
+	slow := r.Gap > 0 && o.WorstGap > time.Duration(lateShare*float64(r.Gap)) ||
+		r.Objective > 0 && o.FirstEvent > time.Duration(lateShare*float64(r.Objective))
+	switch {
+	case slow && now.Sub(l.lowered) >= backoffPause:
+		l.value = max(l.least, min(l.value, float64(active))*limitBackoff)
+		l.lowered = now
+	case !slow && float64(active) >= busyShare*l.value:
+		l.value = min(l.most, l.value+limitStep)
+	}
+}
--- /dev/null
+++ b/residency/machine.go
@@ -0,0 +1,319 @@
+package residency
+
+import (
+	"slices"
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/serving"
+)
+
+// Machine decides for one engine. It is not safe for concurrent use.
+type Machine struct {
+	opts   Options
+	spec   *serving.Engine
+	snap   *Snapshot
+	models map[ident.Model]*modelState
+	// requests are in the order of their arrival.
+	requests []*pending
+	active   int
+	tokens   int
+	limit    limit
+	runTime  time.Duration
+	order    *openOrder
+	// mayOrder is cleared while another process may still order the engine.
+	mayOrder bool
+	// fetch is the model for which a place at the weight store was asked or given.
+	fetch  *fetchState
+	wishes []wish
+	// nextAsk is when places at the weight store are asked for again.
+	nextAsk time.Time
+}
+
+// fetchState is a place at the weight store.
+type fetchState struct {
+	Fetch
+	granted   bool
+	grantedAt time.Time
+}
+
+// placeUse is how long a place at the weight store is kept while no room can be
+// made for the load.
+const placeUse = 4 * time.Second
+
+// New returns a Machine that knows nothing of its engine.
+func New(o Options) *Machine {
+	o = o.withDefaults()
+	return &Machine{opts: o, models: make(map[ident.Model]*modelState), runTime: o.RunTime}
+}
+
+// Configure takes the description of the engine.
+func (m *Machine) Configure(e *serving.Engine) {
+	if m.spec == nil {
+		most := float64(e.Concurrency)
+		m.limit = limit{value: max(m.opts.MinLimit, m.opts.StartShare*most), least: min(m.opts.MinLimit, most), most: most}
+	}
+	m.spec = e
+}
+
+// AllowOrders lets the Machine order the engine from now on.
+func (m *Machine) AllowOrders() { m.mayOrder = true }
+
+// Observe takes a report of the engine.
+func (m *Machine) Observe(now time.Time, s Snapshot) []Action {
+	if m.snap != nil && m.snap.Started != s.Started {
+		m.restarted()
+	}
+	m.snap = &s
+	m.settleOrder(now)
+	return m.Tick(now)
+}
+
+// restarted forgets what an earlier start of the engine held.
+func (m *Machine) restarted() {
+	m.order = nil
+	for _, st := range m.models {
+		st.loadedAt = time.Time{}
+	}
+}
+
+// settleOrder ends the open order if the newest report, asked for after its
+// answer, shows that it is over.
+func (m *Machine) settleOrder(now time.Time) {
+	o := m.order
+	if o == nil || o.answered.IsZero() || m.snap.ReadAt.Before(o.answered) {
+		return
+	}
+	done := m.effective(&o.Submit)
+	if !done && (m.snap.Busy || m.arriving(o)) && now.Sub(o.answered) < m.opts.OrderTimeout {
+		return
+	}
+	if done && o.loads() {
+		m.model(o.Model).loadedAt = now
+	}
+	if m.fetch != nil && m.fetch.granted && o.loads() && o.Model == m.fetch.Model {
+		m.fetch = nil
+	}
+	m.order = nil
+}
+
+func (m *Machine) arriving(o *openOrder) bool {
+	return slices.Contains(m.snap.Arriving, AdapterRef{Model: o.Model, Adapter: o.Adapter})
+}
+
+// effective tells whether the report shows what an order asks for.
+func (m *Machine) effective(o *Submit) bool {
+	adapters, loaded := m.snap.Loaded[o.Model]
+	switch o.Kind {
+	case engine.OrderLoad:
+		return loaded
+	case engine.OrderUnload:
+		return !loaded
+	case engine.OrderLoadAdapter:
+		return slices.Contains(adapters, o.Adapter)
+	}
+	return !slices.Contains(adapters, o.Adapter)
+}
+
+// Submitted takes the answer to the open order.
+func (m *Machine) Submitted(now time.Time, a OrderAnswer) {
+	switch {
+	case m.order == nil:
+	case a == OrderAccepted:
+		m.order.answered = now
+	default:
+		// A refused order has not run; a lost one can't run any more once another is
+		// accepted, since each names the orders accepted before it.
+		m.order = nil
+	}
+}
+
+// Fetching takes the answer to a Fetch: a place for the model, or none.
+func (m *Machine) Fetching(now time.Time, model ident.Model, granted bool) []Action {
+	if m.fetch == nil {
+		return nil
+	}
+	if !granted || m.spec == nil || m.spec.Model(model) == nil {
+		m.fetch = nil
+		m.nextAsk = now.Add(askPause)
+		return nil
+	}
+	m.fetch.Model, m.fetch.granted, m.fetch.grantedAt = model, true, now
+	return m.Tick(now)
+}
+
+// FetchOpen tells whether a place at the weight store is asked for or held.
+func (m *Machine) FetchOpen() bool { return m.fetch != nil }
+
+// Reserve enters a request.
+func (m *Machine) Reserve(now time.Time, r Request) []Action {
+	if reason := m.closed(now, &r); reason != "" {
+		return []Action{&Refuse{ID: r.ID, RetryAfter: blindRetryAfter, Reason: reason}}
+	}
+	m.model(r.Model).asked.add(now, m.opts.RateHalfLife)
+	p := &pending{Request: r, arrived: now}
+	wait, reason := m.estimate(now, p)
+	if wait > r.Patience {
+		if reason == ReasonLoad {
+			m.remember(now, r.Model)
+		}
+		return []Action{&Refuse{ID: r.ID, RetryAfter: wait, Reason: reason}}
+	}
+	m.requests = append(m.requests, p)
+	return m.Tick(now)
+}
+
+// blindRetryAfter is what a caller is told while nothing is known of the engine;
+// its next report is due within a second.
+const blindRetryAfter = time.Second
+
+// closed tells why no request is taken at all, or is empty.
+func (m *Machine) closed(now time.Time, r *Request) Reason {
+	switch {
+	case m.spec == nil || !m.sees(now):
+		return ReasonBlind
+	case m.snap.Leaving:
+		return ReasonLeaving
+	case m.spec.Model(r.Model) == nil:
+		return ReasonUnknown
+	}
+	return ""
+}
+
+// sees tells whether the newest report is fresh enough to act on.
+func (m *Machine) sees(now time.Time) bool {
+	return m.snap != nil && now.Sub(m.snap.ReadAt) < m.opts.ReportTimeout
+}
+
+// Release ends a request, whether or not it has a place.
+func (m *Machine) Release(now time.Time, id RequestID, o Outcome) []Action {
+	i := slices.IndexFunc(m.requests, func(p *pending) bool { return p.ID == id })
+	if i < 0 {
+		return nil
+	}
+	p := m.requests[i]
+	m.requests = slices.Delete(m.requests, i, i+1)
+	if p.holds() {
+		m.limit.learn(now, &p.Request, o, m.active)
+		m.free(now, p)
+		if o.Took > 0 {
+			m.runTime += time.Duration(runTimeWeight * float64(o.Took-m.runTime))
+		}
+	}
+	return m.Tick(now)
+}
+
+// runTimeWeight is the weight of one request in the average run time.
+const runTimeWeight = 0.05
+
+func (m *Machine) free(now time.Time, p *pending) {
+	m.active--
+	m.tokens -= p.Tokens
+	st := m.model(p.Model)
+	st.active--
+	st.lastUsed = now
+	if p.Adapter != "" {
+		a := st.adapter(p.Adapter)
+		a.active--
+		a.lastUsed = now
+	}
+}
+
+// Tick grants, refuses and orders what is due.
+func (m *Machine) Tick(now time.Time) []Action {
+	if m.spec == nil || m.snap == nil {
+		return nil
+	}
+	m.expireFetch(now)
+	out := m.expire(now)
+	out = append(out, m.grantAll(now)...)
+	return append(out, m.plan(now)...)
+}
+
+// expireFetch gives a place at the weight store back that could not be used.
+func (m *Machine) expireFetch(now time.Time) {
+	f := m.fetch
+	if f != nil && f.granted && !m.loading(f.Model) && now.Sub(f.grantedAt) > placeUse {
+		m.fetch = nil
+		m.nextAsk = now.Add(askPause)
+	}
+}
+
+// expire refuses requests whose place was not ready in time.
+func (m *Machine) expire(now time.Time) []Action {
+	var out []Action
+	m.requests = slices.DeleteFunc(m.requests, func(p *pending) bool {
+		late := !p.holds() && now.After(p.expires())
+		if late {
+			wait, _ := m.estimate(now, p)
+			m.remember(now, p.Model)
+			out = append(out, &Refuse{ID: p.ID, RetryAfter: wait, Reason: ReasonPatience})
+		}
+		return late
+	})
+	return out
+}
+
+// grantAll gives places to those that wait longest.
+func (m *Machine) grantAll(now time.Time) []Action {
+	var out []Action
+	for _, p := range m.requests {
+		if p.holds() || !m.fits(p) {
+			continue
+		}
+		p.granted = now
+		m.active++
+		m.tokens += p.Tokens
+		st := m.model(p.Model)
+		st.active++
+		st.lastUsed = now
+		if p.Adapter != "" {
+			a := st.adapter(p.Adapter)
+			a.active++
+			a.lastUsed = now
+		}
+		out = append(out, &Grant{ID: p.ID, Waited: now.Sub(p.arrived)})
+	}
+	return out
+}
+
+// fits tells whether a request could run now.
+func (m *Machine) fits(p *pending) bool {
+	return m.ready(p) && m.hasRoom(p)
+}
+
+// hasRoom tells whether the engine takes one more request.
+func (m *Machine) hasRoom(p *pending) bool {
+	if float64(m.active)+1 > m.limit.value {
+		return false
+	}
+	total := m.opts.CacheShare * float64(m.spec.CacheTokens)
+	return m.active == 0 || float64(m.tokens+p.Tokens) <= total
+}
+
+// ready tells whether a request's model and adapter are loaded and stay so.
+func (m *Machine) ready(p *pending) bool {
+	adapters, loaded := m.snap.Loaded[p.Model]
+	if !loaded || m.unloading(p.Model, p.Adapter) {
+		return false
+	}
+	return p.Adapter == "" || slices.Contains(adapters, p.Adapter)
+}
+
+// unloading tells whether the open order takes a model or adapter away.
+func (m *Machine) unloading(model ident.Model, a ident.Adapter) bool {
+	if m.order == nil || m.order.Model != model {
+		return false
+	}
+	return m.order.Kind == engine.OrderUnload || m.order.Kind == engine.OrderUnloadAdapter && m.order.Adapter == a
+}
+
+func (m *Machine) model(name ident.Model) *modelState {
+	st := m.models[name]
+	if st == nil {
+		st = &modelState{}
+		m.models[name] = st
+	}
+	return st
+}
--- /dev/null
+++ b/residency/outcome.go
@@ -0,0 +1,10 @@
+package residency
+
+import "time"
+
+// Outcome tells how a request went. Zero durations are unknown.
+type Outcome struct {
+	FirstEvent, WorstGap, Took time.Duration
+	// NotLoaded is set when the engine said that it has not loaded the model.
+	NotLoaded bool
+}
--- /dev/null
+++ b/residency/request.go
@@ -0,0 +1,26 @@
+package residency
+
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// RequestID names a request within one Machine.
+type RequestID uint64
+
+// Request asks for a place.
+type Request struct {
+	ID       RequestID
+	Model    ident.Model
+	Adapter  ident.Adapter
+	Priority ident.Priority
+	// Tokens is how much of the cache it may take.
+	Tokens int
+	// Patience is how long it waits for a place from now.
+	Patience time.Duration
+	// Objective is how soon it should begin to be answered.
+	Objective time.Duration
+	// Gap is the longest pause between events that its caller accepts.
+	Gap time.Duration
+}
--- /dev/null
+++ b/residency/status.go
@@ -0,0 +1,92 @@
+package residency
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// Status is what routers are told, without the fields that name the sidecar. It
+// returns nil before the first report of the engine.
+func (m *Machine) Status(now time.Time) *wire.Report {
+	if m.spec == nil || m.snap == nil {
+		return nil
+	}
+	r := &wire.Report{
+		Draining:    m.snap.Leaving,
+		Running:     m.active,
+		Waiting:     len(m.requests) - m.active,
+		Concurrency: max(1, int(m.limit.value)),
+		RunTime:     m.runTime,
+		Models:      m.modelReports(now),
+	}
+	r.SwapWait, r.FetchWait = m.swapWait(now), m.fetchWait(now)
+	return r
+}
+
+func (m *Machine) modelReports(now time.Time) []wire.ModelReport {
+	var out []wire.ModelReport
+	for name, adapters := range m.snap.Loaded {
+		mr := wire.ModelReport{Model: name, Phase: engine.PhaseLoaded, Tier: m.tier(name), Adapters: slices.Sorted(slices.Values(adapters))}
+		if m.unloading(name, "") {
+			mr.Phase = engine.PhaseUnloading
+		}
+		out = append(out, mr)
+	}
+	for name, t := range m.snap.Tiers {
+		if _, loaded := m.snap.Loaded[name]; !loaded && !m.loading(name) {
+			out = append(out, wire.ModelReport{Model: name, Tier: t})
+		}
+	}
+	if m.order != nil && m.order.loads() {
+		out = append(out, wire.ModelReport{Model: m.order.Model, Phase: engine.PhaseLoading, Tier: m.tier(m.order.Model), ReadyIn: m.order.left(now)})
+	}
+	slices.SortFunc(out, func(a, b wire.ModelReport) int { return cmp.Compare(a.Model, b.Model) })
+	return slices.CompactFunc(out, func(a, b wire.ModelReport) bool { return a.Model == b.Model })
+}
+
+func (m *Machine) loading(name ident.Model) bool {
+	return m.order != nil && m.order.loads() && m.order.Model == name
+}
+
+// swapWait is how long until a load of weights at hand could begin.
+func (m *Machine) swapWait(now time.Time) time.Duration {
+	wait := swapOverhead
+	if m.order != nil {
+		wait += m.order.left(now)
+	}
+	for _, name := range m.wanted(now) {
+		wait += m.swapTime(name)
+	}
+	if m.victim(now, "") == "" {
+		wait += m.runTime
+	}
+	return wait
+}
+
+// fetchWait is the same for a load from the weight store.
+func (m *Machine) fetchWait(now time.Time) time.Duration {
+	wait := m.swapWait(now)
+	if m.fetch != nil && !m.loading(m.fetch.Model) {
+		if spec := m.spec.Model(m.fetch.Model); spec != nil {
+			wait += spec.RemoteLoad
+		}
+	}
+	return wait
+}
+
+// Expecting tells whether a change of the engine is awaited.
+func (m *Machine) Expecting() bool { return m.order != nil || len(m.requests) > m.active }
+
+// Load returns the granted requests, how many may be granted, and the age of the
+// newest report in milliseconds, for logs.
+func (m *Machine) Load(now time.Time) (active, limit int, reportMS int64) {
+	if m.snap != nil {
+		reportMS = now.Sub(m.snap.ReadAt).Milliseconds()
+	}
+	return m.active, int(m.limit.value), reportMS
+}
--- /dev/null
+++ b/sidecar/options.go
@@ -0,0 +1,72 @@
+package sidecar
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/fleet"
+	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/transport"
+)
+
+// Defaults of Options.
+const (
+	// DefaultIdleRead is how often the engine is read while nothing is expected of
+	// it, DefaultBusyRead while an order or a request waits.
+	DefaultIdleRead = 150 * time.Millisecond
+	DefaultBusyRead = 40 * time.Millisecond
+	// DefaultReportInterval is the least time between two reports to a router and
+	// DefaultHeartbeat the longest; routers distrust a sidecar after 700 ms.
+	DefaultReportInterval = 100 * time.Millisecond
+	DefaultHeartbeat      = 250 * time.Millisecond
+	// DefaultConfigInterval is how often the configuration is read; models and
+	// their sizes change seldom.
+	DefaultConfigInterval = 10 * time.Second
+)
+
+// Options configures a Sidecar.
+type Options struct {
+	Settings    config.SidecarSettings
+	Engine      Engine
+	Store       metastore.Store
+	Directory   fleet.Directory
+	Credentials transport.Credentials
+	Logger      log.Interface
+	Metrics     tally.Scope
+	// MetricsHandler serves the metrics, and may be nil.
+	MetricsHandler http.Handler
+
+	IdleRead, BusyRead        time.Duration
+	ReportInterval, Heartbeat time.Duration
+	ConfigInterval            time.Duration
+	// Now is the clock; nil takes time.Now.
+	Now func() time.Time
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.IdleRead, DefaultIdleRead)
+	setDefault(&o.BusyRead, DefaultBusyRead)
+	setDefault(&o.ReportInterval, DefaultReportInterval)
+	setDefault(&o.Heartbeat, DefaultHeartbeat)
+	setDefault(&o.ConfigInterval, DefaultConfigInterval)
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Logger == nil {
+		o.Logger = log.Log
+	}
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
+	return o
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
--- /dev/null
+++ b/sidecar/serve.go
@@ -0,0 +1,115 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/laureltally/laureltally/residency"
+	"github.com/laureltally/laureltally/transport"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// handle serves one stream of a router.
+func (s *Sidecar) handle(ctx context.Context, peer wire.Hello, first wire.Message, stream *transport.Stream) {
+	switch m := first.(type) {
+	case *wire.Subscribe:
+		s.sendReports(ctx, stream)
+	case *wire.Reserve:
+		s.reserve(ctx, peer, m, stream)
+	default:
+		s.o.Logger.WithField("peer", peer.VM).WithError(&wire.KindError{Kind: first.Kind()}).Warn("stream refused")
+		stream.Reset()
+	}
+}
+
+// reserve queues a request and holds its place until the router ends the stream.
+func (s *Sidecar) reserve(ctx context.Context, peer wire.Hello, r *wire.Reserve, stream *transport.Stream) {
+	begun := s.o.Now()
+	id, decision := s.enter(r)
+	ended := make(chan wire.Message, 1)
+	go func() {
+		m, err := stream.Recv()
+		if err != nil {
+			m = nil
+		}
+		ended <- m
+	}()
+	for {
+		select {
+		case a := <-decision:
+			s.logDecision(peer, r, a, s.o.Now().Sub(begun))
+			if !s.answer(stream, a) {
+				s.release(id, residency.Outcome{})
+				return
+			}
+			if _, refused := a.(*residency.Refuse); refused {
+				return
+			}
+			decision = nil
+		case m := <-ended:
+			s.release(id, outcome(m))
+			return
+		case <-ctx.Done():
+			s.release(id, residency.Outcome{})
+			return
+		}
+	}
+}
+
+func (s *Sidecar) enter(r *wire.Reserve) (residency.RequestID, chan residency.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	id := s.nextID
+	decision := make(chan residency.Action, 1)
+	s.waiting[id] = decision
+	s.do(s.machine.Reserve(s.o.Now(), residency.Request{
+		ID: id, Model: r.Model, Adapter: r.Adapter, Priority: r.Priority, Tokens: r.Tokens,
+		Patience: r.Patience, Objective: r.Objective, Gap: r.Gap,
+	}))
+	return id, decision
+}
+
+func (s *Sidecar) release(id residency.RequestID, o residency.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, id)
+	s.do(s.machine.Release(s.o.Now(), id, o))
+}
+
+// answer tells the router the decision.
+func (s *Sidecar) answer(stream *transport.Stream, a residency.Action) bool {
+	var m wire.Message
+	switch a := a.(type) {
+	case *residency.Grant:
+		m = &wire.Reserved{Waited: a.Waited}
+	case *residency.Refuse:
+		m = &wire.Refusal{Code: wire.CodeOverloaded, Run: wire.RunNot, RetryAfter: a.RetryAfter, Detail: string(a.Reason)}
+	}
+	return stream.Send(m) == nil
+}
+
+func outcome(m wire.Message) residency.Outcome {
+	settle, ok := m.(*wire.Settle)
+	if !ok {
+		return residency.Outcome{}
+	}
+	return residency.Outcome{FirstEvent: settle.FirstEvent, WorstGap: settle.WorstGap, Took: settle.Took, NotLoaded: settle.NotLoaded}
+}
+
+func (s *Sidecar) logDecision(peer wire.Hello, r *wire.Reserve, a residency.Action, took time.Duration) {
+	f := log.Fields{"request": r.Request, "router": peer.VM, "model": r.Model, "adapter": r.Adapter, "patience_ms": r.Patience.Milliseconds(), "waited_ms": took.Milliseconds()}
+	s.mu.Lock()
+	f["active"], f["limit"], f["report_ms"] = s.machine.Load(s.o.Now())
+	s.mu.Unlock()
+	if refused, ok := a.(*residency.Refuse); ok {
+		f["reason"], f["retry_after_ms"] = refused.Reason, refused.RetryAfter.Milliseconds()
+		s.o.Metrics.Counter("places_refused").Inc(1)
+		s.o.Logger.WithFields(f).Info("place refused")
+		return
+	}
+	s.o.Metrics.Counter("places_granted").Inc(1)
+	s.o.Logger.WithFields(f).Info("place granted")
+}
--- /dev/null
+++ b/sidecar/status.go
@@ -0,0 +1,93 @@
+package sidecar
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/laureltally/laureltally/transport"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// status is the newest report to routers.
+type status struct {
+	report *wire.Report
+	// models counts the changes of the models in it.
+	models  uint64
+	sentAt  time.Time
+	changed chan struct{}
+}
+
+// publish makes reports until ctx ends.
+func (s *Sidecar) publish(ctx context.Context) {
+	tick := time.NewTicker(s.o.ReportInterval)
+	defer tick.Stop()
+	for {
+		s.mu.Lock()
+		s.renewStatus()
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// renewStatus makes a report if there is anything new or a heartbeat is due. The
+// caller holds mu.
+func (s *Sidecar) renewStatus() {
+	now := s.o.Now()
+	next := s.machine.Status(now)
+	if next == nil || s.blind {
+		return
+	}
+	old := s.status.report
+	sameModels := old != nil && slices.EqualFunc(old.Models, next.Models, sameModel)
+	if sameModels && old.Running == next.Running && old.Waiting == next.Waiting && old.Draining == next.Draining && now.Sub(s.status.sentAt) < s.o.Heartbeat {
+		return
+	}
+	if !sameModels {
+		s.status.models++
+	}
+	next.VM = s.name()
+	next.Seq = 1
+	if old != nil {
+		next.Seq = old.Seq + 1
+	}
+	s.status.report, s.status.sentAt = next, now
+	close(s.status.changed)
+	s.status.changed = make(chan struct{})
+}
+
+// sameModel leaves out estimates, which change all the time.
+func sameModel(a, b wire.ModelReport) bool {
+	return a.Model == b.Model && a.Phase == b.Phase && a.Tier == b.Tier && slices.Equal(a.Adapters, b.Adapters)
+}
+
+// sendReports serves one subscription.
+func (s *Sidecar) sendReports(ctx context.Context, stream *transport.Stream) {
+	var models uint64
+	for {
+		s.mu.Lock()
+		st := s.status
+		s.mu.Unlock()
+		if st.report != nil {
+			r := *st.report
+			if st.models == models {
+				r.Models, r.SameModels = nil, true
+			}
+			models = st.models
+			if err := stream.Send(&r); err != nil {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-stream.Context().Done():
+			return
+		case <-st.changed:
+		}
+	}
+}
--- a/wire/report.go
+++ b/wire/report.go
@@ -49,6 +49,8 @@
 	// could begin; FetchWait is the same for a load from the weight store.
 	SwapWait  time.Duration `cbor:"21,keyasint,omitempty"`
 	FetchWait time.Duration `cbor:"22,keyasint,omitempty"`
+	// SameModels stands for the models of the last report on the same stream.
+	SameModels bool `cbor:"23,keyasint,omitempty"`
 }
 
 // Kind implements Message.
--- a/wire/ticket_request.go
+++ b/wire/ticket_request.go
@@ -15,6 +15,9 @@
 	Adapter     ident.Adapter     `cbor:"4,keyasint,omitempty"`
 	Priority    ident.Priority    `cbor:"5,keyasint"`
 	Remaining   time.Duration     `cbor:"6,keyasint"`
+	// Upstream is the service that the VM belongs to. An empty Model asks for
+	// whatever is worth loading next.
+	Upstream ident.Upstream `cbor:"7,keyasint,omitempty"`
 }
 
 // Kind implements Message.
