transport, upstreamhttp: a caller who has left is not held, and nothing is sent for it

Cause: the sidecar's VM stood still, the write of a new stream waited for it past the request's context, and a kept connection was used although the context had ended. Ruled out: the caller's close not being noticed (the log shows the request's context ended in time).

--- a/cmd/laureltally-ingress/main.go
+++ b/cmd/laureltally-ingress/main.go
@@ -29,6 +29,16 @@
 		return err
 	}
 	defer parts.Close()
+	store := platform.NewStore(s.MetadataStore)
+	daemon.Reloads(ctx, a.Settings, func(text []byte, signalled bool) {
+		next, err := config.ReadIngressSettings(text)
+		if err != nil {
+			parts.Logger.WithError(err).Warn("changed settings are not usable, the old ones stay in force")
+			return
+		}
+		store.SetAddress(next.MetadataStore)
+		parts.Reloaded(signalled, next.Log)
+	})
 	credentials, err := keys.NewEphemeral(s.VM, nil)
 	if err != nil {
 		return fmt.Errorf("credentials: %w", err)
@@ -39,7 +49,7 @@
 	}
 	server, err := ingress.New(ingress.Options{
 		Settings:       s,
-		Directory:      &platform.Directory{Store: platform.NewStore(s.MetadataStore), Regions: regions},
+		Directory:      &platform.Directory{Store: store, Regions: regions},
 		Protocol:       platform.Protocol{},
 		Credentials:    credentials,
 		Logger:         parts.Logger,
--- a/cmd/laureltally-sidecar/main.go
+++ b/cmd/laureltally-sidecar/main.go
@@ -30,11 +30,20 @@
 		return err
 	}
 	defer parts.Close()
+	store := platform.NewStore(s.MetadataStore)
+	daemon.Reloads(ctx, a.Settings, func(text []byte, signalled bool) {
+		next, err := config.ReadSidecarSettings(text)
+		if err != nil {
+			parts.Logger.WithError(err).Warn("changed settings are not usable, the old ones stay in force")
+			return
+		}
+		store.SetAddress(next.MetadataStore)
+		parts.Reloaded(signalled, next.Log)
+	})
 	credentials, err := keys.NewEphemeral(ident.VM(s.EngineAddress), nil)
 	if err != nil {
 		return fmt.Errorf("credentials: %w", err)
 	}
-	store := platform.NewStore(s.MetadataStore)
 	return sidecar.New(sidecar.Options{
 		Settings:       s,
 		Engine:         platform.NewEngine(s.EngineAddress),
--- a/config/read.go
+++ b/config/read.go
@@ -90,14 +90,24 @@
 	return p
 }
 
-// ReadIngressSettingsFile reads and checks the settings of an ingress, with
-// errors as of ReadDocument.
+// ReadIngressSettings reads and checks the settings of an ingress, with errors
+// as of ReadDocument.
+func ReadIngressSettings(text []byte) (IngressSettings, error) {
+	return read(text, (*IngressSettings).check)
+}
+
+// ReadSidecarSettings reads and checks the settings of a sidecar, with errors as
+// of ReadDocument.
+func ReadSidecarSettings(text []byte) (SidecarSettings, error) {
+	return read(text, (*SidecarSettings).check)
+}
+
+// ReadIngressSettingsFile reads a file as ReadIngressSettings does.
 func ReadIngressSettingsFile(path string) (IngressSettings, error) {
-	return readFile(path, func(text []byte) (IngressSettings, error) { return read(text, (*IngressSettings).check) })
+	return readFile(path, ReadIngressSettings)
 }
 
-// ReadSidecarSettingsFile reads and checks the settings of a sidecar, with
-// errors as of ReadDocument.
+// ReadSidecarSettingsFile reads a file as ReadSidecarSettings does.
 func ReadSidecarSettingsFile(path string) (SidecarSettings, error) {
-	return readFile(path, func(text []byte) (SidecarSettings, error) { return read(text, (*SidecarSettings).check) })
+	return readFile(path, ReadSidecarSettings)
 }
--- a/daemon/hosted_parts.go
+++ b/daemon/hosted_parts.go
@@ -17,6 +17,12 @@
 	trail   *trail.Writer
 }
 
+// Reloaded logs that changed settings were read. Addresses to listen on and the
+// log's level stay as they were until the next start.
+func (p *HostedParts) Reloaded(signalled bool, s config.LogSettings) {
+	p.Logger.WithFields(log.Fields{"signal": signalled, "log_level": s.Level}).Info("settings reloaded")
+}
+
 // NewHostedParts builds the parts. Logs go to standard output and never block;
 // Close writes the last of them.
 func NewHostedParts(program string, vm ident.VM, s config.LogSettings) (*HostedParts, error) {
--- /dev/null
+++ b/daemon/reloads_test.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func TestHangupReloadsInsteadOfEnding(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.hujson")
+	if err := os.WriteFile(path, []byte("{}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan bool, 1)
+	Reloads(t.Context(), path, func(_ []byte, signalled bool) { got <- signalled })
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case signalled := <-got:
+		if !signalled {
+			t.Error("the change was not put down to the signal")
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("no reload")
+	}
+}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -18,9 +18,9 @@
 const maxWholeBytes = 256 << 10
 
 // attempt sends the request to the chosen VM and relays the answer.
-func (d *delivery) attempt(ctx context.Context, _ *place) result {
+func (d *delivery) attempt(ctx context.Context) result {
 	now := d.s.o.Now()
-	vm, need := d.counted()
+	vm, need := d.choice.VM.ID, d.need
 	d.s.belief.started(now, vm, need)
 	d.s.metrics.attempts.Inc(1)
 	begun := d.s.o.Now()
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -10,7 +10,6 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/placement"
 	"github.com/laureltally/laureltally/serving"
 	"github.com/laureltally/laureltally/upstreamhttp"
@@ -68,7 +67,7 @@
 		if !ok {
 			return
 		}
-		res := d.attempt(ctx, p)
+		res := d.attempt(ctx)
 		p.settle(res)
 		if res.kind == delivered {
 			d.log(stop, http.StatusOK, log.Fields{"outcome": delivered, "first_ms": ms(res.firstEvent), "took_ms": ms(res.took), "gap_ms": ms(res.worstGap)})
@@ -177,7 +176,7 @@
 	p, err := link.reserve(ctx, &wire.Reserve{
 		Request: d.info.ID, Model: d.need.Model, Adapter: d.need.Adapter, Priority: d.need.Priority,
 		Tokens:    d.info.PromptTokens + d.info.MaxOutputTokens,
-		Patience:  d.patience(now, c),
+		Patience:  patience(now, d.start, d.deadline, d.route, c.Readiness),
 		Objective: d.start.Add(d.route.Objective).Sub(now),
 		Gap:       d.route.MaxEventGap,
 	})
@@ -306,6 +305,3 @@
 }
 
 func ms(t time.Duration) int64 { return t.Milliseconds() }
-
-// attemptKey is the VM and need of one attempt, for the board's counts.
-func (d *delivery) counted() (ident.VM, placement.Need) { return d.choice.VM.ID, d.need }
--- a/ingress/patience.go
+++ b/ingress/patience.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/placement"
+	"github.com/laureltally/laureltally/serving"
 )
 
 const (
@@ -11,18 +12,23 @@
 	// for a VM that has its model loaded; the rest is for reading the prompt.
 	queueShare = 0.6
 	// loadShare is the part of the time to the deadline that a request may wait for
-	// a load that has begun or needs nothing from the weight store.
+	// a load; the rest is for the answer.
 	loadShare = 0.5
+	// firstEventShare is the part of a caller's patience for the first event that a
+	// request may wait for its place; the rest is for reading the prompt.
+	firstEventShare = 0.8
 )
 
-// patience is how long a request waits for its place at a VM. A request whose
-// model has to be loaded waits for the load, if that leaves it time to run;
-// others are better refused early, while the caller can still come back.
-func (d *delivery) patience(now time.Time, c placement.Choice) time.Duration {
-	toObjective := time.Duration(queueShare * float64(d.start.Add(d.route.Objective).Sub(now)))
-	toDeadline := time.Duration(loadShare * float64(d.deadline.Sub(now)))
-	if c.Readiness == placement.Loaded {
-		return max(0, min(toObjective, toDeadline))
+// patience is how long a request waits for its place at a VM. It answers bursts
+// for models that are not loaded: a request waits for a load if its caller will
+// still be there, and is refused early otherwise, while coming back is of use.
+func patience(now, start, deadline time.Time, r *serving.Route, ready placement.Readiness) time.Duration {
+	wait := time.Duration(loadShare * float64(deadline.Sub(now)))
+	if r.EventPatience > 0 {
+		wait = min(wait, start.Add(time.Duration(firstEventShare*float64(r.EventPatience))).Sub(now))
 	}
-	return max(0, toDeadline)
+	if ready == placement.Loaded {
+		wait = min(wait, time.Duration(queueShare*float64(start.Add(r.Objective).Sub(now))))
+	}
+	return max(0, wait)
 }
--- a/serving/route.go
+++ b/serving/route.go
@@ -26,7 +26,10 @@
 	Objective time.Duration
 	// MaxEventGap is the longest pause between events that callers accept.
 	MaxEventGap time.Duration
-	Priority    ident.Priority
+	// EventPatience is how long callers wait for the first event, and for each
+	// further one, before they give a stream up. Zero means unknown.
+	EventPatience time.Duration
+	Priority      ident.Priority
 	// MaxAttempts is how many VMs one request may be sent to.
 	MaxAttempts int
 }
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -46,7 +46,13 @@
 		return nil, fmt.Errorf("open stream: %w", err)
 	}
 	s := newStream(raw)
-	if err := s.Send(first); err != nil {
+	// A write waits for a peer that acknowledges nothing.
+	stop := context.AfterFunc(ctx, s.Reset)
+	err = s.Send(first)
+	if !stop() && err == nil {
+		err = context.Cause(ctx)
+	}
+	if err != nil {
 		s.Reset()
 		return nil, fmt.Errorf("send first message: %w", err)
 	}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -162,3 +162,41 @@
 		t.Fatalf("got %v, want a ClosedError", err)
 	}
 }
+
+// A peer that stands still acknowledges nothing. A caller that has given up must
+// not be held by it until the connection counts as silent.
+func TestOpenEndsWithItsContextWhileThePeerStandsStill(t *testing.T) {
+	dir := t.TempDir()
+	ca := authority(t, dir)
+	l := listen(t, options("agent", credentials(t, ca, dir, "agent")))
+	box, err := harness.NewMiddlebox(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(box.Close)
+	o := options("router", credentials(t, ca, dir, "router"))
+	o.PingInterval = time.Hour
+	p := transport.NewPool(o)
+	t.Cleanup(p.Close)
+	conn, err := p.Get(t.Context(), "agent", box.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	box.Forget()
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		// More than may be on its way unacknowledged.
+		_, err := conn.Open(ctx, &wire.Chunk{Data: make([]byte, 400<<10)})
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("opened")
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("still held after its context had ended")
+	}
+}
--- a/upstreamhttp/client.go
+++ b/upstreamhttp/client.go
@@ -82,6 +82,9 @@
 }
 
 func (c *Client) conn(ctx context.Context, address string) (*conn, error) {
+	if ctx.Err() != nil {
+		return nil, &DialError{Address: address, Err: context.Cause(ctx)}
+	}
 	for {
 		cn := c.take(address)
 		if cn == nil {
--- /dev/null
+++ b/upstreamhttp/client_test.go
@@ -0,0 +1,220 @@
+package upstreamhttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// upstream is a scripted server: each connection is handed to serve, which is
+// told its number from zero.
+func upstream(t *testing.T, serve func(n int, c net.Conn, in *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// readRequest reads one request and returns its id, or false at the end.
+func readRequest(in *bufio.Reader) (string, bool) {
+	r, err := http.ReadRequest(in)
+	if err != nil {
+		return "", false
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	return r.Header.Get("X-Id"), true
+}
+
+func answer(c io.Writer, id, body, more string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, more, len(body), body)
+}
+
+func send(t *testing.T, c *Client, address, id string) (string, error) {
+	t.Helper()
+	a, err := c.Send(t.Context(), address, &Request{
+		Method: http.MethodGet, Target: "/a", Host: "h", Header: http.Header{"X-Id": {id}},
+		Matches: func(h http.Header) bool { return h.Get("X-Id") == id },
+	})
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	address := upstream(t, func(n int, c net.Conn, in *bufio.Reader) {
+		for {
+			id, ok := readRequest(in)
+			if !ok {
+				return
+			}
+			answer(c, id, fmt.Sprint(id, n), "")
+		}
+	})
+	c := New(Options{})
+	for _, id := range []string{"a", "b"} {
+		if got, err := send(t, c, address, id); err != nil || got != id+"0" {
+			t.Errorf("got %q %v", got, err)
+		}
+	}
+}
+
+func TestBytesAfterAnAnswerReachNoOtherRequest(t *testing.T) {
+	extra := map[string]string{
+		"a second answer":       "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 5\r\n\r\nwrong",
+		"bytes of no answer":    "garbage\r\n\r\n",
+		"answer without length": "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nwrong",
+	}
+	for name, text := range extra {
+		t.Run(name, func(t *testing.T) {
+			address := upstream(t, func(n int, c net.Conn, in *bufio.Reader) {
+				for {
+					id, ok := readRequest(in)
+					if !ok {
+						return
+					}
+					answer(c, id, "right-"+id, "")
+					if n == 0 && id == "a" {
+						fmt.Fprint(c, text)
+					}
+				}
+			})
+			c := New(Options{})
+			for _, id := range []string{"a", "b"} {
+				if got, err := send(t, c, address, id); err != nil || got != "right-"+id {
+					t.Errorf("request %s got %q %v", id, got, err)
+				}
+			}
+		})
+	}
+}
+
+// A late extra answer comes just where the next one is expected.
+func TestLateExtraAnswerIsPassedOver(t *testing.T) {
+	address := upstream(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for {
+			id, ok := readRequest(in)
+			if !ok {
+				return
+			}
+			if id == "b" {
+				answer(c, "a", "wrong", "")
+			}
+			answer(c, id, "right-"+id, "")
+		}
+	})
+	c := New(Options{})
+	for _, id := range []string{"a", "b"} {
+		if got, err := send(t, c, address, id); err != nil || got != "right-"+id {
+			t.Errorf("request %s got %q %v", id, got, err)
+		}
+	}
+}
+
+func TestCutAnswerIsNoWholeAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 9\r\n\r\nshort",
+		"chunks": "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+	} {
+		address := upstream(t, func(_ int, c net.Conn, in *bufio.Reader) {
+			readRequest(in)
+			fmt.Fprint(c, text)
+		})
+		_, err := send(t, New(Options{}), address, "a")
+		var broken *BrokenError
+		if !errors.As(err, &broken) || broken.Stage != StageBody {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	long := strings.Repeat("x", 8<<20)
+	address := upstream(t, func(n int, c net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		answer(c, r.Header.Get("X-Id"), fmt.Sprint("early", n), "")
+		if n == 0 {
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	c := New(Options{})
+	a, err := c.Send(t.Context(), address, &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"X-Id": {"a"}}, Body: []byte(long)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(a); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	if n := c.Idle(address); n != 0 {
+		t.Errorf("%d connections kept with a body half sent", n)
+	}
+}
+
+func TestNothingIsSentForACallerWhoHasLeft(t *testing.T) {
+	got := make(chan string, 2)
+	address := upstream(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for {
+			id, ok := readRequest(in)
+			if !ok {
+				return
+			}
+			got <- id
+			answer(c, id, "x", "")
+		}
+	})
+	c := New(Options{})
+	if _, err := send(t, c, address, "a"); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := c.Send(ctx, address, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"X-Id": {"b"}}})
+	var dial *DialError
+	if !errors.As(err, &dial) {
+		t.Errorf("got %v, want DialError", err)
+	}
+	<-got
+	select {
+	case id := <-got:
+		t.Errorf("request %s was sent", id)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
+func TestKeepAliveTimeoutIsRespected(t *testing.T) {
+	h := http.Header{"Keep-Alive": {"timeout=3, max=100"}}
+	if got := idleFor(h, time.Minute); got != 3*time.Second-idleMargin {
+		t.Errorf("got %v", got)
+	}
+	if got := idleFor(http.Header{}, time.Minute); got != time.Minute {
+		t.Errorf("got %v", got)
+	}
+}
