upstreamhttp: a request that was given up resets its connection

Ruled out: requests sent after the caller had left; the log of the router shows none. A reset discards what has not been received. Test first: the upstream saw EOF.

--- a/upstreamhttp/answer.go
+++ b/upstreamhttp/answer.go
@@ -43,5 +43,5 @@
 		a.x.client.put(a.x.conn, keep)
 		return
 	}
-	a.x.conn.Close()
+	a.x.conn.abort()
 }
--- a/upstreamhttp/client.go
+++ b/upstreamhttp/client.go
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	x := &exchange{client: c, conn: cn, ctx: ctx, request: r}
-	x.stop = context.AfterFunc(ctx, func() { cn.Close() })
+	x.stop = context.AfterFunc(ctx, cn.abort)
 	return x.run()
 }
 
--- a/upstreamhttp/client_test.go
+++ b/upstreamhttp/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -218,3 +219,27 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+// A request that was given up must not reach an upstream that stood still and
+// wakes later, so the bytes on their way have to be discarded.
+func TestGivenUpRequestResetsItsConnection(t *testing.T) {
+	ended := make(chan error, 1)
+	begun := make(chan struct{})
+	address := upstream(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		readRequest(in)
+		close(begun)
+		_, err := in.ReadByte()
+		ended <- err
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-begun
+		cancel()
+	}()
+	if _, err := New(Options{}).Send(ctx, address, &Request{Method: http.MethodGet, Target: "/", Host: "h"}); err == nil {
+		t.Error("answered")
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the upstream saw %v, want a reset", err)
+	}
+}
--- a/upstreamhttp/conn.go
+++ b/upstreamhttp/conn.go
@@ -30,6 +30,16 @@
 	return &conn{Conn: c, address: address, in: bufio.NewReaderSize(c, readBufferBytes)}
 }
 
+// abort closes the connection and discards what the upstream has not received
+// yet, so that it can't run a request later that was given up.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// It fails only on a closed connection.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // idleFor is how long the upstream keeps the connection, if it says so.
 func idleFor(h http.Header, otherwise time.Duration) time.Duration {
 	for _, p := range strings.Split(h.Get("Keep-Alive"), ",") {
--- a/upstreamhttp/exchange.go
+++ b/upstreamhttp/exchange.go
@@ -86,7 +86,7 @@
 // has ended.
 func (x *exchange) fail(s Stage, err error) error {
 	x.stop()
-	x.conn.Close()
+	x.conn.abort()
 	if cause := context.Cause(x.ctx); cause != nil {
 		err = cause
 	}
