ingress: no request waits past the end of its process, or for a VM that leaves

Now a stopping process gives up what has not begun 700 ms before its end, and lets new requests wait only as long as leaves time for the answer. Now the VM is looked at again once the place is there, and a sidecar refuses those that wait when its engine leaves.

The new rule tests found a third: a request at the end of its route's time got no 504 but a closed connection, since the deadline for writing had passed too.

--- /dev/null
+++ b/e2e/hosted/world_test.go
@@ -0,0 +1,240 @@
+// Package hosted plays the two programs of a hosted installation against
+// stand-ins of the platform, in one process, over loopback.
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/ingress"
+	"github.com/laureltally/laureltally/keys"
+	"github.com/laureltally/laureltally/platform"
+	"github.com/laureltally/laureltally/platform/platformtest"
+	"github.com/laureltally/laureltally/sidecar"
+)
+
+const (
+	host    = "orders.example"
+	zone    = "z1"
+	region  = "r1"
+	patient = 20 * time.Second
+)
+
+// world is an installation.
+type world struct {
+	t         *testing.T
+	store     *platformtest.Store
+	router    string
+	readiness string
+	stop      context.CancelFunc
+	stopped   chan error
+	client    *http.Client
+	udp       int
+}
+
+// logger drops its lines unless a test is debugged with -v.
+func logger(t *testing.T) log.Interface {
+	h := log.HandlerFunc(func(e *log.Entry) error {
+		if testing.Verbose() {
+			t.Logf("%s %v", e.Message, e.Fields)
+		}
+		return nil
+	})
+	if !testing.Verbose() {
+		return &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	}
+	return &log.Logger{Handler: h, Level: log.InfoLevel}
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, store: platformtest.NewStore(), udp: freePort(t), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	t.Cleanup(w.store.Close)
+	return w
+}
+
+// freePort draws a port that is free on all loopback addresses that tests use.
+func freePort(t *testing.T) int {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "0.0.0.0:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().(*net.UDPAddr).Port
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// startRouter starts an ingress and waits until it is ready.
+func (w *world) startRouter() {
+	w.t.Helper()
+	w.router, w.readiness = freeAddress(w.t), freeAddress(w.t)
+	credentials, err := keys.NewEphemeral("router", nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	server, err := ingress.New(ingress.Options{
+		Settings: config.IngressSettings{
+			VM: "router", Region: region, Zone: zone, Listen: w.router, ReadinessListen: w.readiness,
+			AdminListen: freeAddress(w.t), SidecarPort: w.udp, RetryShare: 0.2, RetrySlack: 50,
+			ShutdownTimeout: config.Duration(4 * time.Second),
+		},
+		Directory:     &platform.Directory{Store: platform.NewStore(w.store.Address()), Regions: platform.Regions{zone: region}},
+		Protocol:      platform.Protocol{},
+		Credentials:   credentials,
+		Logger:        logger(w.t),
+		ReadinessPath: platform.ReadinessPath,
+		PollInterval:  200 * time.Millisecond, BalancerNotice: 300 * time.Millisecond,
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop, w.stopped = cancel, make(chan error, 1)
+	go func() {
+		w.stopped <- server.Run(ctx)
+		close(w.stopped)
+	}()
+	w.t.Cleanup(func() {
+		cancel()
+		w.client.CloseIdleConnections()
+		select {
+		case <-w.stopped:
+		case <-time.After(patient):
+			w.t.Error("the router did not stop")
+		}
+	})
+	w.eventually("the router is ready", w.ready)
+}
+
+func (w *world) ready() bool {
+	resp, err := http.Get("http://" + w.readiness + platform.ReadinessPath)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// startSidecar starts the sidecar of an engine.
+func (w *world) startSidecar(u *platformtest.Upstream, service, vm string) (stop func()) {
+	w.t.Helper()
+	credentials, err := keys.NewEphemeral(ident.VM(u.Address()), nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	ip, _, _ := strings.Cut(u.Address(), ":")
+	store := platform.NewStore(w.store.Address())
+	s := sidecar.New(sidecar.Options{
+		Settings: config.SidecarSettings{
+			VM: ident.VM(vm), Region: region, Zone: zone, Service: ident.Upstream(service), EngineAddress: u.Address(),
+			PeerListen: fmt.Sprintf("%s:%d", ip, w.udp), AdminListen: freeAddress(w.t),
+			OrderLease: config.Duration(300 * time.Millisecond),
+		},
+		Engine:      platform.NewEngine(u.Address()),
+		Store:       store,
+		Directory:   &platform.Directory{Store: store, Regions: platform.Regions{zone: region}},
+		Credentials: credentials,
+		Logger:      logger(w.t),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := s.Run(ctx); err != nil {
+			w.t.Errorf("sidecar: %v", err)
+		}
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	w.t.Cleanup(stop)
+	return stop
+}
+
+// upstream starts an upstream and registers it.
+func (w *world) upstream(o platformtest.UpstreamOptions) *platformtest.Upstream {
+	w.t.Helper()
+	if o.Zone == "" {
+		o.Zone = zone
+	}
+	if o.Slots == 0 {
+		o.Slots = 16
+	}
+	u, err := platformtest.NewUpstream(o)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(u.Close)
+	u.Register(w.store, "ready")
+	return u
+}
+
+func (w *world) call(c platformtest.Call) platformtest.Reply {
+	w.t.Helper()
+	if c.Host == "" {
+		c.Host = host
+	}
+	ctx, cancel := context.WithTimeout(w.t.Context(), patient)
+	defer cancel()
+	return c.Do(ctx, w.client, w.router)
+}
+
+// eventually waits for a condition.
+func (w *world) eventually(what string, ok func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(patient); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	w.t.Fatalf("never: %s", what)
+}
+
+// routes of the tests.
+func idempotent(service string) platformtest.Route {
+	return platformtest.Route{Host: host, Prefix: "/read/", Kind: "idempotent", Service: service, TimeoutMS: 1500, ObjectiveMS: 300, MaxAttempts: 2}
+}
+
+func nonIdempotent(service string) platformtest.Route {
+	return platformtest.Route{Host: host, Prefix: "/order/", Kind: "non_idempotent", Service: service, TimeoutMS: 1500, ObjectiveMS: 300, MaxAttempts: 1}
+}
+
+func resumable(service string) platformtest.Route {
+	return platformtest.Route{Host: host, Prefix: "/outlook/", Kind: "streaming", Service: service, TimeoutMS: 10000, ObjectiveMS: 2500, GapMS: 300, MaxAttempts: 2, Resumable: true}
+}
+
+func draft(service string) platformtest.Route {
+	return platformtest.Route{Host: host, Prefix: "/draft/", Kind: "streaming", Service: service, TimeoutMS: 5000, ObjectiveMS: 800, GapMS: 300, MaxAttempts: 1}
+}
+
+// plain writes a configuration with all routes to one plain service.
+func plain(w *world, version int) platformtest.Config {
+	c := platformtest.Config{
+		Version: version, IdleTimeoutMS: 15000, HeaderBytes: 4096, BodyBytes: 1 << 20,
+		Routes:   []platformtest.Route{idempotent("portal"), nonIdempotent("portal"), resumable("portal"), draft("portal")},
+		Services: []platformtest.Service{{Name: "portal"}},
+	}
+	c.Write(w.store)
+	return c
+}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -102,6 +102,8 @@
 		return result{kind: callerGone, err: err}
 	case errors.As(err, &dial):
 		return result{kind: notSent, err: err}
+	case d.s.halt.Err() != nil:
+		return result{kind: broken, err: &StoppingError{}}
 	case ctx.Err() != nil:
 		return result{kind: timedOut, err: err}
 	}
--- a/ingress/belief.go
+++ b/ingress/belief.go
@@ -175,3 +175,10 @@
 	b.board.Promise(now, model)
 	return model
 }
+
+// usable tells whether a VM that was chosen earlier still takes new requests.
+func (b *belief) usable(now time.Time, vm *fleet.VM) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.board.Usable(now, vm)
+}
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -20,6 +20,8 @@
 	// answerSlack is how much longer than the route allows an answer is waited for,
 	// since upstreams answer at the deadline themselves.
 	answerSlack = 120 * time.Millisecond
+	// writeSlack is how much longer writing the last answer may take.
+	writeSlack = time.Second
 	// leastTime is the time that another attempt needs to be of use.
 	leastTime = 50 * time.Millisecond
 	// maxRefusals is how many sidecars are asked for a place, each in one round
@@ -61,7 +63,9 @@
 	d.prepare()
 	ctx, cancel := context.WithDeadline(d.r.Context(), d.deadline.Add(answerSlack))
 	defer cancel()
-	_ = http.NewResponseController(d.w).SetWriteDeadline(d.deadline.Add(answerSlack))
+	// What has not begun when the process has to end is answered before that.
+	defer context.AfterFunc(d.s.halt, cancel)()
+	_ = http.NewResponseController(d.w).SetWriteDeadline(d.deadline.Add(answerSlack + writeSlack))
 	for {
 		p, ok := d.place(ctx)
 		if !ok {
@@ -130,13 +134,19 @@
 		p, err := d.reserve(ctx, choice)
 		var refused *RefusedError
 		switch {
-		case err == nil:
+		case err == nil && d.s.belief.usable(d.s.o.Now(), choice.VM):
 			d.waited = p.waited
 			return p, true
+		case err == nil:
+			d.note("the VM began to leave while the request waited", nil)
+			p.settle(result{})
 		case d.r.Context().Err() != nil:
 			d.log(stop, 0, log.Fields{"outcome": callerGone})
 			d.s.metrics.request(string(callerGone))
 			return nil, false
+		case d.s.halt.Err() != nil:
+			d.noPlace(&StoppingError{})
+			return nil, false
 		case errors.As(err, &refused):
 			d.refused(choice, refused)
 		case choice.Readiness == placement.Loaded:
@@ -176,7 +186,7 @@
 	p, err := link.reserve(ctx, &wire.Reserve{
 		Request: d.info.ID, Model: d.need.Model, Adapter: d.need.Adapter, Priority: d.need.Priority,
 		Tokens:    d.info.PromptTokens + d.info.MaxOutputTokens,
-		Patience:  patience(now, d.start, d.deadline, d.route, c.Readiness),
+		Patience:  min(patience(now, d.start, d.deadline, d.route, c.Readiness), d.s.stopPatience(now)),
 		Objective: d.start.Add(d.route.Objective).Sub(now),
 		Gap:       d.route.MaxEventGap,
 	})
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -41,6 +41,12 @@
 	// nanoseconds since epoch.
 	configAt atomic.Int64
 	epoch    time.Time
+	// halt ends when whatever has not begun to be answered is given up, since the
+	// process has to end.
+	halt    context.Context
+	haltNow context.CancelFunc
+	// stopBy is when halt will end, as nanoseconds since epoch; zero means never.
+	stopBy atomic.Int64
 
 	mu    sync.Mutex
 	links map[ident.VM]*sidecarLink
@@ -59,6 +65,7 @@
 		metrics: newMetrics(o.Metrics),
 		links:   make(map[ident.VM]*sidecarLink),
 	}
+	s.halt, s.haltNow = context.WithCancel(context.Background())
 	s.pool = transport.NewPool(transport.Options{
 		Hello:       wire.Hello{VM: o.Settings.VM, Role: metastore.RoleRouter, Region: o.Settings.Region, Zone: o.Settings.Zone},
 		Credentials: o.Credentials,
@@ -138,15 +145,39 @@
 	g.Go(func() error { <-work.Done(); return admin.Close() })
 }
 
+const (
+	// haltSlack is how long before the end of a shutdown requests are given up that
+	// have not begun to be answered; it covers writing those answers.
+	haltSlack = 700 * time.Millisecond
+	// exitSlack is left for the end of the process itself.
+	exitSlack = 300 * time.Millisecond
+	// stopServe is the time that a request needs, once it has its place, to be
+	// answered before a shutdown ends.
+	stopServe = 3 * time.Second
+)
+
+// stopPatience is how long a request may wait for its place: without bound, or
+// while the process stops, as long as leaves time for the answer.
+func (s *Server) stopPatience(now time.Time) time.Duration {
+	by := s.stopBy.Load()
+	if by == 0 {
+		return maxRequestTime
+	}
+	return max(0, s.epoch.Add(time.Duration(by)).Sub(now)-stopServe)
+}
+
 // shutdown lets the balancer notice, then closes the listener and waits for the
 // requests that run.
 func (s *Server) shutdown(server *http.Server) {
-	s.draining.Store(true)
 	begun := time.Now()
+	grace := time.Duration(s.o.Settings.ShutdownTimeout)
+	s.stopBy.Store(int64(s.o.Now().Sub(s.epoch) + grace - haltSlack))
+	s.draining.Store(true)
+	halt := time.AfterFunc(grace-haltSlack, s.haltNow)
+	defer halt.Stop()
 	s.o.Logger.Info("stopping: not ready any more")
 	time.Sleep(s.o.BalancerNotice)
-	limit := time.Duration(s.o.Settings.ShutdownTimeout) - time.Since(begun)
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-exitSlack))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		s.o.Logger.WithError(err).Warn("requests were still running at the end of the shutdown")
--- a/placement/board.go
+++ b/placement/board.go
@@ -178,6 +178,12 @@
 	}
 }
 
+// Usable tells whether a VM that was chosen earlier still takes new requests.
+func (b *Board) Usable(now time.Time, vm *fleet.VM) bool {
+	m := b.members[vm.ID]
+	return m != nil && m.vm.Same(vm) && m.usable(now)
+}
+
 // Started counts a request that is sent to a VM.
 func (b *Board) Started(now time.Time, vm ident.VM, p ident.Priority) {
 	m := b.members[vm]
--- a/residency/machine.go
+++ b/residency/machine.go
@@ -240,21 +240,32 @@
 	}
 }
 
-// expire refuses requests whose place was not ready in time.
+// expire refuses requests whose place was not ready in time, and all that wait
+// once the engine is leaving.
 func (m *Machine) expire(now time.Time) []Action {
 	var out []Action
 	m.requests = slices.DeleteFunc(m.requests, func(p *pending) bool {
-		late := !p.holds() && now.After(p.expires())
-		if late {
+		switch {
+		case p.holds():
+			return false
+		case m.snap.Leaving:
+			out = append(out, &Refuse{ID: p.ID, RetryAfter: leavingRetryAfter, Reason: ReasonLeaving})
+			return true
+		case now.After(p.expires()):
 			wait, _ := m.estimate(now, p)
 			m.remember(now, p.Model)
 			out = append(out, &Refuse{ID: p.ID, RetryAfter: wait, Reason: ReasonPatience})
+			return true
 		}
-		return late
+		return false
 	})
 	return out
 }
 
+// leavingRetryAfter is what a caller is told whose engine leaves: others take its
+// requests at once.
+const leavingRetryAfter = 200 * time.Millisecond
+
 // grantAll gives places to those that wait longest.
 func (m *Machine) grantAll(now time.Time) []Action {
 	var out []Action
--- /dev/null
+++ b/residency/machine_test.go
@@ -0,0 +1,338 @@
+package residency
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/serving"
+)
+
+var start = time.Unix(1000, 0)
+
+// spec is an engine that holds two of its three models.
+func spec() *serving.Engine {
+	e := &serving.Engine{MemoryMB: 100, AdapterSlots: 2, Concurrency: 16, CacheTokens: 10000, LoadsPerSecond: 1}
+	for _, name := range []ident.Model{"a", "b", "c", "d"} {
+		e.Models = append(e.Models, serving.Model{
+			Name: name, MemoryMB: 45, AdapterMB: 1, Adapters: 5,
+			RemoteLoad: 6 * time.Second, DiskLoad: time.Second, MemoryLoad: 500 * time.Millisecond,
+		})
+	}
+	e.Index()
+	return e
+}
+
+// world is a Machine with an engine that carries out orders at once.
+type world struct {
+	t       *testing.T
+	m       *Machine
+	now     time.Time
+	snap    Snapshot
+	granted []RequestID
+	refused map[RequestID]*Refuse
+	orders  []*Submit
+	fetches []*Fetch
+	// hold keeps orders from being carried out.
+	hold bool
+}
+
+func newWorld(t *testing.T, loaded ...ident.Model) *world {
+	t.Helper()
+	w := &world{t: t, m: New(Options{}), now: start, refused: make(map[RequestID]*Refuse)}
+	w.snap = Snapshot{Loaded: map[ident.Model][]ident.Adapter{}, Tiers: map[ident.Model]engine.Tier{}}
+	for _, name := range loaded {
+		w.snap.Loaded[name] = nil
+		w.snap.Tiers[name] = engine.TierDisk
+	}
+	w.m.Configure(spec())
+	w.m.AllowOrders()
+	w.observe()
+	return w
+}
+
+func (w *world) observe() {
+	s := w.snap
+	s.ReadAt = w.now
+	s.Loaded = make(map[ident.Model][]ident.Adapter)
+	for k, v := range w.snap.Loaded {
+		s.Loaded[k] = slices.Clone(v)
+	}
+	w.do(w.m.Observe(w.now, s))
+}
+
+// pass lets time go by with a report every 100 ms.
+func (w *world) pass(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.observe()
+	}
+}
+
+func (w *world) reserve(r Request) {
+	if r.Patience == 0 {
+		r.Patience = 5 * time.Second
+	}
+	w.do(w.m.Reserve(w.now, r))
+}
+
+func (w *world) do(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case *Grant:
+			w.granted = append(w.granted, a.ID)
+		case *Refuse:
+			w.refused[a.ID] = a
+		case *Fetch:
+			w.fetches = append(w.fetches, a)
+		case *Submit:
+			w.orders = append(w.orders, a)
+			w.submit(a)
+		}
+	}
+}
+
+func (w *world) submit(a *Submit) {
+	if a.After != w.snap.Accepted {
+		w.t.Fatalf("order %+v after %d accepted", a, w.snap.Accepted)
+	}
+	w.now = w.now.Add(time.Millisecond)
+	if w.hold {
+		return
+	}
+	w.carryOut(a)
+	w.m.Submitted(w.now, OrderAccepted)
+}
+
+func (w *world) carryOut(a *Submit) {
+	w.snap.Accepted++
+	switch a.Kind {
+	case engine.OrderLoad:
+		w.snap.Loaded[a.Model] = nil
+		w.snap.Tiers[a.Model] = engine.TierMemory
+	case engine.OrderUnload:
+		delete(w.snap.Loaded, a.Model)
+	case engine.OrderLoadAdapter:
+		w.snap.Loaded[a.Model] = append(w.snap.Loaded[a.Model], a.Adapter)
+	case engine.OrderUnloadAdapter:
+		w.snap.Loaded[a.Model] = slices.DeleteFunc(w.snap.Loaded[a.Model], func(x ident.Adapter) bool { return x == a.Adapter })
+	}
+	used, adapters := 0.0, 0
+	for _, as := range w.snap.Loaded {
+		used += 45 + float64(len(as))
+		adapters += len(as)
+	}
+	if used > 100 || adapters > 2 {
+		w.t.Fatalf("%.0f MB and %d adapters loaded", used, adapters)
+	}
+}
+
+func TestLoadedModelIsGrantedAtOnce(t *testing.T) {
+	w := newWorld(t, "a")
+	w.reserve(Request{ID: 1, Model: "a"})
+	if !slices.Equal(w.granted, []RequestID{1}) {
+		t.Errorf("granted %v", w.granted)
+	}
+}
+
+// Rare models in turn: the idle model that is asked for least makes way, the
+// busy one stays.
+func TestIdleModelMakesWay(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.snap.Tiers["c"] = engine.TierDisk
+	w.observe()
+	for i := range RequestID(3) {
+		w.reserve(Request{ID: 10 + i, Model: "a"})
+		w.do(w.m.Release(w.now, 10+i, Outcome{}))
+	}
+	w.reserve(Request{ID: 1, Model: "c"})
+	w.pass(time.Second)
+	if !slices.Contains(w.granted, 1) {
+		t.Fatalf("not granted; orders %+v", w.orders)
+	}
+	if _, ok := w.snap.Loaded["a"]; !ok {
+		t.Error("the busy model made way")
+	}
+}
+
+// No model makes way while a request runs on it.
+func TestModelInUseStays(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.snap.Tiers["c"] = engine.TierDisk
+	w.observe()
+	w.reserve(Request{ID: 1, Model: "a"})
+	w.reserve(Request{ID: 2, Model: "b"})
+	w.reserve(Request{ID: 3, Model: "c", Patience: 5 * time.Second})
+	w.pass(2 * time.Second)
+	if len(w.orders) > 0 {
+		t.Errorf("orders while all models are in use: %+v", w.orders[0])
+	}
+	w.do(w.m.Release(w.now, 2, Outcome{}))
+	w.pass(500 * time.Millisecond)
+	if !slices.Contains(w.granted, 3) {
+		t.Error("not granted once a model was idle")
+	}
+}
+
+// A model from the weight store is loaded only with a place there.
+func TestRemoteLoadNeedsAPlace(t *testing.T) {
+	w := newWorld(t, "a")
+	w.m.Fetching(w.now, "", false)
+	w.pass(time.Second)
+	w.m.Fetching(w.now, "", false)
+	w.fetches = nil
+	w.reserve(Request{ID: 1, Model: "c", Patience: 10 * time.Second})
+	w.pass(time.Second)
+	if len(w.orders) > 0 || len(w.fetches) == 0 || w.fetches[0].Model != "c" {
+		t.Fatalf("orders %v, fetches %v", w.orders, w.fetches)
+	}
+	w.do(w.m.Fetching(w.now, "c", true))
+	w.pass(200 * time.Millisecond)
+	if !slices.Contains(w.granted, 1) {
+		t.Error("not granted after the load")
+	}
+}
+
+// Requests that can't begin in time are refused at once, with the time to come
+// back, and their model is there then.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.snap.Tiers["c"] = engine.TierDisk
+	w.observe()
+	w.reserve(Request{ID: 1, Model: "c", Patience: 100 * time.Millisecond})
+	r := w.refused[1]
+	if r == nil || r.RetryAfter < time.Second {
+		t.Fatalf("got %+v", r)
+	}
+	w.pass(r.RetryAfter + 200*time.Millisecond)
+	w.reserve(Request{ID: 2, Model: "c", Patience: 100 * time.Millisecond})
+	if !slices.Contains(w.granted, 2) {
+		t.Error("the model is not there when the caller comes back")
+	}
+}
+
+// Sustained overload: the queue never exceeds what can begin in time.
+func TestQueueIsBoundedByPatience(t *testing.T) {
+	w := newWorld(t, "a")
+	for id := range RequestID(100) {
+		w.reserve(Request{ID: id + 1, Model: "a", Patience: 500 * time.Millisecond})
+	}
+	if len(w.granted) == 0 || len(w.refused) < 80 {
+		t.Errorf("granted %d, refused %d", len(w.granted), len(w.refused))
+	}
+	for _, r := range w.refused {
+		if r.Reason != ReasonFull || r.RetryAfter <= 500*time.Millisecond {
+			t.Fatalf("got %+v", r)
+		}
+	}
+}
+
+// A queued request must not reach an engine that has begun to leave.
+func TestLeavingEngineRefusesThoseThatWait(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.snap.Tiers["c"] = engine.TierDisk
+	w.observe()
+	w.reserve(Request{ID: 1, Model: "a"})
+	w.reserve(Request{ID: 2, Model: "b"})
+	w.reserve(Request{ID: 3, Model: "c", Patience: 10 * time.Second})
+	w.snap.Leaving = true
+	w.pass(200 * time.Millisecond)
+	if r := w.refused[3]; r == nil || r.Reason != ReasonLeaving {
+		t.Errorf("got %+v", r)
+	}
+	w.do(w.m.Release(w.now, 1, Outcome{}))
+	if slices.Contains(w.granted, 3) {
+		t.Error("granted by a leaving engine")
+	}
+}
+
+// Adapters: slots and memory count those on their way, and an unused one makes
+// way.
+func TestAdapterSlotsAreNeverExceeded(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	for i, a := range []ident.Adapter{"a1", "a2", "a3", "a4"} {
+		id := RequestID(i + 1)
+		w.reserve(Request{ID: id, Model: "a", Adapter: a})
+		w.pass(300 * time.Millisecond)
+		if !slices.Contains(w.granted, id) {
+			t.Fatalf("adapter %s not loaded", a)
+		}
+		w.do(w.m.Release(w.now, id, Outcome{}))
+	}
+}
+
+func TestArrivingAdaptersTakeSlots(t *testing.T) {
+	w := newWorld(t, "a")
+	w.snap.Arriving = []AdapterRef{{"a", "a4"}, {"a", "a5"}}
+	w.observe()
+	w.reserve(Request{ID: 1, Model: "a", Adapter: "a1"})
+	w.pass(300 * time.Millisecond)
+	if len(w.orders) > 0 {
+		t.Errorf("ordered %+v with no slot left", w.orders[0])
+	}
+}
+
+// An order without an answer may be carried out later. The next one names the
+// same count of accepted orders, so that only one of them can be.
+func TestOrderAfterALostOneKeepsItsPrecondition(t *testing.T) {
+	w := newWorld(t, "a")
+	w.snap.Tiers["c"], w.snap.Tiers["d"] = engine.TierDisk, engine.TierDisk
+	w.observe()
+	w.hold = true
+	w.reserve(Request{ID: 1, Model: "c", Patience: 10 * time.Second})
+	lost := w.orders[0]
+	w.m.Submitted(w.now, OrderLost)
+	w.hold = false
+	w.pass(300 * time.Millisecond)
+	if len(w.orders) < 2 || w.orders[1].After != lost.After {
+		t.Fatalf("orders %+v", w.orders)
+	}
+	if w.snap.Accepted == lost.After {
+		t.Error("no order was accepted, the lost one may still run")
+	}
+}
+
+func TestRestartedEngineIsSeenEmpty(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.snap = Snapshot{Started: 5, Loaded: map[ident.Model][]ident.Adapter{}, Tiers: map[ident.Model]engine.Tier{"a": engine.TierDisk}}
+	w.observe()
+	w.reserve(Request{ID: 1, Model: "a"})
+	w.pass(300 * time.Millisecond)
+	if len(w.orders) == 0 || w.orders[0].Kind != engine.OrderLoad || w.orders[0].After != 0 {
+		t.Errorf("orders %+v", w.orders)
+	}
+}
+
+func TestNothingIsOrderedBeforeOrdersAreAllowed(t *testing.T) {
+	m := New(Options{})
+	m.Configure(spec())
+	s := Snapshot{ReadAt: start, Loaded: map[ident.Model][]ident.Adapter{}, Tiers: map[ident.Model]engine.Tier{"a": engine.TierDisk}}
+	m.Observe(start, s)
+	for _, a := range m.Reserve(start, Request{ID: 1, Model: "a", Patience: 5 * time.Second}) {
+		if _, ok := a.(*Submit); ok {
+			t.Error("ordered")
+		}
+	}
+}
+
+// Answers that are nearly late lower the limit; good ones at the limit raise it.
+func TestLimitFollowsDelays(t *testing.T) {
+	l := limit{value: 20, least: 4, most: 100}
+	r := &Request{Objective: time.Second, Gap: 300 * time.Millisecond}
+	now := start
+	for range 20 {
+		now = now.Add(time.Second)
+		l.learn(now, r, Outcome{FirstEvent: 100 * time.Millisecond, WorstGap: 290 * time.Millisecond}, 20)
+	}
+	if l.value >= 10 {
+		t.Errorf("limit %v after many slow answers", l.value)
+	}
+	for range 100 {
+		l.learn(now, r, Outcome{FirstEvent: 100 * time.Millisecond, WorstGap: 50 * time.Millisecond}, int(l.value))
+	}
+	if l.value <= 20 {
+		t.Errorf("limit %v after many good answers", l.value)
+	}
+}
