placement, residency: places at the weight store go by demand

Loads that refused callers will come back for stood last in the queue of the weight store, behind every rare model; no model that one VM had was ever brought to a second from the store; an engine that was down was sent 326 orders in a second; a request due in 0.6 s was refused because of models due in 4 s.

Now the router that hands out places counts the requests that find no free VM with their model, and a load's urgency is that rate over the VMs that have it; orders pause 50 ms after one that was not accepted; an estimate counts only what is due earlier.

--- /dev/null
+++ b/decay/doc.go
@@ -0,0 +1,2 @@
+// Package decay counts events such that older ones count less.
+package decay
--- /dev/null
+++ b/decay/rate_test.go
@@ -0,0 +1,26 @@
+package decay
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+func TestRate(t *testing.T) {
+	const halfLife = 5 * time.Second
+	var r Rate
+	now := time.Unix(1000, 0)
+	if got := r.Get(now, halfLife); got != 0 {
+		t.Errorf("before any event: %v", got)
+	}
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		r.Add(now, halfLife)
+	}
+	if got := r.Get(now, halfLife); math.Abs(got-10) > 0.3 {
+		t.Errorf("after a minute of ten events a second: %v", got)
+	}
+	if got, want := r.Get(now.Add(halfLife), halfLife), r.Get(now, halfLife)/2; math.Abs(got-want) > 1e-9 {
+		t.Errorf("after a half-life: %v, want %v", got, want)
+	}
+}
--- a/ingress/belief.go
+++ b/ingress/belief.go
@@ -166,16 +166,30 @@
 
 // fetch notes that a VM is about to load a model from the weight store. An empty
 // model stands for the one that is most worth it.
-func (b *belief) fetch(now time.Time, service ident.Upstream, model ident.Model) ident.Model {
+func (b *belief) fetch(now time.Time, service ident.Upstream, vm ident.VM, model ident.Model) ident.Model {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if model == "" {
-		return b.board.NextFetch(now, service)
+		model, _ = b.board.NextFetch(now, service, string(vm))
+	}
+	if model != "" {
+		b.board.Promise(now, model)
 	}
-	b.board.Promise(now, model)
 	return model
 }
 
+// fetchWorth is how much a load is worth that a VM asks a place for, in requests
+// a second.
+func (b *belief) fetchWorth(now time.Time, service ident.Upstream, vm ident.VM, model ident.Model) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if model != "" {
+		return b.board.FetchWorth(now, model)
+	}
+	_, worth := b.board.NextFetch(now, service, string(vm))
+	return worth
+}
+
 // usable tells whether a VM that was chosen earlier still takes new requests.
 func (b *belief) usable(now time.Time, vm *fleet.VM) bool {
 	b.mu.Lock()
--- a/ingress/gatekeeper.go
+++ b/ingress/gatekeeper.go
@@ -73,7 +73,7 @@
 	case <-ctx.Done():
 		return
 	}
-	model := g.s.belief.fetch(g.s.o.Now(), r.Upstream, r.Model)
+	model := g.s.belief.fetch(g.s.o.Now(), r.Upstream, r.VM, r.Model)
 	g.s.o.Logger.WithFields(log.Fields{"vm": peer.VM, "model": model, "ahead": r.Model == ""}).Info("place at the weight store")
 	if model == "" {
 		return
@@ -99,7 +99,7 @@
 	decided := make(chan gate.Verdict, 1)
 	l.waiting[g.next] = decided
 	now := g.s.o.Now()
-	q := gate.Request{ID: g.next, VM: r.VM, Class: gate.ModelLoad, Priority: r.Priority}
+	q := gate.Request{ID: g.next, VM: r.VM, Class: gate.ModelLoad, Priority: urgency(g.s.belief.fetchWorth(now, r.Upstream, r.VM, r.Model))}
 	if r.Remaining > 0 {
 		q.Deadline = now.Add(r.Remaining)
 	}
@@ -112,6 +112,24 @@
 	return g.next, decided, nil
 }
 
+// urgency orders loads by what they are worth, in requests a second: each level
+// is half as much as the one before.
+func urgency(worth float64) ident.Priority {
+	p := ident.Priority(0)
+	for worth < mostUrgentWorth && p < leastUrgent {
+		worth *= 2
+		p++
+	}
+	return p
+}
+
+const (
+	// mostUrgentWorth is the worth of the first level, about what one VM can serve.
+	mostUrgentWorth = 8
+	// leastUrgent is the last level.
+	leastUrgent = 9
+)
+
 func (g *gatekeeper) done(service ident.Upstream, id gate.TicketID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/placement/board.go
+++ b/placement/board.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/coldstart"
+	"github.com/laureltally/laureltally/decay"
 	"github.com/laureltally/laureltally/eject"
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/fleet"
@@ -34,9 +35,9 @@
 	byAddress map[string]ident.VM
 	ejectors  map[ident.Upstream]*eject.Ejector
 	services  map[ident.Upstream]*serving.Service
-	demand    map[ident.Model]*demand
-	// promised is until when a model counts as coming.
-	promised map[ident.Model]time.Time
+	pressure  map[ident.Model]*decay.Rate
+	// promised is until when a model counts as coming, once for each VM.
+	promised map[ident.Model][]time.Time
 }
 
 // New returns an empty Board.
@@ -53,8 +54,8 @@
 		byAddress: make(map[string]ident.VM),
 		ejectors:  make(map[ident.Upstream]*eject.Ejector),
 		services:  make(map[ident.Upstream]*serving.Service),
-		demand:    make(map[ident.Model]*demand),
-		promised:  make(map[ident.Model]time.Time),
+		pressure:  make(map[ident.Model]*decay.Rate),
+		promised:  make(map[ident.Model][]time.Time),
 	}, nil
 }
 
@@ -216,9 +217,7 @@
 		}
 		return loaded, nil
 	}
-	if !found {
-		b.Missed(now, n)
-	}
+	b.pressed(now, n.Model)
 	other, ok := b.chooseToLoad(now, n)
 	switch {
 	case ok && (!found || other.Wait < loaded.Wait):
--- /dev/null
+++ b/placement/board_test.go
@@ -0,0 +1,237 @@
+package placement
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/fleet"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/serving"
+	"github.com/laureltally/laureltally/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+// newBoard knows n VMs of the service "models", with the ids 0 to n-1 and the
+// addresses 10.0.0.1:80 and on, in the given regions in turn.
+func newBoard(t *testing.T, n int, regions ...ident.Region) *Board {
+	t.Helper()
+	b, err := New(Options{Region: "r0", Zone: "z0", AgentPort: 7000, Rand: rand.New(rand.NewPCG(1, 2))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &serving.Engine{MemoryMB: 100, Concurrency: 16, LoadsPerSecond: 4}
+	for i := range 5 {
+		e.Models = append(e.Models, serving.Model{Name: ident.Model(fmt.Sprint("m", i)), MemoryMB: 45, RemoteLoad: 6 * time.Second, DiskLoad: time.Second, MemoryLoad: 500 * time.Millisecond})
+	}
+	e.Index()
+	b.Configure(map[ident.Upstream]*serving.Service{"models": {Name: "models", Engine: e}})
+	var changes []fleet.Change
+	for i := range n {
+		changes = append(changes, fleet.Change{Kind: fleet.Joined, VM: &fleet.VM{
+			ID: ident.VM(fmt.Sprint(i)), Service: "models", Address: address(i), Zone: "z0",
+			Region: regions[i%len(regions)], Concurrency: 16,
+		}})
+	}
+	if err := b.Apply(start, changes); err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
+
+// report tells of the models that VM i has loaded and those on its disk.
+func report(b *Board, now time.Time, i, running int, loaded, disk []ident.Model) {
+	r := &wire.Report{Concurrency: 16, Running: running}
+	for _, m := range loaded {
+		r.Models = append(r.Models, wire.ModelReport{Model: m, Phase: engine.PhaseLoaded, Tier: engine.TierDisk})
+	}
+	for _, m := range disk {
+		r.Models = append(r.Models, wire.ModelReport{Model: m, Tier: engine.TierDisk})
+	}
+	b.Report(now, address(i), r)
+}
+
+func choose(t *testing.T, b *Board, now time.Time, n Need) Choice {
+	t.Helper()
+	n.Service = "models"
+	if n.Remaining == 0 {
+		n.Remaining = 20 * time.Second
+	}
+	c, err := b.Choose(now, n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+type models = []ident.Model
+
+func TestLoadedModelComesFirst(t *testing.T) {
+	b := newBoard(t, 3, "r0")
+	report(b, start, 0, 0, models{"m0"}, models{"m1"})
+	report(b, start, 1, 3, models{"m1"}, nil)
+	report(b, start, 2, 0, models{"m0"}, nil)
+	if c := choose(t, b, start, Need{Model: "m1"}); c.VM.ID != "1" || c.Readiness != Loaded || !c.Agent || c.AgentAddress != "10.0.0.2:7000" {
+		t.Errorf("got %+v on %s", c, c.VM.ID)
+	}
+}
+
+// A rare model goes to the VM that has its weights, not to an idle one that has
+// to ask the weight store.
+func TestWeightsAtHandComeBeforeTheWeightStore(t *testing.T) {
+	b := newBoard(t, 3, "r0")
+	report(b, start, 0, 0, models{"m0"}, nil)
+	report(b, start, 1, 12, models{"m0"}, models{"m1"})
+	report(b, start, 2, 0, models{"m0"}, nil)
+	c := choose(t, b, start, Need{Model: "m1"})
+	if c.VM.ID != "1" || c.Readiness != AtHand || c.Wait != time.Second {
+		t.Errorf("got %+v on %s", c, c.VM.ID)
+	}
+}
+
+// A burst at many routers for a model that nobody has: all choose the same VM.
+func TestRoutersAgreeOnTheVMForAColdModel(t *testing.T) {
+	var first ident.VM
+	for range 5 {
+		b := newBoard(t, 6, "r0")
+		for i := range 6 {
+			report(b, start, i, 0, models{"m0"}, nil)
+		}
+		c := choose(t, b, start, Need{Model: "m3"})
+		if c.Readiness != Remote || first != "" && c.VM.ID != first {
+			t.Fatalf("got %+v on %s, before on %s", c, c.VM.ID, first)
+		}
+		first = c.VM.ID
+	}
+}
+
+// Demand beyond what the loaded VMs can take spills to one that can load the
+// model sooner than the queue ends.
+func TestFullVMsSpillToWeightsAtHand(t *testing.T) {
+	b := newBoard(t, 2, "r0")
+	report(b, start, 0, 60, models{"m0"}, nil)
+	report(b, start, 1, 0, models{"m1"}, models{"m0"})
+	if c := choose(t, b, start, Need{Model: "m0"}); c.VM.ID != "1" || c.Readiness != AtHand {
+		t.Errorf("got %+v on %s", c, c.VM.ID)
+	}
+}
+
+func TestOwnRegionComesFirst(t *testing.T) {
+	b := newBoard(t, 4, "r1", "r0")
+	for i := range 4 {
+		report(b, start, i, 2, models{"m0"}, nil)
+	}
+	for range 20 {
+		if c := choose(t, b, start, Need{Model: "m0"}); c.VM.Region != "r0" {
+			t.Fatalf("went to %s", c.VM.Region)
+		}
+	}
+}
+
+func TestLeavingBlockedAndExcludedVMsAreNotChosen(t *testing.T) {
+	b := newBoard(t, 4, "r0")
+	for i := range 4 {
+		report(b, start, i, 0, models{"m0"}, nil)
+	}
+	vm := *b.members["0"].vm
+	vm.Leaving = true
+	if err := b.Apply(start, []fleet.Change{{Kind: fleet.Leaving, VM: &vm}}); err != nil {
+		t.Fatal(err)
+	}
+	b.Block(start, "1")
+	for range 20 {
+		if c := choose(t, b, start, Need{Model: "m0", Exclude: []ident.VM{"2"}}); c.VM.ID != "3" {
+			t.Fatalf("got %s", c.VM.ID)
+		}
+	}
+	if b.Usable(start, &vm) || !b.Usable(start.Add(blockTime), b.members["1"].vm) {
+		t.Error("usable is wrong")
+	}
+}
+
+// A sidecar that is silent leaves the models that are registered, with a part of
+// the places.
+func TestSilentSidecarLeavesTheRegisteredModels(t *testing.T) {
+	b := newBoard(t, 1, "r0")
+	vm := *b.members["0"].vm
+	vm.Models = models{"m0"}
+	if err := b.Apply(start, []fleet.Change{{Kind: fleet.Updated, VM: &vm}}); err != nil {
+		t.Fatal(err)
+	}
+	if c := choose(t, b, start, Need{Model: "m0"}); c.Agent || c.Readiness != Loaded {
+		t.Errorf("got %+v", c)
+	}
+	_, err := b.Choose(start, Need{Service: "models", Model: "m1"})
+	var none *NoVMError
+	if !errors.As(err, &none) || none.Known != 1 || none.RetryAfter <= 0 {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestAddressOfAGoneVMTakesNoReport(t *testing.T) {
+	b := newBoard(t, 1, "r0")
+	if err := b.Apply(start, []fleet.Change{{Kind: fleet.Gone, VM: b.members["0"].vm}}); err != nil {
+		t.Fatal(err)
+	}
+	if b.Report(start, address(0), &wire.Report{}) {
+		t.Error("taken")
+	}
+}
+
+// At the start every model is loaded once before any is loaded twice.
+func TestFirstLoadsCoverAllModels(t *testing.T) {
+	b := newBoard(t, 2, "r0")
+	report(b, start, 0, 0, models{"m0"}, nil)
+	report(b, start, 1, 0, models{"m1"}, nil)
+	seen := map[ident.Model]bool{}
+	for i := range 3 {
+		name, _ := b.NextFetch(start, "models", address(i%2))
+		b.Promise(start, name)
+		if name == "" || seen[name] {
+			t.Fatalf("%q again", name)
+		}
+		seen[name] = true
+	}
+	if name, _ := b.NextFetch(start, "models", address(0)); name != "" {
+		t.Errorf("%q although all are at hand or coming", name)
+	}
+}
+
+// Demand that moves to a model with too few VMs brings it onto more of them,
+// before models that nobody has asked for.
+func TestPressedModelIsLoadedOnMoreVMs(t *testing.T) {
+	b := newBoard(t, 3, "r0")
+	report(b, start, 0, 60, models{"m0"}, nil)
+	report(b, start, 1, 0, models{"m1"}, nil)
+	report(b, start, 2, 0, models{"m1"}, nil)
+	now := start
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		choose(t, b, now, Need{Model: "m0"})
+	}
+	name, worth := b.NextFetch(now, "models", address(1))
+	if name != "m0" || worth <= firstLoadWorth {
+		t.Errorf("got %q worth %v", name, worth)
+	}
+	if name, _ := b.NextFetch(now, "models", address(0)); name == "m0" {
+		t.Error("onto the VM that has it")
+	}
+}
+
+// A plain service's load headers steer requests to the VM with free places.
+func TestPlainServiceFollowsLoadHeaders(t *testing.T) {
+	b := newBoard(t, 2, "r0")
+	b.Load(start, "0", serving.Load{Running: 16, Waiting: 10, Concurrency: 16})
+	b.Load(start, "1", serving.Load{Running: 1, Concurrency: 16})
+	for range 20 {
+		if c := choose(t, b, start, Need{}); c.VM.ID != "1" {
+			t.Fatalf("got %s", c.VM.ID)
+		}
+	}
+}
--- a/placement/fetch.go
+++ b/placement/fetch.go
@@ -3,77 +3,117 @@
 import (
 	"time"
 
+	"github.com/laureltally/laureltally/decay"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/serving"
 )
 
 const (
 	// promiseTime is how long a model counts as coming after a VM was told to load
 	// it; its report shows the load well before.
 	promiseTime = 20 * time.Second
-	// demandTime is how long a request that found no loaded model counts as demand.
-	demandTime = 15 * time.Second
+	// pressureHalfLife is how quickly requests count less that found no free VM with
+	// their model loaded: demand moves on within some five seconds.
+	pressureHalfLife = 4 * time.Second
+	// firstLoadWorth stands for the requests a second that a model may get which no
+	// VM has at hand; rare models are asked for about so often.
+	firstLoadWorth = 0.1
+	// leastPressure is the pressure from which a model is worth one more VM.
+	leastPressure = 0.25
+	// waitingWorth is added for a request that waits for the load.
+	waitingWorth = 0.3
 )
 
-// demand is what is remembered of a model that requests did not find loaded.
-type demand struct {
-	missed   int
-	lastMiss time.Time
+// pressed notes a request that found no free VM with its model loaded.
+func (b *Board) pressed(now time.Time, name ident.Model) {
+	r := b.pressure[name]
+	if r == nil {
+		r = &decay.Rate{}
+		b.pressure[name] = r
+	}
+	r.Add(now, pressureHalfLife)
 }
 
-// Missed notes a request that found its model loaded nowhere.
-func (b *Board) Missed(now time.Time, n Need) {
-	d := b.demand[n.Model]
-	if d == nil || now.Sub(d.lastMiss) > demandTime {
-		d = &demand{}
-		b.demand[n.Model] = d
+// Pressure is how many requests a second for a model found no free VM that has
+// it loaded.
+func (b *Board) Pressure(now time.Time, name ident.Model) float64 {
+	if r := b.pressure[name]; r != nil {
+		return r.Get(now, pressureHalfLife)
 	}
-	d.missed++
-	d.lastMiss = now
+	return 0
 }
 
 // NextFetch names the model that is most worth loading from the weight store
-// next, or is empty. It answers the first minutes of an installation, in which
-// most models have never been loaded: a model that no VM has at hand comes before
-// others, one that was asked for in vain before one that was not, and otherwise
-// the operator's order decides. The model counts as coming from then on.
-func (b *Board) NextFetch(now time.Time, service ident.Upstream) ident.Model {
+// onto a VM next, with its worth, or is empty. It answers two patterns: the first
+// minutes, in which most models have never been loaded, and demand that moves to
+// a model which too few VMs have. Of the models that the VM lacks, the one counts
+// most whose requests find no free VM, divided by the VMs that have it at hand or
+// are about to.
+func (b *Board) NextFetch(now time.Time, service ident.Upstream, address string) (ident.Model, float64) {
 	s := b.services[service]
-	if s == nil || s.Engine == nil {
-		return ""
+	m := b.members[b.byAddress[address]]
+	if s == nil || s.Engine == nil || m == nil {
+		return "", 0
 	}
 	var (
-		best   ident.Model
-		missed = -1
+		best ident.Model
+		most float64
 	)
 	for i := range s.Engine.Models {
-		name := s.Engine.Models[i].Name
-		if now.Before(b.promised[name]) || b.atHandSomewhere(service, name) {
+		spec := &s.Engine.Models[i]
+		if m.readiness(spec.Name) != Remote {
 			continue
 		}
-		n := 0
-		if d := b.demand[name]; d != nil && now.Sub(d.lastMiss) < demandTime {
-			n = d.missed
-		}
-		if n > missed {
-			best, missed = name, n
+		if w := b.fetchWorth(now, service, spec); w > most {
+			best, most = spec.Name, w
 		}
 	}
-	if best != "" {
-		b.promised[best] = now.Add(promiseTime)
+	return best, most
+}
+
+func (b *Board) fetchWorth(now time.Time, service ident.Upstream, spec *serving.Model) float64 {
+	near := b.near(now, service, spec.Name)
+	if near == 0 {
+		return firstLoadWorth + b.Pressure(now, spec.Name)
+	}
+	if w := b.Pressure(now, spec.Name) / float64(1+near); w > leastPressure {
+		return w
 	}
-	return best
+	return 0
+}
+
+// FetchWorth is the worth of a load that a request waits for.
+func (b *Board) FetchWorth(now time.Time, name ident.Model) float64 {
+	return waitingWorth + b.Pressure(now, name)
 }
 
 // Promise notes that a VM is about to load a model.
-func (b *Board) Promise(now time.Time, name ident.Model) { b.promised[name] = now.Add(promiseTime) }
+func (b *Board) Promise(now time.Time, name ident.Model) {
+	kept := b.promised[name][:0]
+	for _, until := range b.promised[name] {
+		if now.Before(until) {
+			kept = append(kept, until)
+		}
+	}
+	b.promised[name] = append(kept, now.Add(promiseTime))
+}
 
-// atHandSomewhere tells whether any VM can serve a model without the weight
-// store.
-func (b *Board) atHandSomewhere(service ident.Upstream, name ident.Model) bool {
+// near counts the VMs that can serve a model without the weight store or are
+// about to load it.
+func (b *Board) near(now time.Time, service ident.Upstream, name ident.Model) int {
+	n := 0
 	for _, m := range b.members {
 		if m.vm.Service == service && !m.vm.Leaving && m.readiness(name) != Remote {
-			return true
+			n++
+		}
+	}
+	coming := 0
+	for _, until := range b.promised[name] {
+		if now.Before(until) {
+			coming++
 		}
 	}
-	return false
+	// A promise that has become a load is counted twice for a while; that only
+	// delays one more.
+	return n + coming
 }
--- a/residency/estimate.go
+++ b/residency/estimate.go
@@ -17,7 +17,7 @@
 	if _, loaded := m.snap.Loaded[p.Model]; loaded && !m.unloading(p.Model, p.Adapter) {
 		return room, ReasonFull
 	}
-	load := m.loadWait(now, p.Model)
+	load := m.loadWait(now, p)
 	if room > load {
 		return room, ReasonFull
 	}
@@ -40,8 +40,10 @@
 	return time.Duration(over / max(1, m.limit.value) * float64(m.runTime))
 }
 
-// loadWait is how long until a model that is not loaded would be.
-func (m *Machine) loadWait(now time.Time, name ident.Model) time.Duration {
+// loadWait is how long until the model of a request would be loaded, which waits
+// behind the models of requests that are due earlier.
+func (m *Machine) loadWait(now time.Time, p *pending) time.Duration {
+	name := p.Model
 	spec := m.spec.Model(name)
 	wait := time.Duration(0)
 	if m.order != nil {
@@ -50,7 +52,7 @@
 			return wait
 		}
 	}
-	for _, other := range m.wanted(now) {
+	for _, other := range m.wantedBefore(now, p) {
 		if other == name {
 			break
 		}
@@ -79,6 +81,20 @@
 	return engine.TierRemote
 }
 
+// wantedBefore lists the models that are loaded before that of a request.
+func (m *Machine) wantedBefore(now time.Time, p *pending) []ident.Model {
+	var out []ident.Model
+	for _, name := range m.wanted(now) {
+		i := slices.IndexFunc(m.requests, func(q *pending) bool {
+			return !q.holds() && q.Model == name && !q.due().After(p.due())
+		})
+		if i >= 0 {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // wanted lists the models that are not loaded and that requests wait for, those
 // whose first request is due first coming first, and then those that refused
 // callers will come back for. Loads from the weight store count only once they
--- a/residency/machine.go
+++ b/residency/machine.go
@@ -22,6 +22,8 @@
 	limit    limit
 	runTime  time.Duration
 	order    *openOrder
+	// nextOrder is when the next order may be given after one that failed.
+	nextOrder time.Time
 	// mayOrder is cleared while another process may still order the engine.
 	mayOrder bool
 	// fetch is the model for which a place at the weight store was asked or given.
@@ -126,9 +128,14 @@
 		// A refused order has not run; a lost one can't run any more once another is
 		// accepted, since each names the orders accepted before it.
 		m.order = nil
+		m.nextOrder = now.Add(orderPause)
 	}
 }
 
+// orderPause is the time after an order that was not accepted before the next; a
+// fresh report arrives meanwhile.
+const orderPause = 50 * time.Millisecond
+
 // Fetching takes the answer to a Fetch: a place for the model, or none.
 func (m *Machine) Fetching(now time.Time, model ident.Model, granted bool) []Action {
 	if m.fetch == nil {
@@ -151,7 +158,7 @@
 	if reason := m.closed(now, &r); reason != "" {
 		return []Action{&Refuse{ID: r.ID, RetryAfter: blindRetryAfter, Reason: reason}}
 	}
-	m.model(r.Model).asked.add(now, m.opts.RateHalfLife)
+	m.model(r.Model).asked.Add(now, m.opts.RateHalfLife)
 	p := &pending{Request: r, arrived: now}
 	wait, reason := m.estimate(now, p)
 	if wait > r.Patience {
--- a/residency/machine_test.go
+++ b/residency/machine_test.go
@@ -336,3 +336,34 @@
 		t.Errorf("limit %v after many good answers", l.value)
 	}
 }
+
+// An engine that is down answers no order; it is not asked in a tight loop.
+func TestOrdersPauseAfterOneWithoutAnswer(t *testing.T) {
+	w := newWorld(t, "a")
+	w.snap.Tiers["c"] = engine.TierDisk
+	w.observe()
+	w.hold = true
+	w.reserve(Request{ID: 1, Model: "c", Patience: 10 * time.Second})
+	for range 100 {
+		w.m.Submitted(w.now, OrderLost)
+		w.do(w.m.Tick(w.now))
+	}
+	if n := len(w.orders); n > 3 {
+		t.Errorf("%d orders within %v", n, w.now.Sub(start))
+	}
+}
+
+// Mixed load: a request that is due soon comes before rare models that are due
+// later, and is not refused because of them.
+func TestRequestDueFirstIsNotRefusedForOthers(t *testing.T) {
+	w := newWorld(t, "a")
+	w.snap.Tiers["c"], w.snap.Tiers["d"] = engine.TierDisk, engine.TierDisk
+	w.observe()
+	w.snap.Busy = true
+	w.observe()
+	w.reserve(Request{ID: 1, Model: "c", Patience: 10 * time.Second, Objective: 4 * time.Second})
+	w.reserve(Request{ID: 2, Model: "d", Patience: 1500 * time.Millisecond, Objective: 600 * time.Millisecond})
+	if w.refused[2] != nil {
+		t.Errorf("got %+v", w.refused[2])
+	}
+}
--- a/residency/model_state.go
+++ b/residency/model_state.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"github.com/laureltally/laureltally/decay"
 	"github.com/laureltally/laureltally/ident"
 )
 
 // modelState is what is known of one model beside the engine's report.
 type modelState struct {
 	// asked counts requests for it, and lastUsed is when the last was granted.
-	asked    rate
+	asked    decay.Rate
 	lastUsed time.Time
 	// loadedAt is when a load that this process ordered was seen to be done.
 	loadedAt time.Time
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -25,7 +25,7 @@
 		return nil
 	}
 	out := m.askFetch(now)
-	if m.order != nil || m.snap.Busy {
+	if m.order != nil || m.snap.Busy || now.Before(m.nextOrder) {
 		return out
 	}
 	s := m.adapterOrder(now)
@@ -180,9 +180,9 @@
 		}
 		at := now
 		if at.IsZero() {
-			at = st.asked.at
+			at = st.asked.Last()
 		}
-		score := st.asked.get(at, m.opts.RateHalfLife)
+		score := st.asked.Get(at, m.opts.RateHalfLife)
 		if best == "" || score < least || score == least && name < best {
 			best, least = name, score
 		}
