--- a/residency/estimate.go
+++ b/residency/estimate.go
@@ -24,12 +24,12 @@
 	return load, ReasonLoad
 }
 
-// roomWait is how long until a place is free: those that wait already come first,
-// and places are freed evenly.
+// roomWait is how long until a place is free: those that wait for nothing else
+// come first, and places are freed evenly.
 func (m *Machine) roomWait(p *pending) time.Duration {
 	waiting := 0
 	for _, q := range m.requests {
-		if !q.holds() && q != p {
+		if !q.holds() && q != p && m.ready(q) {
 			waiting++
 		}
 	}
--- a/residency/machine_test.go
+++ b/residency/machine_test.go
@@ -367,3 +367,20 @@
 		t.Errorf("got %+v", w.refused[2])
 	}
 }
+
+// Many rare models at once: requests that wait for loads take no place from those
+// whose model is loaded.
+func TestWaitingForLoadsFillsNoPlaces(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.m.limit.value = 4
+	w.snap.Tiers["c"], w.snap.Tiers["d"] = engine.TierDisk, engine.TierDisk
+	w.snap.Busy = true
+	w.observe()
+	for id := range RequestID(10) {
+		w.reserve(Request{ID: 10 + id, Model: "c", Patience: 30 * time.Second, Objective: 4 * time.Second})
+	}
+	w.reserve(Request{ID: 1, Model: "a", Patience: 300 * time.Millisecond})
+	if !slices.Contains(w.granted, 1) {
+		t.Errorf("not granted: %+v", w.refused[1])
+	}
+}
--- a/residency/status.go
+++ b/residency/status.go
@@ -19,7 +19,7 @@
 	r := &wire.Report{
 		Draining:    m.snap.Leaving,
 		Running:     m.active,
-		Waiting:     len(m.requests) - m.active,
+		Waiting:     m.queued(),
 		Concurrency: max(1, int(m.limit.value)),
 		RunTime:     m.runTime,
 		Models:      m.modelReports(now),
@@ -28,6 +28,17 @@
 	return r
 }
 
+// queued counts the requests that wait for nothing but a place.
+func (m *Machine) queued() int {
+	n := 0
+	for _, p := range m.requests {
+		if !p.holds() && m.ready(p) {
+			n++
+		}
+	}
+	return n
+}
+
 func (m *Machine) modelReports(now time.Time) []wire.ModelReport {
 	var out []wire.ModelReport
 	for name, adapters := range m.snap.Loaded {
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -49,7 +49,9 @@
 			}
 			decision = nil
 		case m := <-ended:
-			s.release(id, outcome(m))
+			o := outcome(m)
+			s.logReturn(r, o)
+			s.release(id, o)
 			return
 		case <-ctx.Done():
 			s.release(id, residency.Outcome{})
@@ -91,6 +93,17 @@
 	return stream.Send(m) == nil
 }
 
+// logReturn tells how a request went that had a place.
+func (s *Sidecar) logReturn(r *wire.Reserve, o residency.Outcome) {
+	s.mu.Lock()
+	active, limit, _ := s.machine.Load(s.o.Now())
+	s.mu.Unlock()
+	s.o.Logger.WithFields(log.Fields{
+		"request": r.Request, "model": r.Model, "active": active, "limit": limit, "first_ms": o.FirstEvent.Milliseconds(),
+		"gap_ms": o.WorstGap.Milliseconds(), "took_ms": o.Took.Milliseconds(), "not_loaded": o.NotLoaded,
+	}).Info("place returned")
+}
+
 func outcome(m wire.Message) residency.Outcome {
 	settle, ok := m.(*wire.Settle)
 	if !ok {
