--- a/residency/limit.go
+++ b/residency/limit.go
@@ -8,9 +8,6 @@
 	// recovers within some dozen good ones.
 	limitBackoff = 0.9
 	limitStep    = 0.5
-	// lateShare is the part of an objective from which an answer counts as slow, so
-	// that the limit falls before answers are late.
-	lateShare = 0.85
 	// backoffPause is the least time between two decreases: answers that ran side
 	// by side tell of the same overload.
 	backoffPause = 500 * time.Millisecond
@@ -32,8 +29,7 @@
 	if o.FirstEvent == 0 {
 		return
 	}
-	slow := r.Gap > 0 && o.WorstGap > time.Duration(lateShare*float64(r.Gap)) ||
-		r.Objective > 0 && o.FirstEvent > time.Duration(lateShare*float64(r.Objective))
+	slow := r.Gap > 0 && o.WorstGap > r.Gap || r.Objective > 0 && o.FirstEvent > r.Objective
 	switch {
 	case slow && now.Sub(l.lowered) >= backoffPause:
 		l.value = max(l.least, min(l.value, float64(active))*limitBackoff)
--- a/residency/options.go
+++ b/residency/options.go
@@ -11,7 +11,7 @@
 	// demand moves on within some ten seconds.
 	DefaultRateHalfLife = 8 * time.Second
 	// DefaultMinLimit keeps a slow engine in use.
-	DefaultMinLimit = 4
+	DefaultMinLimit = 8
 	// DefaultStartShare is the part of an engine's places that is used before any
 	// request has told how long requests take.
 	DefaultStartShare = 0.25
