residency: the wait for a swap counts only what comes before it

The wait counted loads that no request waits for, and for each model in the queue half a request's time until something falls idle.

--- a/residency/estimate.go
+++ b/residency/estimate.go
@@ -44,7 +44,6 @@
 // behind the models of requests that are due earlier.
 func (m *Machine) loadWait(now time.Time, p *pending) time.Duration {
 	name := p.Model
-	spec := m.spec.Model(name)
 	wait := time.Duration(0)
 	if m.order != nil {
 		wait = m.order.left(now)
@@ -58,19 +57,24 @@
 		}
 		wait += m.swapTime(other)
 	}
-	if m.tier(name) == engine.TierRemote {
-		return wait + spec.RemoteLoad + swapOverhead
+	if !m.hasMemory(name) {
+		wait += m.idleWait(now)
 	}
 	return wait + m.swapTime(name)
 }
 
-// swapTime is how long it takes to make room for a model and load it.
+// swapTime is how long an unload and a load take.
 func (m *Machine) swapTime(name ident.Model) time.Duration {
-	t := swapOverhead + m.spec.Model(name).LoadTime(m.tier(name))
-	if !m.hasMemory(name) && m.victim(time.Time{}, name) == "" {
-		t += m.runTime
+	return swapOverhead + m.spec.Model(name).LoadTime(m.tier(name))
+}
+
+// idleWait is how long until some model may make way. While all are in use, one
+// falls idle within about half the time of a request.
+func (m *Machine) idleWait(now time.Time) time.Duration {
+	if m.victim(now, "") == "" {
+		return m.runTime / 2
 	}
-	return t
+	return 0
 }
 
 // tier is where a model's weights are nearest.
--- a/residency/machine_test.go
+++ b/residency/machine_test.go
@@ -390,3 +390,23 @@
 		t.Errorf("not granted: %+v", w.refused[1])
 	}
 }
+
+// What routers are told of the wait for a swap must not include loads that no
+// request waits for, or they send rare models to worse VMs and refuse them.
+func TestSwapWaitLeavesOutModelsNobodyWaitsFor(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.snap.Tiers["c"], w.snap.Tiers["d"] = engine.TierDisk, engine.TierDisk
+	w.snap.Busy = true
+	w.observe()
+	idle := w.m.Status(w.now).SwapWait
+	for id, model := range []ident.Model{"c", "d"} {
+		w.reserve(Request{ID: RequestID(id + 1), Model: model, Patience: time.Millisecond})
+	}
+	if got := w.m.Status(w.now).SwapWait; got != idle {
+		t.Errorf("%v with refused requests, %v without", got, idle)
+	}
+	w.reserve(Request{ID: 9, Model: "c", Patience: 10 * time.Second})
+	if got := w.m.Status(w.now).SwapWait; got < idle+time.Second || got > idle+1500*time.Millisecond {
+		t.Errorf("%v behind one swap of a second, %v without", got, idle)
+	}
+}
--- a/residency/status.go
+++ b/residency/status.go
@@ -64,19 +64,19 @@
 	return m.order != nil && m.order.loads() && m.order.Model == name
 }
 
-// swapWait is how long until a load of weights at hand could begin.
+// swapWait is how long until a load of weights at hand could begin. Models that
+// no request waits for are left out: a request comes before them.
 func (m *Machine) swapWait(now time.Time) time.Duration {
 	wait := swapOverhead
 	if m.order != nil {
 		wait += m.order.left(now)
 	}
 	for _, name := range m.wanted(now) {
-		wait += m.swapTime(name)
-	}
-	if m.victim(now, "") == "" {
-		wait += m.runTime
+		if m.waitsFor(name, "") {
+			wait += m.swapTime(name)
+		}
 	}
-	return wait
+	return wait + m.idleWait(now)
 }
 
 // fetchWait is the same for a load from the weight store.
