residency, placement: places at the weight store reach the loads that need them

Now a question that has no good answer takes no place; a request for a model gives up an earlier question for any; a model that is asked for three times as much takes the room of one in use; models without a copy go last; four VMs with the weights at hand are enough.

--- a/ingress/gatekeeper.go
+++ b/ingress/gatekeeper.go
@@ -51,7 +51,13 @@
 		stream.Reset()
 		return
 	}
-	id, decided, err := g.ask(r)
+	worth := g.s.belief.fetchWorth(g.s.o.Now(), r.Upstream, r.VM, r.Model)
+	if worth == 0 {
+		// Nothing is worth loading; that takes no place.
+		_ = stream.Send(&wire.Refusal{Code: wire.CodeNoReplica, Run: wire.RunNot})
+		return
+	}
+	id, decided, err := g.ask(r, worth)
 	if err != nil {
 		g.s.o.Logger.WithField("vm", peer.VM).WithError(err).Warn("place at the weight store not handed out")
 		stream.Reset()
@@ -88,7 +94,7 @@
 }
 
 // ask enters a request for a place.
-func (g *gatekeeper) ask(r *wire.TicketRequest) (gate.TicketID, chan gate.Verdict, error) {
+func (g *gatekeeper) ask(r *wire.TicketRequest, worth float64) (gate.TicketID, chan gate.Verdict, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l, err := g.lane(r.Upstream)
@@ -99,7 +105,7 @@
 	decided := make(chan gate.Verdict, 1)
 	l.waiting[g.next] = decided
 	now := g.s.o.Now()
-	q := gate.Request{ID: g.next, VM: r.VM, Class: gate.ModelLoad, Priority: urgency(g.s.belief.fetchWorth(now, r.Upstream, r.VM, r.Model))}
+	q := gate.Request{ID: g.next, VM: r.VM, Class: gate.ModelLoad, Priority: urgency(worth)}
 	if r.Remaining > 0 {
 		q.Deadline = now.Add(r.Remaining)
 	}
--- a/placement/fetch.go
+++ b/placement/fetch.go
@@ -18,8 +18,12 @@
 	// firstLoadWorth stands for the requests a second that a model may get which no
 	// VM has at hand; rare models are asked for about so often.
 	firstLoadWorth = 0.1
-	// leastPressure is the pressure from which a model is worth one more VM.
-	leastPressure = 0.25
+	// leastPressure is the pressure for each VM from which a model is worth one more:
+	// a load keeps its VM from swapping models for some seconds.
+	leastPressure = 0.5
+	// enoughNear is how many VMs that have the weights at hand are enough, since any
+	// of them can load the model in about a second.
+	enoughNear = 4
 	// waitingWorth is added for a request that waits for the load.
 	waitingWorth = 0.3
 )
@@ -76,7 +80,7 @@
 	if near == 0 {
 		return firstLoadWorth + b.Pressure(now, spec.Name)
 	}
-	if w := b.Pressure(now, spec.Name) / float64(1+near); w > leastPressure {
+	if w := b.Pressure(now, spec.Name) / float64(1+near); near < enoughNear && w > leastPressure {
 		return w
 	}
 	return 0
--- a/residency/action.go
+++ b/residency/action.go
@@ -37,6 +37,8 @@
 // Fetch asks for a place at the weight store, reported with Fetching. An empty
 // Model leaves the choice to whoever hands out the places.
 type Fetch struct {
+	// ID tells the answers apart; only the newest Fetch is of use.
+	ID       uint64
 	Model    ident.Model
 	Priority ident.Priority
 	// Within is how long the load is of use, or zero.
--- a/residency/machine.go
+++ b/residency/machine.go
@@ -27,8 +27,10 @@
 	// mayOrder is cleared while another process may still order the engine.
 	mayOrder bool
 	// fetch is the model for which a place at the weight store was asked or given.
-	fetch  *fetchState
-	wishes []wish
+	fetch *fetchState
+	// fetchID is that of the newest Fetch.
+	fetchID uint64
+	wishes  []wish
 	// nextAsk is when places at the weight store are asked for again.
 	nextAsk time.Time
 }
@@ -136,9 +138,10 @@
 // fresh report arrives meanwhile.
 const orderPause = 50 * time.Millisecond
 
-// Fetching takes the answer to a Fetch: a place for the model, or none.
-func (m *Machine) Fetching(now time.Time, model ident.Model, granted bool) []Action {
-	if m.fetch == nil {
+// Fetching takes the answer to a Fetch: a place for the model, or none. An answer
+// to any but the newest is left unused.
+func (m *Machine) Fetching(now time.Time, id uint64, model ident.Model, granted bool) []Action {
+	if m.fetch == nil || m.fetch.ID != id {
 		return nil
 	}
 	if !granted || m.spec == nil || m.spec.Model(model) == nil {
@@ -150,8 +153,9 @@
 	return m.Tick(now)
 }
 
-// FetchOpen tells whether a place at the weight store is asked for or held.
-func (m *Machine) FetchOpen() bool { return m.fetch != nil }
+// FetchOpen tells whether a Fetch still asks for a place at the weight store or
+// holds one.
+func (m *Machine) FetchOpen(id uint64) bool { return m.fetch != nil && m.fetch.ID == id }
 
 // Reserve enters a request.
 func (m *Machine) Reserve(now time.Time, r Request) []Action {
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -109,7 +109,9 @@
 	})
 }
 
-// modelOrder brings the model that is due first, or makes room for it.
+// modelOrder brings the model that is due first, or makes room for it. A load from
+// the weight store that has its place comes after those at hand, since it keeps the
+// engine from all others for seconds.
 func (m *Machine) modelOrder(now time.Time) *Submit {
 	for _, name := range m.wanted(now) {
 		if s := m.bring(now, name, "requests wait for the model"); s != nil {
@@ -117,7 +119,7 @@
 		}
 	}
 	if m.fetch != nil && m.fetch.granted {
-		return m.bring(now, m.fetch.Model, "loaded ahead of requests")
+		return m.bring(now, m.fetch.Model, "it has its place at the weight store")
 	}
 	return nil
 }
@@ -133,7 +135,11 @@
 	if m.hasMemory(name) {
 		return &Submit{Kind: engine.OrderLoad, Model: name, Why: why}
 	}
-	if v := m.victim(now, name); v != "" {
+	v := m.victim(now, name)
+	if v == "" && m.mayFetch(name) {
+		v = m.outweighed(now, name)
+	}
+	if v != "" {
 		return &Submit{Kind: engine.OrderUnload, Model: v, Why: "room for " + string(name)}
 	}
 	return nil
@@ -163,26 +169,38 @@
 	return m.usedMB()+m.spec.Model(name).MemoryMB <= m.spec.MemoryMB
 }
 
-// victim is the idle model that is asked for least, or empty. A model is not
-// given up for one that is asked for less, unless requests wait for that.
+// victim is the idle model to give up, or empty: first one whose weights stay at
+// hand, and of those the one that is asked for least.
 func (m *Machine) victim(now time.Time, for_ ident.Model) ident.Model {
+	return m.least(now, for_, func(st *modelState) bool { return st.active == 0 })
+}
+
+// outweighed is a model in use that is asked for much less than another, or
+// empty. The engine ends its requests before it drops it.
+func (m *Machine) outweighed(now time.Time, by ident.Model) ident.Model {
+	most := m.model(by).asked.Get(now, m.opts.RateHalfLife) / outweighFactor
+	return m.least(now, by, func(st *modelState) bool { return st.asked.Get(now, m.opts.RateHalfLife) < most })
+}
+
+// outweighFactor is how many times more a model must be asked for than one in use
+// that makes way for it; an unload waits for the requests that run.
+const outweighFactor = 3
+
+// least is the model to give up first among those that may be.
+func (m *Machine) least(now time.Time, for_ ident.Model, may func(*modelState) bool) ident.Model {
 	var (
 		best  ident.Model
 		least float64
 	)
 	for name := range m.snap.Loaded {
 		st := m.model(name)
-		if st.active > 0 || m.waitsFor(name, "") || name == for_ {
+		if name == for_ || !may(st) || m.waitsFor(name, "") || now.Sub(st.loadedAt) < m.opts.SettleTime {
 			continue
 		}
-		if !now.IsZero() && now.Sub(st.loadedAt) < m.opts.SettleTime {
-			continue
-		}
-		at := now
-		if at.IsZero() {
-			at = st.asked.Last()
+		score := st.asked.Get(now, m.opts.RateHalfLife)
+		if m.tier(name) == engine.TierRemote {
+			score += noCopyScore
 		}
-		score := st.asked.Get(at, m.opts.RateHalfLife)
 		if best == "" || score < least || score == least && name < best {
 			best, least = name, score
 		}
@@ -190,26 +208,40 @@
 	return best
 }
 
+// noCopyScore puts models that would have to come from the weight store again
+// behind all others; it is more than any model is asked for.
+const noCopyScore = 1e6
+
 // askFetch asks for a place at the weight store: for the model that requests
-// wait for first, or ahead of any request while nothing else is to be done.
+// wait for first, or will come back for, or ahead of any request while nothing
+// else is to be done. The last gives way to the others.
 func (m *Machine) askFetch(now time.Time) []Action {
-	if m.fetch != nil || now.Before(m.nextAsk) || m.order != nil && m.order.loads() {
+	if m.order != nil && m.order.loads() {
+		return nil
+	}
+	f := m.neededFetch(now)
+	open := m.fetch != nil
+	switch {
+	case open && (m.fetch.granted || m.fetch.Model != "" || f.Model == ""):
+		return nil
+	case !open && now.Before(m.nextAsk):
+		return nil
+	case f.Model == "" && len(m.wanted(now)) > 0:
 		return nil
 	}
-	f := Fetch{Priority: aheadPriority}
+	m.fetchID++
+	f.ID = m.fetchID
+	m.fetch = &fetchState{Fetch: f}
+	return []Action{&f}
+}
+
+// neededFetch is the load from the weight store that requests need first.
+func (m *Machine) neededFetch(now time.Time) Fetch {
 	for _, p := range m.requests {
 		_, loaded := m.snap.Loaded[p.Model]
 		if !p.holds() && !loaded && m.tier(p.Model) == engine.TierRemote {
-			f = Fetch{Model: p.Model, Priority: p.Priority, Within: p.expires().Sub(now)}
-			break
+			return Fetch{Model: p.Model, Priority: p.Priority, Within: p.expires().Sub(now)}
 		}
 	}
-	if f.Model == "" {
-		f.Model = m.wishedRemote(now)
-	}
-	if f.Model == "" && len(m.wanted(now)) > 0 {
-		return nil
-	}
-	m.fetch = &fetchState{Fetch: f}
-	return []Action{&f}
+	return Fetch{Model: m.wishedRemote(now), Priority: aheadPriority}
 }
--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -46,7 +46,7 @@
 	m, err := stream.Recv()
 	ticket, ok := m.(*wire.Ticket)
 	if err != nil || !ok {
-		s.fetching("", false)
+		s.fetching(f.ID, "", false)
 		return
 	}
 	model := f.Model
@@ -54,8 +54,8 @@
 		model = ticket.Model
 	}
 	s.o.Logger.WithFields(log.Fields{"model": model, "router": conn.Peer().VM, "ahead": f.Model == ""}).Info("place at the weight store")
-	s.fetching(model, true)
-	s.holdPlace(conn)
+	s.fetching(f.ID, model, true)
+	s.holdPlace(conn, f.ID)
 }
 
 // fetchAlone goes on without a place, but only for requests that wait: a lost
@@ -66,17 +66,17 @@
 		return
 	case <-time.After(silentPatience):
 	}
-	s.fetching(f.Model, f.Model != "")
+	s.fetching(f.ID, f.Model, f.Model != "")
 }
 
-func (s *Sidecar) fetching(model ident.Model, granted bool) {
+func (s *Sidecar) fetching(id uint64, model ident.Model, granted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.do(s.machine.Fetching(s.o.Now(), model, granted))
+	s.do(s.machine.Fetching(s.o.Now(), id, model, granted))
 }
 
 // holdPlace returns when the machine has used its place or the router is gone.
-func (s *Sidecar) holdPlace(conn *transport.Conn) {
+func (s *Sidecar) holdPlace(conn *transport.Conn, id uint64) {
 	tick := time.NewTicker(placePoll)
 	defer tick.Stop()
 	for {
@@ -88,7 +88,7 @@
 		case <-tick.C:
 		}
 		s.mu.Lock()
-		open := s.machine.FetchOpen()
+		open := s.machine.FetchOpen(id)
 		s.mu.Unlock()
 		if !open {
 			return
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -202,7 +202,7 @@
 		return
 	}
 	if s.blind {
-		s.o.Logger.WithField("dependency", "engine").Info("dependency regained")
+		s.o.Logger.WithFields(log.Fields{"dependency": "engine", "loaded": len(snap.Loaded), "at_hand": len(snap.Tiers), "started": snap.Started}).Info("dependency regained")
 	}
 	s.blind = false
 	s.do(s.machine.Observe(s.o.Now(), snap))
