--- /dev/null
+++ b/serving/serving_test.go
@@ -0,0 +1,83 @@
+package serving
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+func TestLongestPrefixOfTheHostIsTaken(t *testing.T) {
+	routes := []Route{
+		{Name: "a", Host: "One.example", PathPrefix: "/x/"},
+		{Name: "b", Host: "one.example", PathPrefix: "/x/y/"},
+		{Name: "c", Host: "two.example", PathPrefix: "/"},
+	}
+	table := NewTable(routes)
+	for _, tt := range []struct{ host, path, want string }{
+		{"one.example", "/x/1", "a"},
+		{"ONE.example:8080", "/x/y/1", "b"},
+		{"one.example", "/x/y", "a"},
+		{"one.example", "/x", ""},
+		{"one.example", "/z/", ""},
+		{"two.example", "/anything", "c"},
+		{"three.example", "/x/", ""},
+	} {
+		got := ""
+		if r := table.Lookup(tt.host, tt.path); r != nil {
+			got = r.Name
+		}
+		if got != tt.want {
+			t.Errorf("%s%s: got %q, want %q", tt.host, tt.path, got, tt.want)
+		}
+	}
+}
+
+// A read that was overtaken by a newer one must not bring the old one back.
+func TestInForceNeverGoesBack(t *testing.T) {
+	var f InForce
+	if f.Get() != nil {
+		t.Fatal("something is in force at the start")
+	}
+	for _, tt := range []struct {
+		revision uint64
+		adopted  bool
+	}{{5, true}, {5, false}, {4, false}, {9, true}, {8, false}} {
+		if got := f.Adopt(&Config{Revision: tt.revision}); got != tt.adopted {
+			t.Errorf("revision %d: adopted %v", tt.revision, got)
+		}
+	}
+	if got := f.Get().Config.Revision; got != 9 {
+		t.Errorf("revision %d is in force", got)
+	}
+}
+
+func TestSplitFollowsTheWeights(t *testing.T) {
+	r := Route{Targets: []Target{{"a", 90}, {"b", 10}}}
+	n := map[ident.Upstream]int{}
+	for i := range 10000 {
+		id := fmt.Sprint(i)
+		n[r.Pick(id)]++
+		if r.Pick(id) != r.Pick(id) {
+			t.Fatal("one id gives two services")
+		}
+	}
+	if share := float64(n["b"]) / 10000; math.Abs(share-0.1) > 0.02 {
+		t.Errorf("b got %.3f of the requests", share)
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	for _, tt := range []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: Idempotent}, true}, {Route{Kind: NonIdempotent}, false}, {Route{Kind: NonIdempotent, Resumable: true}, false},
+		{Route{Kind: Streaming}, false}, {Route{Kind: Streaming, Resumable: true}, true},
+	} {
+		if got := tt.route.Repeatable(); got != tt.want {
+			t.Errorf("%+v: %v", tt.route, got)
+		}
+	}
+}
