sidecar, e2e/hosted: two flaky tests traced

A test failed in 1 of 12 runs side by side, another in 2 of 20. TestFenceRisesWithEachStart counted an order of the first sidecar that was on its way when it stopped. A sidecar's Run now returns only after what it began has ended.

--- a/e2e/hosted/engines_test.go
+++ b/e2e/hosted/engines_test.go
@@ -124,9 +124,10 @@
 	}
 	call("m2")
 	e.stops[0]()
-	// Orders ahead of requests come until the stop.
-	first := e.us[0].Orders()
 	last := time.Now()
+	// Orders ahead of requests come until the stop, and one may be on its way then.
+	time.Sleep(100 * time.Millisecond)
+	first := e.us[0].Orders()
 	e.eventually("the port is free", func() bool {
 		c, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.11:%d", e.udp))
 		if err == nil {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -40,6 +40,8 @@
 	blind         bool
 	status        status
 	ctx           context.Context
+	// work is what the machine's decisions have begun.
+	work sync.WaitGroup
 }
 
 // New returns a Sidecar. It does nothing before Run.
@@ -78,6 +80,7 @@
 	s.serveAdmin(ctx, g)
 	err = g.Wait()
 	_ = listener.Close()
+	s.work.Wait()
 	s.o.Logger.Info("stopped")
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -252,9 +255,10 @@
 		case *residency.Refuse:
 			s.decide(a.ID, a)
 		case *residency.Submit:
-			go s.submit(a, s.fence, s.server)
+			fence, server := s.fence, s.server
+			s.work.Go(func() { s.submit(a, fence, server) })
 		case *residency.Fetch:
-			go s.fetch(a)
+			s.work.Go(func() { s.fetch(a) })
 		}
 	}
 }
