--- /dev/null
+++ b/placement/choose.go
@@ -0,0 +1,171 @@
+package placement
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/laureltally/laureltally/coldstart"
+	"github.com/laureltally/laureltally/fleet"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/routing"
+	"github.com/laureltally/laureltally/serving"
+)
+
+// Choose picks the VM for a request. It fails with a *NoVMError.
+func (b *Board) Choose(now time.Time, n Need) (Choice, error) {
+	loaded, found := b.chooseLoaded(now, n)
+	if found && loaded.Wait == 0 || n.Model == "" {
+		if !found {
+			return Choice{}, b.none(n)
+		}
+		return loaded, nil
+	}
+	b.pressed(now, n.Model)
+	other, ok := b.chooseToLoad(now, n)
+	switch {
+	case ok && (!found || other.Wait < loaded.Wait):
+		return other, nil
+	case found:
+		return loaded, nil
+	}
+	return Choice{}, b.none(n)
+}
+
+func (b *Board) none(n Need) error {
+	known := 0
+	for _, m := range b.members {
+		if m.vm.Service == n.Service {
+			known++
+		}
+	}
+	return &NoVMError{Service: n.Service, Known: known, RetryAfter: b.opts.RetryAfter}
+}
+
+// chooseLoaded picks among the VMs that have the model loaded, or that serve the
+// plain service.
+func (b *Board) chooseLoaded(now time.Time, n Need) (Choice, bool) {
+	exclude := ident.VM("")
+	if len(n.Exclude) > 0 {
+		exclude = n.Exclude[len(n.Exclude)-1]
+	}
+	vm, ch, err := b.table.Choose(now, routing.Lookup{
+		Request: routing.Request{
+			Region: b.opts.Region, Zone: b.opts.Zone, Priority: n.Priority, Remaining: n.Remaining,
+			Affinity: modelKey(n.Model), Exclude: exclude, AllowCrossing: true,
+		},
+		Target:  routing.Target{Upstream: n.Service, Model: n.Model},
+		Adapter: n.Adapter,
+		Health:  b.health,
+	})
+	if err != nil {
+		return Choice{}, false
+	}
+	m := b.members[vm]
+	if m == nil || !m.usable(now) || slices.Contains(n.Exclude, vm) {
+		return Choice{}, false
+	}
+	wait := ch.Wait
+	if ch.Crosses {
+		wait = max(0, wait-2*b.opts.LinkDelay)
+	}
+	return b.choice(now, m, Loaded, wait), true
+}
+
+// modelKey makes requests for a model fill its VMs in the same order at all
+// routers of a region, each up to packShare of its places. It answers rare models
+// that need room beside busy ones: the VMs at the end of the order fall idle and
+// can give the busy model up. Plain services have no key.
+func modelKey(name ident.Model) uint64 {
+	if name == "" {
+		return 0
+	}
+	return xxhash.Sum64String(string(name)) | 1
+}
+
+func (b *Board) health(now time.Time, vm ident.VM) routing.Health {
+	m := b.members[vm]
+	if m == nil {
+		return routing.Health{Ejected: true}
+	}
+	s := b.ejectors[m.vm.Service].Status(now, vm)
+	return routing.Health{Ejected: s.Blocked || !m.usable(now), Share: s.Share}
+}
+
+// chooseToLoad picks the VM that can load the model soonest. Of equal ones all
+// routers take the same, so that a burst at many routers causes one load.
+func (b *Board) chooseToLoad(now time.Time, n Need) (Choice, bool) {
+	service := b.services[n.Service]
+	if service == nil || service.Engine == nil {
+		return Choice{}, false
+	}
+	spec := service.Engine.Model(n.Model)
+	if spec == nil {
+		return Choice{}, false
+	}
+	var (
+		best     *member
+		bestCost time.Duration
+	)
+	for _, m := range b.members {
+		if m.vm.Service != n.Service || !m.usable(now) || !m.fresh(now, b.opts.ReportTimeout) || slices.Contains(n.Exclude, m.vm.ID) {
+			continue
+		}
+		if b.ejectors[n.Service].Status(now, m.vm.ID).Blocked || m.readiness(n.Model) == Loaded {
+			continue
+		}
+		cost := b.loadCost(m, spec)
+		if best == nil || cost < bestCost || cost == bestCost && b.before(n.Model, m, best) {
+			best, bestCost = m, cost
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return b.choice(now, best, best.readiness(n.Model), b.loadWait(best, spec)), true
+}
+
+func (b *Board) before(model ident.Model, x, y *member) bool {
+	return coldstart.Rank(model, ident.VM(x.vm.Address)) > coldstart.Rank(model, ident.VM(y.vm.Address))
+}
+
+// loadWait estimates when a VM would have the model loaded.
+func (b *Board) loadWait(m *member, spec *serving.Model) time.Duration {
+	switch m.readiness(spec.Name) {
+	case Loading:
+		return m.model(spec.Name).ReadyIn
+	case AtHand:
+		return m.report.SwapWait + spec.LoadTime(m.model(spec.Name).Tier)
+	}
+	return m.report.FetchWait + spec.RemoteLoad
+}
+
+// loadCost is what is compared among VMs.
+func (b *Board) loadCost(m *member, spec *serving.Model) time.Duration {
+	cost := b.loadWait(m, spec) + time.Duration(m.loadShare()*float64(b.opts.LoadCost))
+	if m.vm.Region != b.opts.Region {
+		cost += 2 * b.opts.LinkDelay
+	}
+	return cost
+}
+
+func (b *Board) choice(now time.Time, m *member, r Readiness, wait time.Duration) Choice {
+	c := Choice{VM: m.vm, Readiness: r, Wait: wait}
+	if m.report != nil {
+		c.ReportAge = now.Sub(m.reportedAt)
+		c.Agent = m.fresh(now, b.opts.ReportTimeout)
+		c.AgentAddress = b.AgentAddress(m.vm)
+	}
+	return c
+}
+
+// AgentAddress is the UDP address of the agent beside a VM.
+func (b *Board) AgentAddress(vm *fleet.VM) string {
+	host, err := netip.ParseAddrPort(vm.Address)
+	if err != nil {
+		return ""
+	}
+	return netip.AddrPortFrom(host.Addr(), b.opts.AgentPort).String()
+}
--- /dev/null
+++ b/sidecar/read_engine.go
@@ -0,0 +1,81 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/laureltally/laureltally/residency"
+)
+
+// readEngine reads the engine's state again and again.
+func (s *Sidecar) readEngine(ctx context.Context) {
+	for ctx.Err() == nil {
+		begun := s.o.Now()
+		snap, err := s.o.Engine.Report(ctx)
+		snap.ReadAt = begun
+		if err == nil {
+			s.identify(ctx, &snap)
+		}
+		s.observe(snap, err)
+		select {
+		case <-ctx.Done():
+		case <-s.kick:
+		case <-time.After(s.pause()):
+		}
+	}
+}
+
+func (s *Sidecar) observe(snap residency.Snapshot, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		if !s.blind {
+			s.o.Logger.WithField("dependency", "engine").WithError(err).Warn("dependency lost")
+		}
+		s.blind = true
+		s.do(s.machine.Tick(s.o.Now()))
+		return
+	}
+	if s.blind {
+		s.o.Logger.WithFields(log.Fields{"dependency": "engine", "loaded": len(snap.Loaded), "at_hand": len(snap.Tiers), "started": snap.Started}).Info("dependency regained")
+	}
+	s.blind = false
+	s.do(s.machine.Observe(s.o.Now(), snap))
+}
+
+// identify finds the id of the engine's server in the list of VMs, once for each
+// start of it.
+func (s *Sidecar) identify(ctx context.Context, snap *residency.Snapshot) {
+	s.mu.Lock()
+	known := s.server != "" && s.serverStarted == snap.Started
+	snap.VM = s.server
+	s.mu.Unlock()
+	if known {
+		return
+	}
+	snap.VM = ""
+	vms, _, err := s.o.Directory.VMs(ctx)
+	if err != nil {
+		return
+	}
+	for _, v := range vms {
+		if v.Address == s.o.Settings.EngineAddress && v.Started == snap.Started {
+			s.mu.Lock()
+			s.server, s.serverStarted = v.ID, v.Started
+			s.mu.Unlock()
+			snap.VM = v.ID
+			s.o.Logger.WithFields(log.Fields{"server": v.ID, "started": v.Started}).Info("engine identified")
+		}
+	}
+}
+
+func (s *Sidecar) pause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.machine.Expecting() {
+		return s.o.BusyRead
+	}
+	return s.o.IdleRead
+}
