ingress: three VMs that leave one after the other end in a refusal

Found by reading: a request whose place was at a VM that had begun to leave, three times, came to its refusal without a cause and ended its handler there, so that the connection closed without an answer. The wait at a leaving VM is a failure of its own now.

--- a/ingress/take_place.go
+++ b/ingress/take_place.go
@@ -29,13 +29,17 @@
 			return nil, true
 		}
 		p, err := d.reserve(ctx, choice)
-		var refused *RefusedError
+		err = stillGood(err, d.s.belief.usable(d.s.o.Now(), choice.VM))
+		var (
+			refused *RefusedError
+			leaving *VMLeavingError
+		)
 		switch {
-		case err == nil && d.s.belief.usable(d.s.o.Now(), choice.VM):
+		case err == nil:
 			d.waited = p.waited
 			return p, true
-		case err == nil:
-			d.note("the VM began to leave while the request waited", nil)
+		case errors.As(err, &leaving):
+			d.note("place given back", err)
 			p.settle(result{})
 		case d.r.Context().Err() != nil:
 			d.log(stop, 0, log.Fields{"outcome": callerGone})
