e2e/hosted: a router binds its own ports, so that no test speaks to another's

Cause of the failure of TestStopLosesNoRequest beside load: tests drew free ports, closed them and passed them on. Two parallel tests could draw the same one; the second router failed to bind its readiness address, and ready() believed the first one's answer. Its own stop then changed nothing there. Shown: a router given another test's readiness address fails with the same pair of lines (still ready while stopping; connection reset by its port). Ruled out: the fixed sleeps of 50 and 100 ms (the failure came at once with an idle machine), and the shutdown itself. Change: ingress.Options.Listening tells the bound addresses, tests listen on port 0; UDP ports of sidecars are counted up instead of drawn. A router that cannot bind its probe address closes the other listener. The test waits until all requests run and until the router says it is not ready; the late request still bounds that by the 300 ms for which the listener stays open.

--- a/e2e/hosted/rules_test.go
+++ b/e2e/hosted/rules_test.go
@@ -334,17 +334,14 @@
 // LOST: a graceful stop answers every request that was read.
 func TestStopLosesNoRequest(t *testing.T) {
 	t.Parallel()
-	w, _ := twoPlain(t, platformtest.UpstreamOptions{Work: 300 * time.Millisecond})
+	w, us := twoPlain(t, platformtest.UpstreamOptions{Work: 300 * time.Millisecond})
 	replies := make(chan platformtest.Reply, 100)
 	for range 20 {
 		go func() { replies <- w.call(platformtest.Call{Path: "/order/a", Body: "x"}) }()
 	}
-	time.Sleep(100 * time.Millisecond)
+	w.eventually("all requests run", func() bool { return us[0].Arrived()+us[1].Arrived() == 20 })
 	w.stop()
-	time.Sleep(50 * time.Millisecond)
-	if w.ready() {
-		t.Error("still ready while stopping")
-	}
+	w.eventually("a stopping router is not ready", func() bool { return !w.ready() })
 	late := w.call(platformtest.Call{Path: "/order/a", Body: "x"})
 	if late.Status != http.StatusOK || !late.Close {
 		t.Errorf("a request before the balancer has noticed: %+v", late)
--- a/e2e/hosted/world_test.go
+++ b/e2e/hosted/world_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,7 @@
 	zone    = "z1"
 	region  = "r1"
 	patient = 20 * time.Second
+	anyPort = "127.0.0.1:0"
 )
 
 // world is an installation.
@@ -64,59 +66,43 @@
 	return w
 }
 
+// firstPort and the ports after it, below those that systems give to
+// connections, are handed out once each in this process.
+const firstPort = 21000
+
+var lastPort atomic.Int32
+
 // freePort draws a port that is free on all loopback addresses that tests use.
 func freePort(t *testing.T) int {
 	t.Helper()
-	c, err := net.ListenPacket("udp4", "0.0.0.0:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	return c.LocalAddr().(*net.UDPAddr).Port
-}
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		port := firstPort + int(lastPort.Add(1))
+		if c, err := net.ListenPacket("udp4", fmt.Sprintf("0.0.0.0:%d", port)); err == nil {
+			c.Close()
+			return port
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Fatal("no free port")
+	return 0
 }
 
-// startRouter starts an ingress and waits until it is ready. An address that was
-// free may be taken by another test meanwhile; then others are drawn.
+// startRouter starts an ingress and waits until it is ready.
 func (w *world) startRouter() {
 	w.t.Helper()
-	for range 5 {
-		w.runRouter()
-		for end := time.Now().Add(patient); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-			if w.ready() {
-				return
-			}
-			select {
-			case err := <-w.stopped:
-				w.t.Logf("router: %v", err)
-				end = time.Time{}
-			default:
-			}
-		}
-	}
-	w.t.Fatal("the router was never ready")
+	w.runRouter()
+	w.eventually("the router is ready", w.ready)
 }
 
 func (w *world) runRouter() {
 	w.t.Helper()
-	w.router, w.readiness = freeAddress(w.t), freeAddress(w.t)
 	credentials, err := keys.NewEphemeral("router", nil)
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	bound := make(chan [2]string, 1)
 	server, err := ingress.New(ingress.Options{
 		Settings: config.IngressSettings{
-			VM: "router", Region: region, Zone: zone, Listen: w.router, ReadinessListen: w.readiness,
-			AdminListen: freeAddress(w.t), SidecarPort: w.udp, RetryShare: 0.2, RetrySlack: 50,
+			VM: "router", Region: region, Zone: zone, Listen: anyPort, ReadinessListen: anyPort, SidecarPort: w.udp, RetryShare: 0.2, RetrySlack: 50,
 			ShutdownTimeout: config.Duration(4 * time.Second),
 		},
 		Directory:     &platform.Directory{Store: platform.NewStore(w.store.Address()), Regions: platform.Regions{zone: region}},
@@ -124,6 +110,7 @@
 		Credentials:   credentials,
 		Logger:        logger(w.t),
 		ReadinessPath: platform.ReadinessPath,
+		Listening:     func(callers, probes net.Addr) { bound <- [2]string{callers.String(), probes.String()} },
 		PollInterval:  200 * time.Millisecond, BalancerNotice: 300 * time.Millisecond,
 	})
 	if err != nil {
@@ -145,6 +132,12 @@
 			w.t.Error("the router did not stop")
 		}
 	})
+	select {
+	case at := <-bound:
+		w.router, w.readiness = at[0], at[1]
+	case err := <-stopped:
+		w.t.Fatalf("router: %v", err)
+	}
 }
 
 func (w *world) ready() bool {
@@ -168,7 +161,7 @@
 	s := sidecar.New(sidecar.Options{
 		Settings: config.SidecarSettings{
 			VM: ident.VM(vm), Region: region, Zone: zone, Service: ident.Upstream(service), EngineAddress: u.Address(),
-			PeerListen: fmt.Sprintf("%s:%d", ip, w.udp), AdminListen: freeAddress(w.t),
+			PeerListen: fmt.Sprintf("%s:%d", ip, w.udp),
 			OrderLease: config.Duration(300 * time.Millisecond),
 		},
 		Engine:      platform.NewEngine(u.Address()),
--- a/ingress/options.go
+++ b/ingress/options.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -39,6 +40,10 @@
 	// ReadinessPath is the path that the balancer probes.
 	ReadinessPath string
 
+	// Listening, if set, is called once with the addresses for callers and for
+	// probes, after both are bound.
+	Listening func(callers, probes net.Addr)
+
 	PollInterval   time.Duration
 	BelievedFor    time.Duration
 	BalancerNotice time.Duration
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -83,8 +83,12 @@
 	}
 	probes, err := net.Listen("tcp4", s.o.Settings.ReadinessListen)
 	if err != nil {
+		_ = callers.Close()
 		return fmt.Errorf("listen for probes: %w", err)
 	}
+	if s.o.Listening != nil {
+		s.o.Listening(callers.Addr(), probes.Addr())
+	}
 	s.o.Logger.WithField("listen", s.o.Settings.Listen).Info("started")
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
