e2e/hosted: an order that arrives after newer ones is void

The stand-in of an engine can lose the answer of one load and hold the load back until the test lets it go. The test serves three more models meanwhile.

--- a/e2e/hosted/engines_test.go
+++ b/e2e/hosted/engines_test.go
@@ -112,6 +112,26 @@
 	e.checkLimit()
 }
 
+// LIMIT: an order that got no answer is void once others were accepted, however
+// late it arrives: carried out, it would load a third model.
+func TestOrderThatArrivesAfterNewerOnesIsVoid(t *testing.T) {
+	t.Parallel()
+	e := newEngines(t, 1, 200*time.Millisecond)
+	serve := func(model string) {
+		e.eventually(model+" is served", func() bool {
+			return e.call(platformtest.Call{Path: "/outlook/a", Body: "x", Model: model, Patience: 5 * time.Second}).Status == http.StatusOK
+		})
+	}
+	arrive := make(chan struct{})
+	e.us[0].SetEngineFaults(platformtest.EngineFaults{LoseLoad: "m2", Arrive: arrive})
+	for _, model := range engineModels[2:6] {
+		serve(model)
+	}
+	close(arrive)
+	e.eventually("the late order arrives", func() bool { return e.us[0].LateOrders() == 1 })
+	e.checkLimit()
+}
+
 // ONE: a later start has a higher fence, and a sidecar on another VM waits until
 // the orders of the one before can't count any more.
 func TestFenceRisesWithEachStart(t *testing.T) {
