daemon: a hangup during a graceful shutdown no longer ends the process

Cause: Reloads stopped listening for SIGHUP when its context ended, which restores the default: the next one kills the process while it still answers requests. The same before Reloads is called. Change: SIGHUP is ignored from the first line of Main until Reloads listens, and after it has ended. Before: TestHangupAfterTheEndIsIgnored ends the test process with 'signal: hangup'. After: passes. Left: a signal in the first milliseconds, before any code of a Go program runs.

--- a/daemon/main.go
+++ b/daemon/main.go
@@ -25,6 +25,8 @@
 func Main(program string, run func(ctx context.Context, a Arguments) error) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// Until Reloads listens, the settings are yet to be read.
+	signal.Ignore(syscall.SIGHUP)
 	var a Arguments
 	code, done := Parse(program, os.Args[1:], &a, os.Stdout, os.Stderr)
 	if done {
--- a/daemon/reloads.go
+++ b/daemon/reloads.go
@@ -14,14 +14,14 @@
 const settingsInterval = 5 * time.Second
 
 // Reloads calls changed with the text of a settings file when SIGHUP comes and
-// when the file's text has changed, until ctx ends. From its call on SIGHUP no
-// longer ends the process.
+// when the file's text has changed, until ctx ends. Later ones are ignored, so
+// that a graceful shutdown is not cut short.
 func Reloads(ctx context.Context, path string, changed func(text []byte, signalled bool)) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	last, _ := os.ReadFile(path)
 	go func() {
-		defer signal.Stop(hangup)
+		defer signal.Ignore(syscall.SIGHUP)
 		tick := time.NewTicker(settingsInterval)
 		defer tick.Stop()
 		for {
--- a/daemon/reloads_test.go
+++ b/daemon/reloads_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -27,3 +28,16 @@
 		t.Fatal("no reload")
 	}
 }
+
+// A hangup that comes while the process shuts down must not end it.
+func TestHangupAfterTheEndIsIgnored(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	Reloads(ctx, filepath.Join(t.TempDir(), "none"), func([]byte, bool) {})
+	cancel()
+	for range 20 {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
