ingress: a refusal at the deadline still says when to come back

Cause: the pause is at most 0.3 of the time that the caller has left; when the refusal came at the deadline itself that was zero or negative, and the header said -0.00. Ruled out: the sidecar's estimate, which was 354 ms. Change: the pause is never below the least one; boundPause is pure. Before: TestPauseIsBoundedByTheTimeLeft got -600us. After: passes.

--- a/ingress/final_answer.go
+++ b/ingress/final_answer.go
@@ -30,11 +30,16 @@
 
 // comeBack bounds a pause to what callers honour.
 func (d *delivery) comeBack(after time.Duration) time.Duration {
-	after = max(after, minRetryAfter)
 	if d.deadline.IsZero() {
-		return after
+		return max(after, minRetryAfter)
 	}
-	return min(after, time.Duration(retryShare*float64(d.deadline.Sub(d.s.o.Now()))))
+	return boundPause(after, d.deadline.Sub(d.s.o.Now()))
+}
+
+// boundPause bounds a pause for a caller that has left time. It answers refusals
+// at the very deadline, which must not bring all callers back at once.
+func boundPause(after, left time.Duration) time.Duration {
+	return max(minRetryAfter, min(after, time.Duration(retryShare*float64(left))))
 }
 
 // note logs a turn within a request.
