soak: the two programs as processes, with random faults from outside

e2e/soak builds laureltally-ingress and laureltally-sidecar, runs two routers, three engines with sidecars and two plain upstreams for each seed, and brings 24 kinds of faults in overlapping series: store down, silent, slow, reset or losing answers; upstream connections reset, slow or cut one way; upstreams that fail, decline, lose or cut answers, start anew or drain; orders lost and late; processes terminated, killed, paused and reloaded; configurations in series.

The stand-ins learn new lives of an upstream, advertised addresses, orders to an earlier life (421).

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
 # make demo runs the whole path once; make test runs every test; make spec runs
 # the model checker; make bench measures the decisions and the path; make faults
-# runs the programs under failures; make capacity measures slopes.
+# runs the programs under failures; make capacity measures slopes; make soak runs
+# the hosted programs under random faults.
 
 GO ?= go
 
-.PHONY: build demo test lint bench spec faults capacity
+.PHONY: build demo test lint bench spec faults capacity soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -32,3 +33,8 @@
 
 capacity:
 	$(GO) run ./capacity
+
+# SOAK_SEEDS is a seed or a range (1-50), SOAK_SECONDS the time for each and
+# SOAK_LANES how many run side by side.
+soak:
+	$(GO) test -count=1 -timeout 0 -run TestSoak -v ./e2e/soak
--- /dev/null
+++ b/e2e/soak/callers_test.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/laureltally/laureltally/platform/platformtest"
+)
+
+const (
+	callers = 12
+	// thinkTime is the mean pause of a caller between its requests.
+	thinkTime = 20 * time.Millisecond
+)
+
+// asked is one request of a caller and what became of it.
+type asked struct {
+	call     platformtest.Call
+	reply    platformtest.Reply
+	router   int
+	from, to time.Time
+	// kind is the first part of its path.
+	kind string
+}
+
+// startCallers lets callers work until the returned function is called. Each
+// keeps its connections as long as the routers let it.
+func (in *installation) startCallers(j *judge, seed uint64) (stop func()) {
+	done := make(chan struct{})
+	var all sync.WaitGroup
+	for n := range callers {
+		all.Go(func() {
+			r := rand.New(rand.NewPCG(seed, uint64(100+n)))
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				case <-time.After(time.Duration(r.ExpFloat64() * float64(thinkTime))):
+				}
+				kind, c := in.drawn(r, fmt.Sprintf("s%d-%d-%d", in.lane, n, i))
+				in.ask(j, client, kind, c, n)
+			}
+		})
+	}
+	return func() {
+		close(done)
+		all.Wait()
+	}
+}
+
+// drawn draws a request.
+func (in *installation) drawn(r *rand.Rand, id string) (string, platformtest.Call) {
+	c := platformtest.Call{ID: id, Host: host, Body: "x", Patience: time.Duration(1500+r.IntN(3000)) * time.Millisecond}
+	kind := "order"
+	switch n := r.IntN(20); {
+	case n < 8:
+	case n < 12:
+		kind, c.Method, c.Body = "read", http.MethodGet, ""
+	case n < 13:
+		if v := in.settledVersion(); v > 1 {
+			kind, c.Method, c.Body = fmt.Sprintf("extra-%d", v), http.MethodGet, ""
+		}
+	case n < 17:
+		kind = "outlook"
+	default:
+		kind = "draft"
+	}
+	if kind == "outlook" || kind == "draft" {
+		c.Model = modelNames[min(r.IntN(len(modelNames)), r.IntN(len(modelNames)))]
+		if r.IntN(4) == 0 {
+			c.Model += fmt.Sprintf("/a%d", 1+r.IntN(4))
+		}
+	}
+	c.Path = "/" + kind + "/a"
+	return kind, c
+}
+
+func (in *installation) ask(j *judge, client *http.Client, kind string, c platformtest.Call, n int) {
+	a := asked{call: c, kind: kind, router: in.pick(n)}
+	if a.router < 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), longestReply)
+	defer cancel()
+	a.from = time.Now()
+	a.reply = c.Do(ctx, client, in.routerAddress(a.router))
+	a.to = time.Now()
+	j.hear(a)
+	if a.reply.Status == http.StatusServiceUnavailable {
+		time.Sleep(min(a.reply.RetryAfter, 300*time.Millisecond))
+	}
+}
+
+// longestReply is when a caller gives up on a router that says nothing.
+const longestReply = 20 * time.Second
--- /dev/null
+++ b/e2e/soak/faults_test.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/laureltally/laureltally/platform/platformtest"
+)
+
+// bring carries out the faults and returns when all are over. Faults of the same
+// kind and target wait for each other; others overlap.
+func (in *installation) bring(faults []fault) {
+	begun := time.Now()
+	var all sync.WaitGroup
+	for _, f := range faults {
+		time.Sleep(time.Until(begun.Add(f.at)))
+		all.Go(func() {
+			key := in.subject(f)
+			l, _ := in.busy.LoadOrStore(key, &sync.Mutex{})
+			l.(*sync.Mutex).Lock()
+			defer l.(*sync.Mutex).Unlock()
+			in.t.Logf("%6.2f s %s, %s, %v", time.Since(begun).Seconds(), f.kind, key, f.lasts.Round(time.Millisecond))
+			in.apply(f)
+		})
+	}
+	all.Wait()
+}
+
+// subject names what a fault changes.
+func (in *installation) subject(f fault) string {
+	switch f.kind {
+	case storeDown, storeSilent, storeLoses:
+		return "store"
+	case storeReset, storeSlow:
+		return "store's connections"
+	case upstreamReset, upstreamSlow, upstreamMute, upstreamDeaf:
+		return fmt.Sprintf("connections of upstream %d", f.target%len(in.upstreams))
+	case upstreamFails, upstreamDrops, upstreamFull, upstreamCuts, upstreamRestart, upstreamDrain:
+		return fmt.Sprintf("upstream %d", f.target%len(in.upstreams))
+	case ordersLate:
+		return fmt.Sprintf("orders of engine %d", f.target%engines)
+	case routerTerm, routerKill, routerPause, routerHangup:
+		return fmt.Sprintf("router %d", f.target%routers)
+	case sidecarTerm, sidecarKill, sidecarPause:
+		return fmt.Sprintf("sidecar %d", f.target%engines)
+	default:
+		return "configuration"
+	}
+}
+
+func (in *installation) apply(f fault) {
+	u := in.upstreams[f.target%len(in.upstreams)]
+	router, sidecar := in.routers[f.target%routers], in.sidecars[f.target%engines]
+	switch f.kind {
+	case storeDown:
+		in.storeFault(platformtest.StoreFaults{Down: true}, f.lasts)
+	case storeSilent:
+		in.storeFault(platformtest.StoreFaults{Silent: true}, f.lasts)
+	case storeLoses:
+		in.storeFault(platformtest.StoreFaults{LoseAnswers: 3}, f.lasts)
+	case storeReset:
+		in.storeProxy.reset()
+	case storeSlow:
+		in.hold(in.storeProxy, f.lasts, 200*time.Millisecond, false, false)
+	case upstreamReset:
+		u.proxy.reset()
+	case upstreamSlow:
+		in.hold(u.proxy, f.lasts, 80*time.Millisecond, false, false)
+	case upstreamMute:
+		in.hold(u.proxy, f.lasts, 0, false, true)
+	case upstreamDeaf:
+		in.hold(u.proxy, f.lasts, 0, true, false)
+	case upstreamFails:
+		u.misbehave(platformtest.Behavior{Fail: true}, f.lasts)
+	case upstreamDrops:
+		u.misbehave(platformtest.Behavior{LoseAnswer: true}, f.lasts)
+	case upstreamFull:
+		u.misbehave(platformtest.Behavior{Decline: true}, f.lasts)
+	case upstreamCuts:
+		u.misbehave(platformtest.Behavior{CutAfter: 3, CutBody: true}, f.lasts)
+	case upstreamRestart:
+		in.restart(u, f.lasts)
+	case upstreamDrain:
+		in.drain(u, f.lasts)
+	case ordersLate:
+		in.upstreams[f.target%engines].SetEngineFaults(platformtest.EngineFaults{LoseOrders: 2, LateBy: f.lasts})
+	case routerTerm:
+		router.terminate()
+	case routerKill:
+		router.kill(f.lasts / 4)
+	case routerPause:
+		router.pause(f.lasts)
+	case routerHangup:
+		router.signal(syscall.SIGHUP)
+	case sidecarTerm:
+		sidecar.terminate()
+	case sidecarKill:
+		sidecar.kill(f.lasts / 4)
+	case sidecarPause:
+		sidecar.pause(f.lasts)
+	case configStorm:
+		for range 4 {
+			in.writeConfig()
+			time.Sleep(f.lasts / 4)
+		}
+	}
+}
+
+func (in *installation) storeFault(f platformtest.StoreFaults, lasts time.Duration) {
+	in.store.SetFaults(f)
+	time.Sleep(lasts)
+	in.store.SetFaults(platformtest.StoreFaults{})
+}
+
+func (in *installation) hold(p *proxy, lasts, delay time.Duration, toTarget, fromTarget bool) {
+	p.set(delay, toTarget, fromTarget)
+	time.Sleep(lasts)
+	p.set(0, false, false)
+}
+
+func (u *upstream) misbehave(b platformtest.Behavior, lasts time.Duration) {
+	u.set(b)
+	time.Sleep(lasts)
+	u.set(platformtest.Behavior{})
+}
+
+func (u *upstream) set(b platformtest.Behavior) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.behavior = b
+}
+
+// restart ends a life of an upstream and begins another at the same address, at
+// times before the store knows.
+func (in *installation) restart(u *upstream, away time.Duration) {
+	old := u.ID()
+	u.lives++
+	u.Restart(fmt.Sprintf("%s-%d", old[:3], u.lives))
+	u.proxy.reset()
+	time.Sleep(away / 4)
+	in.store.Remove("servers", old)
+	u.Register(in.store, "ready")
+}
+
+func (in *installation) drain(u *upstream, lasts time.Duration) {
+	u.Register(in.store, "draining")
+	time.Sleep(lasts)
+	u.Register(in.store, "ready")
+}
+
+// calm waits until every process is up.
+func (in *installation) calm() {
+	for i := range in.routers {
+		end := time.Now().Add(recovery)
+		for in.pick(i) != i && time.Now().Before(end) {
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+// recovery bounds the time from the last fault until everything is served: what
+// the users' pages allow.
+const recovery = 12 * time.Second
