residency: a pressed model with its place at the weight store comes before swaps for rare ones

Twelve places at the weight store were handed out for them in 20 s and nine lapsed unused: rare models kept the engines in swaps, one request each 1.6 s, with 2 to 4 of 64 requests active; once room was made for the load, the next swap took it. Ruled out: the rate of the store (3 a second, not reached) and the order of places (each was granted at once). Before: TestPressedModelComesBeforeSwapsForRareOnes loads the rare one first. After: passes.

--- a/residency/machine_test.go
+++ b/residency/machine_test.go
@@ -445,6 +445,28 @@
 	}
 }
 
+// Demand that moves to a model without a copy anywhere while rare models keep the
+// engine busy with swaps: with its place at the weight store it comes before the
+// next swap, since many requests are served by it and one by the swap.
+func TestPressedModelComesBeforeSwapsForRareOnes(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	w.snap.Tiers["d"] = engine.TierDisk
+	w.reserve(Request{ID: 1, Model: "a"})
+	w.reserve(Request{ID: 2, Model: "b"})
+	for id := range RequestID(20) {
+		w.reserve(Request{ID: 10 + id, Model: "c", Patience: time.Second})
+		w.pass(100 * time.Millisecond)
+	}
+	w.reserve(Request{ID: 3, Model: "d", Patience: 5 * time.Second})
+	w.reserve(Request{ID: 4, Model: "c", Patience: 20 * time.Second})
+	w.do(w.m.Fetching(w.now, w.fetches[len(w.fetches)-1].ID, "c", true))
+	w.pass(time.Second)
+	i := slices.IndexFunc(w.orders, func(s *Submit) bool { return s.Kind == engine.OrderLoad })
+	if i < 0 || w.orders[i].Model != "c" {
+		t.Errorf("orders %+v", w.orders)
+	}
+}
+
 // A request for a model at the weight store is not held up by an earlier question
 // for anything that is worth loading.
 func TestQuestionForAnythingGivesWayToARequest(t *testing.T) {
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -111,9 +111,15 @@
 
 // modelOrder brings the model that is due first, or makes room for it. A load from
 // the weight store that has its place comes after those at hand, since it keeps the
-// engine from all others for seconds.
+// engine from all others for seconds, unless it is asked for much more.
 func (m *Machine) modelOrder(now time.Time) *Submit {
-	for _, name := range m.wanted(now) {
+	wanted := m.wanted(now)
+	if len(wanted) > 0 && m.pressed(now, wanted[0]) {
+		if s := m.bring(now, m.fetch.Model, "it is asked for most and has its place at the weight store"); s != nil {
+			return s
+		}
+	}
+	for _, name := range wanted {
 		if s := m.bring(now, name, "requests wait for the model"); s != nil {
 			return s
 		}
@@ -124,6 +130,14 @@
 	return nil
 }
 
+// pressed tells whether the model that has its place at the weight store comes
+// before the next swap. It answers demand that moves to a model without a copy:
+// a swap serves one rare request, the load all that are refused meanwhile.
+func (m *Machine) pressed(now time.Time, next ident.Model) bool {
+	return m.fetch != nil && m.fetch.granted && m.fetch.Model != next &&
+		m.model(m.fetch.Model).asked.Get(now, m.opts.RateHalfLife) > outweighFactor*m.model(next).asked.Get(now, m.opts.RateHalfLife)
+}
+
 // bring loads a model if there is memory, and makes room otherwise.
 func (m *Machine) bring(now time.Time, name ident.Model, why string) *Submit {
 	if _, loaded := m.snap.Loaded[name]; loaded {
