placement: a requested load from the weight store counts the copies near and coming

Loads chosen by the router already counted copies. Ruled out: the store's rate; the order of places. Open: a router knows only its own share of the pressure.

--- a/ingress/belief.go
+++ b/ingress/belief.go
@@ -184,7 +184,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if model != "" {
-		return b.board.FetchWorth(now, model)
+		return b.board.FetchWorth(now, service, model)
 	}
 	_, worth := b.board.NextFetch(now, service, string(vm))
 	return worth
--- a/placement/board_test.go
+++ b/placement/board_test.go
@@ -225,6 +225,32 @@
 }
 
 // A plain service's load headers steer requests to the VM with free places.
+// Demand moves to a model that nobody has, and every VM that is asked for it wants
+// to load it: the first may, the next only while callers still find none free.
+func TestLoadsOfOneModelAreNotAskedOfEveryVM(t *testing.T) {
+	b := newBoard(t, 4, "r0")
+	now := start
+	for i := range 4 {
+		report(b, now, i, 0, models{"m1"}, nil)
+	}
+	for range 3 {
+		choose(t, b, now, Need{Model: "m0", Remaining: 20 * time.Second})
+	}
+	if b.FetchWorth(now, "models", "m0") == 0 {
+		t.Fatal("the first load is worth nothing")
+	}
+	b.Promise(now, "m0")
+	if w := b.FetchWorth(now, "models", "m0"); w > 0 {
+		t.Errorf("worth %v with a load on its way", w)
+	}
+	for range 40 {
+		choose(t, b, now, Need{Model: "m0", Remaining: 20 * time.Second})
+	}
+	if w := b.FetchWorth(now, "models", "m0"); w == 0 {
+		t.Error("no second load for a model that many are asked for")
+	}
+}
+
 func TestPlainServiceFollowsLoadHeaders(t *testing.T) {
 	b := newBoard(t, 2, "r0")
 	b.Load(start, "0", serving.Load{Running: 16, Waiting: 10, Concurrency: 16})
--- a/placement/fetch.go
+++ b/placement/fetch.go
@@ -5,7 +5,6 @@
 
 	"github.com/laureltally/laureltally/decay"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/serving"
 )
 
 const (
@@ -64,33 +63,37 @@
 		most float64
 	)
 	for i := range s.Engine.Models {
-		spec := &s.Engine.Models[i]
-		if m.readiness(spec.Name) != Remote {
+		name := s.Engine.Models[i].Name
+		if m.readiness(name) != Remote {
 			continue
 		}
-		if w := b.fetchWorth(now, service, spec); w > most {
-			best, most = spec.Name, w
+		if w := b.loadWorth(now, service, name, firstLoadWorth); w > most {
+			best, most = name, w
 		}
 	}
 	return best, most
 }
 
-func (b *Board) fetchWorth(now time.Time, service ident.Upstream, spec *serving.Model) float64 {
-	near := b.near(now, service, spec.Name)
+// FetchWorth is the worth of a load that a request waits for. It answers many VMs
+// that are asked for one model at the same time: once some of them load it, the
+// others keep serving what they have.
+func (b *Board) FetchWorth(now time.Time, service ident.Upstream, name ident.Model) float64 {
+	return b.loadWorth(now, service, name, waitingWorth)
+}
+
+// loadWorth is the worth of one more VM with a model at hand; first is added for
+// a model that none has.
+func (b *Board) loadWorth(now time.Time, service ident.Upstream, name ident.Model, first float64) float64 {
+	pressure, near := b.Pressure(now, name), b.near(now, service, name)
 	if near == 0 {
-		return firstLoadWorth + b.Pressure(now, spec.Name)
+		return first + pressure
 	}
-	if w := b.Pressure(now, spec.Name) / float64(1+near); near < enoughNear && w > leastPressure {
+	if w := pressure / float64(1+near); near < enoughNear && w > leastPressure {
 		return w
 	}
 	return 0
 }
 
-// FetchWorth is the worth of a load that a request waits for.
-func (b *Board) FetchWorth(now time.Time, name ident.Model) float64 {
-	return waitingWorth + b.Pressure(now, name)
-}
-
 // Promise notes that a VM is about to load a model.
 func (b *Board) Promise(now time.Time, name ident.Model) {
 	kept := b.promised[name][:0]
