placement: a model that a VM said it lacks is not asked for there again

Routers are back before sidecars report and go by registrations, which list what engines held before. Every draft for a model went to the first VM of its order, 204 ended with 421, their one attempt spent. Ruled out: sidecars that report wrongly (none was connected for 162 of them); the order of VMs. Change: after such an answer the model is left out of what that VM's registration lists for 3 s, so the next request tries another VM or is refused at once. Before: TestMissingModelIsNotAskedForAgain gets the same VM again. After: passes.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -31,8 +31,8 @@
 		took = res.took
 		d.s.metrics.firstEvent.RecordDuration(res.firstEvent)
 	}
-	if res.kind == otherVM && need.Model == "" {
-		d.s.belief.block(d.s.o.Now(), vm)
+	if res.kind == otherVM {
+		d.s.belief.notThere(d.s.o.Now(), vm, need.Model)
 	}
 	d.s.belief.ended(d.s.o.Now(), vm, need, took, !blames(res.kind))
 	return res
--- a/ingress/belief.go
+++ b/ingress/belief.go
@@ -117,10 +117,15 @@
 	b.board.Load(now, vm, l)
 }
 
-func (b *belief) block(now time.Time, vm ident.VM) {
+// notThere notes that a VM is another one or lacks a model, if one is given.
+func (b *belief) notThere(now time.Time, vm ident.VM, model ident.Model) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.board.Block(now, vm)
+	if model == "" {
+		b.board.Block(now, vm)
+		return
+	}
+	b.board.Lacks(now, vm, model)
 }
 
 // takeRetry spends one second attempt, if there is one left.
--- a/placement/board.go
+++ b/placement/board.go
@@ -19,6 +19,10 @@
 // registration changes within about a second.
 const blockTime = 2 * time.Second
 
+// lackTime is how long a model that a VM said it lacks is left out of what its
+// registration lists, which is renewed about each second.
+const lackTime = 3 * time.Second
+
 // packShare is the part of a VM's places that requests for a model fill before
 // they go on to the next VM. Beyond it, first events at Muotiennuste take over half
 // of the objective.
@@ -122,6 +126,9 @@
 	}
 	r := wire.Report{Concurrency: m.vm.Concurrency}
 	for _, name := range m.vm.Models {
+		if m.lacks(now, name) {
+			continue
+		}
 		r.Models = append(r.Models, wire.ModelReport{Model: name, Phase: engine.PhaseLoaded})
 	}
 	if len(r.Models) > 0 {
@@ -181,6 +188,21 @@
 	}
 }
 
+// Lacks notes that a VM answered that it does not hold a model. It answers
+// engines that start anew before their sidecars: their registrations list what
+// they held before, and every request would be sent to the first of them.
+func (b *Board) Lacks(now time.Time, vm ident.VM, name ident.Model) {
+	m := b.members[vm]
+	if m == nil || m.fresh(now, b.opts.ReportTimeout) {
+		return
+	}
+	if m.lacking == nil {
+		m.lacking = make(map[ident.Model]time.Time)
+	}
+	m.lacking[name] = now.Add(lackTime)
+	b.register(now, m)
+}
+
 // Usable tells whether a VM that was chosen earlier still takes new requests.
 func (b *Board) Usable(now time.Time, vm *fleet.VM) bool {
 	m := b.members[vm.ID]
--- a/placement/board_test.go
+++ b/placement/board_test.go
@@ -224,6 +224,36 @@
 	}
 }
 
+// Everything starts anew, and the routers know only what was registered before:
+// after the first answer that a model is missing the next VM is tried.
+func TestMissingModelIsNotAskedForAgain(t *testing.T) {
+	b := newBoard(t, 2, "r0")
+	for i := range 2 {
+		vm := *b.members[ident.VM(fmt.Sprint(i))].vm
+		vm.Models = models{"m0"}
+		if err := b.Apply(start, []fleet.Change{{Kind: fleet.Updated, VM: &vm}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first := choose(t, b, start, Need{Model: "m0"})
+	b.Lacks(start, first.VM.ID, "m0")
+	second := choose(t, b, start, Need{Model: "m0"})
+	if second.VM.ID == first.VM.ID {
+		t.Error("the same VM again")
+	}
+	b.Lacks(start, second.VM.ID, "m0")
+	if c, err := b.Choose(start, Need{Service: "models", Model: "m0"}); err == nil {
+		t.Errorf("got %s", c.VM.ID)
+	}
+	later := start.Add(lackTime)
+	if err := b.Apply(later, []fleet.Change{{Kind: fleet.Updated, VM: first.VM}}); err != nil {
+		t.Fatal(err)
+	}
+	if c := choose(t, b, later, Need{Model: "m0"}); c.VM.ID != first.VM.ID {
+		t.Errorf("got %s, %s is registered with it again", c.VM.ID, first.VM.ID)
+	}
+}
+
 // A plain service's load headers steer requests to the VM with free places.
 // Demand moves to a model that nobody has, and every VM that is asked for it wants
 // to load it: the first may, the next only while callers still find none free.
--- a/placement/member.go
+++ b/placement/member.go
@@ -23,8 +23,14 @@
 	// blocked is until when the VM takes no new work, though registered: its
 	// address answered as another VM.
 	blocked time.Time
+	// lacking are models that are registered and were found missing, with the time
+	// until which that is believed.
+	lacking map[ident.Model]time.Time
 }
 
+// lacks tells whether a model was found missing a short while ago.
+func (m *member) lacks(now time.Time, name ident.Model) bool { return now.Before(m.lacking[name]) }
+
 // fresh tells whether the agent's report can be relied on.
 func (m *member) fresh(now time.Time, timeout time.Duration) bool {
 	return m.report != nil && now.Sub(m.reportedAt) < timeout
