--- a/e2e/hosted/rules_test.go
+++ b/e2e/hosted/rules_test.go
@@ -256,7 +256,7 @@
 		`{"service":"portal","address":"127.0.0.1:1","zone":"z9","slots":4,"state":"ready","seq":1}`,
 		`{"service":"portal","address":"127.0.0.1:1","zone":"z1","slots":4,"state":"ready","seq":1,"born":1.5}`,
 	} {
-		w.store.Set("servers", fmt.Sprintf("a-%d", i), text)
+		w.store.SetServer(fmt.Sprintf("a-%d", i), text)
 	}
 	time.Sleep(600 * time.Millisecond)
 	for range 10 {
@@ -312,8 +312,8 @@
 	w, us := twoPlain(t, platformtest.UpstreamOptions{})
 	w.store.SetFaults(platformtest.StoreFaults{Silent: true})
 	time.Sleep(3 * time.Second)
-	w.store.Remove("servers", "i-0")
-	w.store.Remove("servers", "i-1")
+	w.store.RemoveServer("i-0")
+	w.store.RemoveServer("i-1")
 	w.store.SetFaults(platformtest.StoreFaults{})
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if r := w.call(platformtest.Call{Method: http.MethodGet, Path: "/read/a"}); r.Status != http.StatusOK {
@@ -357,7 +357,7 @@
 func TestSmuggledRequestIsNotRun(t *testing.T) {
 	t.Parallel()
 	w, us := twoPlain(t, platformtest.UpstreamOptions{})
-	inner := "POST /order/smuggled HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: smuggled\r\nContent-Length: 0\r\n\r\n"
+	inner := "POST /order/smuggled HTTP/1.1\r\nHost: " + host + "\r\n" + platformtest.HeaderRequestID + ": smuggled\r\nContent-Length: 0\r\n\r\n"
 	for _, head := range []string{
 		"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
 		"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
@@ -368,7 +368,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		fmt.Fprintf(c, "POST /order/a HTTP/1.1\r\nHost: %s\r\nX-Request-Id: outer\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", host, head, len(inner), inner)
+		fmt.Fprintf(c, "POST /order/a HTTP/1.1\r\nHost: %s\r\n"+platformtest.HeaderRequestID+": outer\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", host, head, len(inner), inner)
 		_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
 		_, _ = io.ReadAll(c)
 		c.Close()
@@ -388,16 +388,21 @@
 			return platformtest.Behavior{}
 		})
 	}
-	w.call(platformtest.Call{Path: "/order/a", Body: "x", Header: http.Header{
-		"X-Hold": {"1"}, "X-Pin-Ms": {"1"}, "X-Kv-Backup": {"a"}, "Kv-From": {"b"}, "X-Expect-Instance": {"i-9"}, "X-Mine": {"kept"}, "Keep-Alive": {"dropped"},
-	}})
+	sent := platformtest.SystemHeaders()
+	sent.Set(platformtest.HeaderExpectedVM, "i-9")
+	sent.Set("X-Mine", "kept")
+	sent.Set("Keep-Alive", "dropped")
+	w.call(platformtest.Call{Path: "/order/a", Body: "x", Header: sent})
 	h := <-seen
-	for _, name := range []string{"X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Keep-Alive"} {
+	for name := range platformtest.SystemHeaders() {
 		if h.Get(name) != "" {
 			t.Errorf("%s was passed on", name)
 		}
 	}
-	if h.Get("X-Mine") != "kept" || h.Get("X-Expect-Instance") == "i-9" {
+	if h.Get("Keep-Alive") != "" {
+		t.Error("a header of one connection was passed on")
+	}
+	if h.Get("X-Mine") != "kept" || h.Get(platformtest.HeaderExpectedVM) == "i-9" {
 		t.Errorf("got %v", h)
 	}
 }
--- a/e2e/soak/faults_test.go
+++ b/e2e/soak/faults_test.go
@@ -140,7 +140,7 @@
 	u.Restart(fmt.Sprintf("%s-%d", old[:3], u.lives))
 	u.proxy.reset()
 	time.Sleep(away / 4)
-	in.store.Remove("servers", old)
+	in.store.RemoveServer(old)
 	u.Register(in.store, "ready")
 }
 
