--- a/e2e/soak/installation_test.go
+++ b/e2e/soak/installation_test.go
@@ -18,14 +18,23 @@
 	routers = 2
 	engines = 3
 	plains  = 2
-	// Ports below those that systems give to connections.
-	callerPort, probePort, adminPort, enginePort, sidecarPort = 21001, 21002, 21003, 21004, 21005
-	events                                                    = 6
+	// events is how many a stream has.
+	events = 6
 	// probeInterval and probeFailures are the balancer's habits.
 	probeInterval = 500 * time.Millisecond
 	probeFailures = 2
 )
 
+// Ports, below those that systems give to connections. Each process has an
+// address of its own.
+const (
+	callerPort  = 21001
+	probePort   = 21002
+	adminPort   = 21003
+	enginePort  = 21004
+	sidecarPort = 21005
+)
+
 var modelNames = []string{"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"}
 
 // installation is one set of processes and stand-ins, on addresses of its own.
@@ -42,9 +51,10 @@
 	config struct {
 		sync.Mutex
 		version int
-		// settled is the newest version that must be in force.
+		// written is when each version was.
 		written map[int]time.Time
 	}
+	// busy holds a lock for each subject of a fault that goes on.
 	busy  sync.Map
 	stop  chan struct{}
 	ready [routers]readyState
@@ -54,14 +64,17 @@
 type upstream struct {
 	*platformtest.Upstream
 	proxy *proxy
+	// lives counts its starts after the first.
 	lives int
-	// draining are the spans of its lives in which it was registered so.
+
 	mu       sync.Mutex
 	behavior platformtest.Behavior
 }
 
+// readyState is the balancer's belief of a router.
 type readyState struct {
-	mu     sync.Mutex
+	mu sync.Mutex
+	// failed counts the probes in a row that failed.
 	failed int
 }
 
--- a/e2e/soak/judge_test.go
+++ b/e2e/soak/judge_test.go
@@ -23,11 +23,14 @@
 type judge struct {
 	in *installation
 
-	mu                                         sync.Mutex
-	refused                                    map[string]asked
-	unrepeatable                               map[string]bool
+	mu sync.Mutex
+	// refused and unrepeatable are requests by their ids.
+	refused      map[string]asked
+	unrepeatable map[string]bool
+	// excused requests met a router that was gone.
 	total, answered, refusals, failed, excused int
-	broken                                     map[string]int
+	// broken counts breaches by rule.
+	broken map[string]int
 }
 
 func newJudge(in *installation) *judge {
