--- a/e2e/soak/judge_test.go
+++ b/e2e/soak/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -154,6 +155,30 @@
 	}
 }
 
+// metrics checks that each process serves its counters on the address of its
+// settings.
+func (j *judge) metrics() {
+	for i := range routers {
+		j.counters(ipOf(j.in.lane, 1+i), "laureltally_ingress_")
+	}
+	for i := range engines {
+		j.counters(ipOf(j.in.lane, 20+i), "laureltally_sidecar_")
+	}
+}
+
+func (j *judge) counters(ip, prefix string) {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", ip, adminPort))
+	if err != nil {
+		j.breach("metrics", "%v", err)
+		return
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || !strings.Contains(string(text), prefix) {
+		j.breach("metrics", "%s: no %s in %d bytes, %v", ip, prefix, len(text), err)
+	}
+}
+
 func (j *judge) fences(engine int, orders []platformtest.Order) {
 	last := uint64(0)
 	for _, o := range orders {
--- a/e2e/soak/main_test.go
+++ b/e2e/soak/main_test.go
@@ -99,6 +99,7 @@
 	in.bring(plan(seed, played))
 	in.calm()
 	j.recovered()
+	j.metrics()
 	stopCallers()
 	j.audit()
 	t.Logf("seed %d: %s", seed, j.summary())
