--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
+	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/serving"
 	"github.com/laureltally/laureltally/upstreamhttp"
 )
@@ -32,12 +35,20 @@
 		d.s.metrics.firstEvent.RecordDuration(res.firstEvent)
 	}
 	if res.kind == otherVM {
-		d.s.belief.notThere(d.s.o.Now(), vm, need.Model)
+		d.notThere(vm, need.Model)
 	}
 	d.s.belief.ended(d.s.o.Now(), vm, need, took, !blames(res.kind))
 	return res
 }
 
+// notThere notes that a VM is another one, or lacks the model.
+func (d *delivery) notThere(vm ident.VM, model ident.Model) {
+	d.s.belief.notThere(d.s.o.Now(), vm, model)
+	d.s.o.Logger.WithFields(log.Fields{
+		"request": d.info.ID, "vm": vm, "model": model, "report_ms": ms(d.choice.ReportAge), "agent": d.choice.Agent,
+	}).Info("vm does not serve what it was believed to")
+}
+
 // blames tells whether an end speaks against the VM.
 func blames(k resultKind) bool { return k == notSent || k == broken || k == failedAnswer }
 
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -116,6 +116,7 @@
 	}
 	for old := range l.conns {
 		if old.peer.VM == c.peer.VM {
+			l.o.Logger.WithField("peer", c.peer.VM).Info("older connection of the peer closed")
 			old.Close()
 		}
 	}
