--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -32,6 +32,8 @@
 		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, metricsInterval)
+	// A process that has done nothing yet is told from one that serves no metrics.
+	scope.Counter("starts").Inc(1)
 	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
 
