transport: a listener keeps one connection a peer, by name

Since a newer connection of a peer ends its older one, the order of arrival that a listener kept, the sort in Conns and the agent's check for older connections of the same router had become needless. A map by peer holds the newest; an ended one is no longer listed. Behaviour of callers as before. Three tests share their set-up of a listener behind a middlebox; their assertions are unchanged.

--- a/agent/store_gate.go
+++ b/agent/store_gate.go
@@ -101,7 +101,7 @@
 	var vms []ident.VM
 	for _, c := range g.a.listener.Conns() {
 		peer := c.Peer()
-		if peer.Role != metastore.RoleRouter || conns[peer.VM] != nil || c == g.silent.Load() {
+		if peer.Role != metastore.RoleRouter || c == g.silent.Load() {
 			continue
 		}
 		conns[peer.VM] = c
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -23,8 +23,6 @@
 	raw  *quic.Conn
 	peer wire.Hello
 	rtt  atomic.Int64
-	// seq numbers the connections that a Listener has accepted.
-	seq uint64
 }
 
 // Peer returns what the peer says of itself.
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -1,15 +1,17 @@
 package transport
 
 import (
-	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"sync"
 
 	"github.com/quic-go/quic-go"
+
+	"github.com/laureltally/laureltally/ident"
 )
 
 // Listener accepts connections from peers and serves their streams.
@@ -18,11 +20,10 @@
 	ln *quic.Listener
 	wg sync.WaitGroup
 
-	mu     sync.Mutex
-	conns  map[*Conn]struct{}
+	mu sync.Mutex
+	// conns has the newest connection of each peer.
+	conns  map[ident.VM]*Conn
 	closed bool
-	// accepted counts the connections so far.
-	accepted uint64
 }
 
 // Listen listens on the UDP address.
@@ -44,7 +45,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	l := &Listener{o: o, ln: ln, conns: make(map[*Conn]struct{})}
+	l := &Listener{o: o, ln: ln, conns: make(map[ident.VM]*Conn)}
 	l.wg.Go(l.acceptLoop)
 	return l, nil
 }
@@ -52,16 +53,11 @@
 // Addr returns the address listened on.
 func (l *Listener) Addr() net.Addr { return l.ln.Addr() }
 
-// Conns returns the connections of the moment, the newest first.
+// Conns returns the connections of the moment, one for each peer, in no order.
 func (l *Listener) Conns() []*Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	conns := make([]*Conn, 0, len(l.conns))
-	for c := range l.conns {
-		conns = append(conns, c)
-	}
-	slices.SortFunc(conns, func(a, b *Conn) int { return cmp.Compare(b.seq, a.seq) })
-	return conns
+	return slices.Collect(maps.Values(l.conns))
 }
 
 // Close stops listening, closes every connection and waits for the accepting
@@ -69,7 +65,7 @@
 func (l *Listener) Close() error {
 	l.mu.Lock()
 	l.closed = true
-	for c := range l.conns {
+	for _, c := range l.conns {
 		c.Close()
 	}
 	l.mu.Unlock()
@@ -114,20 +110,18 @@
 	if l.closed {
 		return false
 	}
-	for old := range l.conns {
-		if old.peer.VM == c.peer.VM {
-			l.o.Logger.WithField("peer", c.peer.VM).Info("older connection of the peer closed")
-			old.Close()
-		}
+	if old := l.conns[c.peer.VM]; old != nil {
+		l.o.Logger.WithField("peer", c.peer.VM).Info("older connection of the peer closed")
+		old.Close()
 	}
-	l.accepted++
-	c.seq = l.accepted
-	l.conns[c] = struct{}{}
+	l.conns[c.peer.VM] = c
 	return true
 }
 
 func (l *Listener) remove(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.conns, c)
+	if l.conns[c.peer.VM] == c {
+		delete(l.conns, c.peer.VM)
+	}
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -16,6 +16,9 @@
 // patience bounds what a test waits for; nothing is measured with it.
 const patience = 20 * time.Second
 
+// shortPing lets a silent connection be found within a test.
+const shortPing = 20 * time.Millisecond
+
 func authority(t *testing.T, dir string) *keys.Authority {
 	t.Helper()
 	ca, err := keys.NewAuthority(keys.AuthorityOptions{Name: "test"})
@@ -59,7 +62,7 @@
 	return transport.Options{
 		Hello:            wire.Hello{VM: vm, Incarnation: 1},
 		Credentials:      c,
-		PingInterval:     20 * time.Millisecond,
+		PingInterval:     shortPing,
 		PingTimeout:      200 * time.Millisecond,
 		HandshakeTimeout: 2 * time.Second,
 	}
@@ -91,9 +94,10 @@
 	return nil
 }
 
-// TestSilentConnectionIsReplaced lets something between the ends forget the
-// connection for good, while new flows work.
-func TestSilentConnectionIsReplaced(t *testing.T) {
+// behindBox returns a listener of "agent" behind a middlebox, and a pool of
+// "router" that dials it there and pings at an interval.
+func behindBox(t *testing.T, ping time.Duration) (*transport.Listener, *harness.Middlebox, *transport.Pool) {
+	t.Helper()
 	dir := t.TempDir()
 	ca := authority(t, dir)
 	l := listen(t, options("agent", credentials(t, ca, dir, "agent")))
@@ -101,9 +105,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer box.Close()
-	pool := transport.NewPool(options("router", credentials(t, ca, dir, "router")))
-	defer pool.Close()
+	t.Cleanup(box.Close)
+	o := options("router", credentials(t, ca, dir, "router"))
+	o.PingInterval = ping
+	p := transport.NewPool(o)
+	t.Cleanup(p.Close)
+	return l, box, p
+}
+
+// TestSilentConnectionIsReplaced lets something between the ends forget the
+// connection for good, while new flows work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	_, box, pool := behindBox(t, shortPing)
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
 	if err := inquire(ctx, pool, "agent", box.Address()); err != nil {
@@ -166,18 +179,7 @@
 // A peer that stands still acknowledges nothing. A caller that has given up must
 // not be held by it until the connection counts as silent.
 func TestOpenEndsWithItsContextWhileThePeerStandsStill(t *testing.T) {
-	dir := t.TempDir()
-	ca := authority(t, dir)
-	l := listen(t, options("agent", credentials(t, ca, dir, "agent")))
-	box, err := harness.NewMiddlebox(l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(box.Close)
-	o := options("router", credentials(t, ca, dir, "router"))
-	o.PingInterval = time.Hour
-	p := transport.NewPool(o)
-	t.Cleanup(p.Close)
+	_, box, p := behindBox(t, time.Hour)
 	conn, err := p.Get(t.Context(), "agent", box.Address())
 	if err != nil {
 		t.Fatal(err)
@@ -233,16 +235,7 @@
 func TestVanishedPeerIsNoticed(t *testing.T) {
 	t.Parallel()
 	const within = 8 * time.Second
-	dir := t.TempDir()
-	ca := authority(t, dir)
-	l := listen(t, options("agent", credentials(t, ca, dir, "agent")))
-	box, err := harness.NewMiddlebox(l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer box.Close()
-	p := transport.NewPool(options("router", credentials(t, ca, dir, "router")))
-	defer p.Close()
+	l, box, p := behindBox(t, shortPing)
 	if _, err := p.Get(t.Context(), "agent", box.Address()); err != nil {
 		t.Fatal(err)
 	}
