placement: one pass over the VMs for each question what to load next

NextFetch counted, for each configured model, the VMs that have it by a pass over all VMs, under the router's lock, and each idle sidecar asks twice a second. The counts of all models are taken in one pass now; the answer is the same. BenchmarkNextFetch (56 VMs, 170 models, 12 at hand on each), one run each: 508 us before, 87 us after.

--- a/placement/fetch.go
+++ b/placement/fetch.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"iter"
 	"time"
 
 	"github.com/laureltally/laureltally/decay"
@@ -62,12 +63,13 @@
 		best ident.Model
 		most float64
 	)
+	held := b.held(service)
 	for i := range s.Engine.Models {
 		name := s.Engine.Models[i].Name
 		if m.readiness(name) != Remote {
 			continue
 		}
-		if w := b.loadWorth(now, service, name, firstLoadWorth); w > most {
+		if w := b.loadWorth(now, name, held[name], firstLoadWorth); w > most {
 			best, most = name, w
 		}
 	}
@@ -78,13 +80,21 @@
 // that are asked for one model at the same time: once some of them load it, the
 // others keep serving what they have.
 func (b *Board) FetchWorth(now time.Time, service ident.Upstream, name ident.Model) float64 {
-	return b.loadWorth(now, service, name, waitingWorth)
+	held := 0
+	for m := range b.staying(service) {
+		if m.readiness(name) != Remote {
+			held++
+		}
+	}
+	return b.loadWorth(now, name, held, waitingWorth)
 }
 
-// loadWorth is the worth of one more VM with a model at hand; first is added for
-// a model that none has.
-func (b *Board) loadWorth(now time.Time, service ident.Upstream, name ident.Model, first float64) float64 {
-	pressure, near := b.Pressure(now, name), b.near(now, service, name)
+// loadWorth is the worth of one more VM with a model at hand, which held VMs have;
+// first is added for a model that none has or is about to load.
+func (b *Board) loadWorth(now time.Time, name ident.Model, held int, first float64) float64 {
+	// A promise that has become a load is counted twice for a while; that only
+	// delays one more.
+	pressure, near := b.Pressure(now, name), held+b.coming(now, name)
 	if near == 0 {
 		return first + pressure
 	}
@@ -105,22 +115,37 @@
 	b.promised[name] = append(kept, now.Add(promiseTime))
 }
 
-// near counts the VMs that can serve a model without the weight store or are
-// about to load it.
-func (b *Board) near(now time.Time, service ident.Upstream, name ident.Model) int {
+// coming counts the VMs that are about to load a model.
+func (b *Board) coming(now time.Time, name ident.Model) int {
 	n := 0
-	for _, m := range b.members {
-		if m.vm.Service == service && !m.vm.Leaving && m.readiness(name) != Remote {
+	for _, until := range b.promised[name] {
+		if now.Before(until) {
 			n++
 		}
 	}
-	coming := 0
-	for _, until := range b.promised[name] {
-		if now.Before(until) {
-			coming++
+	return n
+}
+
+// held counts, for each model, the VMs that can serve it without the weight store.
+func (b *Board) held(service ident.Upstream) map[ident.Model]int {
+	held := make(map[ident.Model]int)
+	for m := range b.staying(service) {
+		for name := range m.models {
+			if m.readiness(name) != Remote {
+				held[name]++
+			}
+		}
+	}
+	return held
+}
+
+// staying yields the VMs of a service that are not leaving.
+func (b *Board) staying(service ident.Upstream) iter.Seq[*member] {
+	return func(yield func(*member) bool) {
+		for _, m := range b.members {
+			if m.vm.Service == service && !m.vm.Leaving && !yield(m) {
+				return
+			}
 		}
 	}
-	// A promise that has become a load is counted twice for a while; that only
-	// delays one more.
-	return n + coming
 }
