residency, options: what stands once already is used

residency: count adds and takes off a request (twins in grantAll and free); loading, mayFetch and held instead of their conditions written out; a report works out the wait for a swap once instead of twice. options: cmp.Or, as in coldstart and gate, in place of seven lists of ifs and two copies of setDefault. ingress: one look at the clock at the begin of an attempt; a comment named a field that is no more. No behaviour changes.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -20,11 +20,10 @@
 
 // attempt sends the request to the chosen VM and relays the answer.
 func (d *delivery) attempt(ctx context.Context) result {
-	now := d.s.o.Now()
+	begun := d.s.o.Now()
 	vm, need := d.choice.VM.ID, d.need
-	d.s.belief.started(now, vm, need)
+	d.s.belief.started(begun, vm, need)
 	d.s.metrics.attempts.Inc(1)
-	begun := d.s.o.Now()
 	res := d.exchange(ctx, begun)
 	if res.kind != notSent {
 		d.attempts++
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -48,7 +48,7 @@
 	mayHaveRun bool
 	retryAfter time.Duration
 	stream     streamState
-	// choice and place are those of the newest attempt.
+	// choice is that of the newest attempt, and waited the time for its place.
 	choice placement.Choice
 	waited time.Duration
 }
--- a/ingress/options.go
+++ b/ingress/options.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"time"
@@ -52,15 +53,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.PollInterval == 0 {
-		o.PollInterval = DefaultPollInterval
-	}
-	if o.BelievedFor == 0 {
-		o.BelievedFor = DefaultBelievedFor
-	}
-	if o.BalancerNotice == 0 {
-		o.BalancerNotice = DefaultBalancerNotice
-	}
+	o.PollInterval = cmp.Or(o.PollInterval, DefaultPollInterval)
+	o.BelievedFor = cmp.Or(o.BelievedFor, DefaultBelievedFor)
+	o.BalancerNotice = cmp.Or(o.BalancerNotice, DefaultBalancerNotice)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/placement/options.go
+++ b/placement/options.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -37,17 +38,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.ReportTimeout == 0 {
-		o.ReportTimeout = DefaultReportTimeout
-	}
-	if o.LinkDelay == 0 {
-		o.LinkDelay = DefaultLinkDelay
-	}
-	if o.LoadCost == 0 {
-		o.LoadCost = DefaultLoadCost
-	}
-	if o.RetryAfter == 0 {
-		o.RetryAfter = DefaultRetryAfter
-	}
+	o.ReportTimeout = cmp.Or(o.ReportTimeout, DefaultReportTimeout)
+	o.LinkDelay = cmp.Or(o.LinkDelay, DefaultLinkDelay)
+	o.LoadCost = cmp.Or(o.LoadCost, DefaultLoadCost)
+	o.RetryAfter = cmp.Or(o.RetryAfter, DefaultRetryAfter)
 	return o
 }
--- a/residency/estimate.go
+++ b/residency/estimate.go
@@ -47,7 +47,7 @@
 	wait := time.Duration(0)
 	if m.order != nil {
 		wait = m.order.left(now)
-		if m.order.loads() && m.order.Model == name {
+		if m.loading(name) {
 			return wait
 		}
 	}
@@ -111,7 +111,7 @@
 	})
 	slices.SortStableFunc(waiting, func(a, b *pending) int { return a.due().Compare(b.due()) })
 	for _, p := range waiting {
-		if m.order != nil && m.order.loads() && m.order.Model == p.Model {
+		if m.loading(p.Model) {
 			continue
 		}
 		if m.tier(p.Model) == engine.TierRemote && !m.mayFetch(p.Model) {
@@ -144,5 +144,5 @@
 
 // mayFetch tells whether a model has its place at the weight store.
 func (m *Machine) mayFetch(name ident.Model) bool {
-	return m.fetch != nil && m.fetch.granted && m.fetch.Model == name
+	return m.fetch.held() && m.fetch.Model == name
 }
--- a/residency/machine.go
+++ b/residency/machine.go
@@ -42,6 +42,9 @@
 	grantedAt time.Time
 }
 
+// held tells whether there is a place and it was granted.
+func (f *fetchState) held() bool { return f != nil && f.granted }
+
 // placeUse is how long a place at the weight store is kept while no room can be
 // made for the load.
 const placeUse = 4 * time.Second
@@ -96,7 +99,7 @@
 	if done && o.loads() {
 		m.model(o.Model).loadedAt = now
 	}
-	if m.fetch != nil && m.fetch.granted && o.loads() && o.Model == m.fetch.Model {
+	if o.loads() && m.mayFetch(o.Model) {
 		m.fetch = nil
 	}
 	m.order = nil
@@ -207,7 +210,7 @@
 	m.requests = slices.Delete(m.requests, i, i+1)
 	if p.holds() {
 		m.limit.learn(now, &p.Request, o, m.active)
-		m.free(now, p)
+		m.count(now, p, -1)
 		if o.Took > 0 {
 			m.runTime += time.Duration(runTimeWeight * float64(o.Took-m.runTime))
 		}
@@ -218,15 +221,16 @@
 // runTimeWeight is the weight of one request in the average run time.
 const runTimeWeight = 0.05
 
-func (m *Machine) free(now time.Time, p *pending) {
-	m.active--
-	m.tokens -= p.Tokens
+// count adds a request to those that run, with n of 1, or takes it off with -1.
+func (m *Machine) count(now time.Time, p *pending, n int) {
+	m.active += n
+	m.tokens += n * p.Tokens
 	st := m.model(p.Model)
-	st.active--
+	st.active += n
 	st.lastUsed = now
 	if p.Adapter != "" {
 		a := st.adapter(p.Adapter)
-		a.active--
+		a.active += n
 		a.lastUsed = now
 	}
 }
@@ -245,7 +249,7 @@
 // expireFetch gives a place at the weight store back that could not be used.
 func (m *Machine) expireFetch(now time.Time) {
 	f := m.fetch
-	if f != nil && f.granted && !m.loading(f.Model) && now.Sub(f.grantedAt) > placeUse {
+	if f.held() && !m.loading(f.Model) && now.Sub(f.grantedAt) > placeUse {
 		m.fetch = nil
 		m.nextAsk = now.Add(askPause)
 	}
@@ -285,16 +289,7 @@
 			continue
 		}
 		p.granted = now
-		m.active++
-		m.tokens += p.Tokens
-		st := m.model(p.Model)
-		st.active++
-		st.lastUsed = now
-		if p.Adapter != "" {
-			a := st.adapter(p.Adapter)
-			a.active++
-			a.lastUsed = now
-		}
+		m.count(now, p, 1)
 		out = append(out, &Grant{ID: p.ID, Waited: now.Sub(p.arrived)})
 	}
 	return out
--- a/residency/options.go
+++ b/residency/options.go
@@ -1,6 +1,9 @@
 package residency
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Options.
 const (
@@ -40,29 +43,13 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.ReportTimeout == 0 {
-		o.ReportTimeout = DefaultReportTimeout
-	}
-	if o.RateHalfLife == 0 {
-		o.RateHalfLife = DefaultRateHalfLife
-	}
-	if o.MinLimit == 0 {
-		o.MinLimit = DefaultMinLimit
-	}
-	if o.StartShare == 0 {
-		o.StartShare = DefaultStartShare
-	}
-	if o.SettleTime == 0 {
-		o.SettleTime = DefaultSettleTime
-	}
-	if o.RunTime == 0 {
-		o.RunTime = DefaultRunTime
-	}
-	if o.CacheShare == 0 {
-		o.CacheShare = DefaultCacheShare
-	}
-	if o.OrderTimeout == 0 {
-		o.OrderTimeout = DefaultOrderTimeout
-	}
+	o.ReportTimeout = cmp.Or(o.ReportTimeout, DefaultReportTimeout)
+	o.RateHalfLife = cmp.Or(o.RateHalfLife, DefaultRateHalfLife)
+	o.MinLimit = cmp.Or(o.MinLimit, DefaultMinLimit)
+	o.StartShare = cmp.Or(o.StartShare, DefaultStartShare)
+	o.SettleTime = cmp.Or(o.SettleTime, DefaultSettleTime)
+	o.RunTime = cmp.Or(o.RunTime, DefaultRunTime)
+	o.CacheShare = cmp.Or(o.CacheShare, DefaultCacheShare)
+	o.OrderTimeout = cmp.Or(o.OrderTimeout, DefaultOrderTimeout)
 	return o
 }
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -124,7 +124,7 @@
 			return s
 		}
 	}
-	if m.fetch != nil && m.fetch.granted {
+	if m.fetch.held() {
 		return m.bring(now, m.fetch.Model, "it has its place at the weight store")
 	}
 	return nil
@@ -134,7 +134,7 @@
 // before the next swap. It answers demand that moves to a model without a copy:
 // a swap serves one rare request, the load all that are refused meanwhile.
 func (m *Machine) pressed(now time.Time, next ident.Model) bool {
-	return m.fetch != nil && m.fetch.granted && m.fetch.Model != next &&
+	return m.fetch.held() && m.fetch.Model != next &&
 		m.model(m.fetch.Model).asked.Get(now, m.opts.RateHalfLife) > outweighFactor*m.model(next).asked.Get(now, m.opts.RateHalfLife)
 }
 
--- a/residency/status.go
+++ b/residency/status.go
@@ -24,7 +24,8 @@
 		RunTime:     m.runTime,
 		Models:      m.modelReports(now),
 	}
-	r.SwapWait, r.FetchWait = m.swapWait(now), m.fetchWait(now)
+	r.SwapWait = m.swapWait(now)
+	r.FetchWait = r.SwapWait + m.fetchAhead()
 	return r
 }
 
@@ -79,15 +80,15 @@
 	return wait + m.idleWait(now)
 }
 
-// fetchWait is the same for a load from the weight store.
-func (m *Machine) fetchWait(now time.Time) time.Duration {
-	wait := m.swapWait(now)
+// fetchAhead is how much longer it is for a load from the weight store, since
+// another one comes before it.
+func (m *Machine) fetchAhead() time.Duration {
 	if m.fetch != nil && !m.loading(m.fetch.Model) {
 		if spec := m.spec.Model(m.fetch.Model); spec != nil {
-			wait += spec.RemoteLoad
+			return spec.RemoteLoad
 		}
 	}
-	return wait
+	return 0
 }
 
 // Expecting tells whether a change of the engine is awaited.
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -48,11 +49,11 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.IdleRead, DefaultIdleRead)
-	setDefault(&o.BusyRead, DefaultBusyRead)
-	setDefault(&o.ReportInterval, DefaultReportInterval)
-	setDefault(&o.Heartbeat, DefaultHeartbeat)
-	setDefault(&o.ConfigInterval, DefaultConfigInterval)
+	o.IdleRead = cmp.Or(o.IdleRead, DefaultIdleRead)
+	o.BusyRead = cmp.Or(o.BusyRead, DefaultBusyRead)
+	o.ReportInterval = cmp.Or(o.ReportInterval, DefaultReportInterval)
+	o.Heartbeat = cmp.Or(o.Heartbeat, DefaultHeartbeat)
+	o.ConfigInterval = cmp.Or(o.ConfigInterval, DefaultConfigInterval)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -64,9 +65,3 @@
 	}
 	return o
 }
-
-func setDefault(d *time.Duration, v time.Duration) {
-	if *d == 0 {
-		*d = v
-	}
-}
--- a/trail/options.go
+++ b/trail/options.go
@@ -1,6 +1,9 @@
 package trail
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Options.
 const (
@@ -22,15 +25,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.QueueBytes == 0 {
-		o.QueueBytes = DefaultQueueBytes
-	}
-	if o.LinesPerSecond == 0 {
-		o.LinesPerSecond = DefaultLinesPerSecond
-	}
-	if o.FlushInterval == 0 {
-		o.FlushInterval = DefaultFlushInterval
-	}
+	o.QueueBytes = cmp.Or(o.QueueBytes, DefaultQueueBytes)
+	o.LinesPerSecond = cmp.Or(o.LinesPerSecond, DefaultLinesPerSecond)
+	o.FlushInterval = cmp.Or(o.FlushInterval, DefaultFlushInterval)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/transport/options.go
+++ b/transport/options.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/apex/log"
@@ -34,18 +35,12 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.PingInterval, DefaultPingInterval)
-	setDefault(&o.PingTimeout, DefaultPingTimeout)
-	setDefault(&o.HandshakeTimeout, DefaultHandshakeTimeout)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	o.PingInterval = cmp.Or(o.PingInterval, DefaultPingInterval)
+	o.PingTimeout = cmp.Or(o.PingTimeout, DefaultPingTimeout)
+	o.HandshakeTimeout = cmp.Or(o.HandshakeTimeout, DefaultHandshakeTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
 	if o.Logger == nil {
 		o.Logger = log.Log
 	}
 	return o
 }
-
-func setDefault(d *time.Duration, v time.Duration) {
-	if *d == 0 {
-		*d = v
-	}
-}
--- a/upstreamhttp/options.go
+++ b/upstreamhttp/options.go
@@ -1,6 +1,9 @@
 package upstreamhttp
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Options.
 const (
@@ -28,18 +31,10 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.DialTimeout == 0 {
-		o.DialTimeout = DefaultDialTimeout
-	}
-	if o.UnackedTimeout == 0 {
-		o.UnackedTimeout = DefaultUnackedTimeout
-	}
-	if o.IdleTimeout == 0 {
-		o.IdleTimeout = DefaultIdleTimeout
-	}
-	if o.MaxIdle == 0 {
-		o.MaxIdle = DefaultMaxIdle
-	}
+	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	o.UnackedTimeout = cmp.Or(o.UnackedTimeout, DefaultUnackedTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.MaxIdle = cmp.Or(o.MaxIdle, DefaultMaxIdle)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
