--- a/e2e/hosted/world_test.go
+++ b/e2e/hosted/world_test.go
@@ -7,9 +7,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +19,7 @@
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/ingress"
+	"github.com/laureltally/laureltally/internal/harness"
 	"github.com/laureltally/laureltally/keys"
 	"github.com/laureltally/laureltally/platform"
 	"github.com/laureltally/laureltally/platform/platformtest"
@@ -66,24 +67,14 @@
 	return w
 }
 
-// firstPort and the ports after it, below those that systems give to
-// connections, are handed out once each in this process.
-const firstPort = 21000
-
-var lastPort atomic.Int32
-
 // freePort draws a port that is free on all loopback addresses that tests use.
 func freePort(t *testing.T) int {
 	t.Helper()
-	for range 1000 {
-		port := firstPort + int(lastPort.Add(1))
-		if c, err := net.ListenPacket("udp4", fmt.Sprintf("0.0.0.0:%d", port)); err == nil {
-			c.Close()
-			return port
-		}
+	address, err := harness.FreeAddress("udp4", "0.0.0.0")
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return 0
+	return int(netip.MustParseAddrPort(address).Port())
 }
 
 // startRouter starts an ingress and waits until it is ready.
--- a/ingress/header.go
+++ b/ingress/header.go
@@ -4,20 +4,19 @@
 	"net/http"
 	"slices"
 	"strings"
+
+	"github.com/laureltally/laureltally/internal/header"
 )
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-	"Content-Length",
-}
+// ownHeaders are not passed on: those of one connection, and those that this
+// process sets itself.
+var ownHeaders = slices.Concat(header.Hop, []string{"Expect", "Content-Length"})
 
 // forwardHeader copies a header without what concerns one connection only.
 func forwardHeader(h http.Header) http.Header {
 	out := make(http.Header, len(h)+2)
 	for name, values := range h {
-		if !slices.Contains(hopHeaders, name) {
+		if !slices.Contains(ownHeaders, name) {
 			out[name] = values
 		}
 	}
--- a/ingress/poll.go
+++ b/ingress/poll.go
@@ -9,54 +9,41 @@
 
 	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/trail"
 )
 
 // firstPollInterval is the pause between reads before the first that succeeds.
 const firstPollInterval = 150 * time.Millisecond
 
-// poller reads something again and again and tells when that stops or starts
-// working.
+// poller reads something again and again.
 type poller struct {
-	what   string
-	logger log.Interface
-	lost   bool
-	known  bool
-}
-
-// result logs a change between working and failing.
-func (p *poller) result(err error, took time.Duration) {
-	fields := log.Fields{"dependency": p.what, "took_ms": took.Milliseconds()}
-	switch {
-	case err != nil && !p.lost:
-		p.lost = true
-		p.logger.WithFields(fields).WithError(err).Warn("dependency lost")
-	case err == nil && p.lost:
-		p.lost = false
-		p.logger.WithFields(fields).Info("dependency regained")
-	}
-	p.known = p.known || err == nil
+	trail.Dependency
+	known bool
 }
 
 // run calls read until ctx ends.
 func (p *poller) run(ctx context.Context, every time.Duration, now func() time.Time, read func(context.Context, time.Time) error) {
 	for ctx.Err() == nil {
 		begun := now()
-		p.result(read(ctx, begun), now().Sub(begun))
+		err := read(ctx, begun)
+		p.Result(err, log.Fields{"took_ms": now().Sub(begun).Milliseconds()})
+		p.known = p.known || err == nil
 		pause := every
 		if !p.known {
 			pause = firstPollInterval
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(max(0, pause-now().Sub(begun))):
-		}
+		_ = wait.Sleep(ctx, pause-now().Sub(begun))
 	}
 }
 
+func (s *Server) poller(what string) *poller {
+	return &poller{Dependency: trail.Dependency{Name: what, Logger: s.o.Logger}}
+}
+
 func (s *Server) pollConfig(ctx context.Context) {
-	p := &poller{what: "configuration", logger: s.o.Logger}
-	p.run(ctx, s.o.PollInterval, s.o.Now, s.readConfig)
+	s.poller("configuration").run(ctx, s.o.PollInterval, s.o.Now, s.readConfig)
 }
 
 func (s *Server) readConfig(ctx context.Context, begun time.Time) error {
@@ -86,9 +73,8 @@
 }
 
 func (s *Server) pollVMs(ctx context.Context) {
-	p := &poller{what: "vm list", logger: s.o.Logger}
 	malformed := make(map[string]bool)
-	p.run(ctx, s.o.PollInterval, s.o.Now, func(ctx context.Context, begun time.Time) error {
+	s.poller("vm list").run(ctx, s.o.PollInterval, s.o.Now, func(ctx context.Context, begun time.Time) error {
 		vms, bad, err := s.o.Directory.VMs(ctx)
 		if err != nil {
 			return err
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/admin"
 	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/serving"
 	"github.com/laureltally/laureltally/transport"
@@ -99,7 +100,7 @@
 	server := s.callerServer()
 	g.Go(func() error { return served(readiness.Serve(probes)) })
 	g.Go(func() error { return served(server.Serve(callers)) })
-	s.serveAdmin(g, work)
+	admin.ServeMetrics(work, g, s.o.Settings.AdminListen, s.o.MetricsHandler, s.o.Logger)
 	select {
 	case <-ctx.Done():
 	case <-work.Done():
@@ -132,23 +133,6 @@
 	return 0
 }
 
-// serveAdmin serves metrics until work ends.
-func (s *Server) serveAdmin(g *errgroup.Group, work context.Context) {
-	if s.o.MetricsHandler == nil {
-		return
-	}
-	ln, err := net.Listen("tcp4", s.o.Settings.AdminListen)
-	if err != nil {
-		s.o.Logger.WithError(err).Warn("metrics are not served")
-		return
-	}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", s.o.MetricsHandler)
-	admin := &http.Server{Handler: mux, ReadHeaderTimeout: headerReadTimeout}
-	g.Go(func() error { return served(admin.Serve(ln)) })
-	g.Go(func() error { <-work.Done(); return admin.Close() })
-}
-
 const (
 	// haltSlack is how long before the end of a shutdown requests are given up that
 	// have not begun to be answered; it covers writing those answers.
--- a/ingress/sidecar_link.go
+++ b/ingress/sidecar_link.go
@@ -11,6 +11,7 @@
 
 	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -55,10 +56,7 @@
 				l.s.o.Logger.WithFields(log.Fields{"dependency": "sidecar", "vm": l.vm.ID}).WithError(err).Warn("dependency lost")
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(b.NextBackOff()):
-		}
+		_ = wait.Sleep(ctx, b.NextBackOff())
 	}
 }
 
--- a/internal/harness/port.go
+++ b/internal/harness/port.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync/atomic"
 )
 
@@ -19,11 +20,15 @@
 func init() { nextPort.Store(rand.Uint32N(lastPort - firstPort)) }
 
 // freePort returns a loopback address whose port is free.
-func freePort(network string) (string, error) {
+func freePort(network string) (string, error) { return FreeAddress(network, "127.0.0.1") }
+
+// FreeAddress returns an IP address with a port that is free there. Ports are given
+// out in turn, so that none comes again soon.
+func FreeAddress(network, ip string) (string, error) {
 	var err error
 	for range lastPort - firstPort {
 		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+		address := fmt.Sprintf("%s:%d", ip, port)
 		if err = probe(network, address); err == nil {
 			return address, nil
 		}
@@ -33,7 +38,7 @@
 
 // probe listens on the address for a moment.
 func probe(network, address string) error {
-	if network == "udp" {
+	if strings.HasPrefix(network, "udp") {
 		conn, err := net.ListenPacket(network, address)
 		if err != nil {
 			return err
--- /dev/null
+++ b/internal/sockopt/unacked.go
@@ -0,0 +1,25 @@
+// Package sockopt sets options of TCP sockets.
+package sockopt
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Unacked returns a net.Dialer's Control that makes the kernel close a connection
+// whose peer has acknowledged nothing for d.
+func Unacked(d time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var setErr error
+		err := c.Control(func(fd uintptr) {
+			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond))
+		})
+		if err != nil {
+			return fmt.Errorf("socket options: %w", err)
+		}
+		return setErr
+	}
+}
--- a/router/header.go
+++ b/router/header.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"slices"
+
+	"github.com/laureltally/laureltally/internal/header"
 )
 
 // Headers of the system towards callers.
@@ -17,19 +19,13 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // privateHeaders speak about callers to this system alone.
 var privateHeaders = []string{"Authorization", "Cookie", "Host", HeaderTimeout, "X-Priority"}
 
 // forwardHeader returns the headers of a caller's request for an upstream.
 func forwardHeader(h http.Header) http.Header {
 	out := h.Clone()
-	for _, name := range slices.Concat(hopHeaders, privateHeaders) {
+	for _, name := range slices.Concat(header.Hop, privateHeaders) {
 		out.Del(name)
 	}
 	return out
@@ -40,7 +36,7 @@
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
 		name = http.CanonicalHeaderKey(name)
-		if name == HeaderRequestID || slices.Contains(hopHeaders, name) {
+		if name == HeaderRequestID || slices.Contains(header.Hop, name) {
 			continue
 		}
 		dst[name] = slices.Clone(values)
--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/residency"
 	"github.com/laureltally/laureltally/transport"
@@ -61,10 +62,8 @@
 // fetchAlone goes on without a place, but only for requests that wait: a lost
 // router must cost speed, not answers.
 func (s *Sidecar) fetchAlone(f *residency.Fetch) {
-	select {
-	case <-s.ctx.Done():
+	if wait.Sleep(s.ctx, silentPatience) != nil {
 		return
-	case <-time.After(silentPatience):
 	}
 	s.fetching(f.ID, f.Model, f.Model != "")
 }
--- a/sidecar/read_config.go
+++ b/sidecar/read_config.go
@@ -5,27 +5,22 @@
 	"errors"
 	"time"
 
+	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/trail"
 )
 
 // readConfig keeps the machine's description of the engine current.
 func (s *Sidecar) readConfig(ctx context.Context) {
-	known, lost := false, false
+	known := false
+	dependency := trail.Dependency{Name: "configuration", Logger: s.o.Logger}
 	for ctx.Err() == nil {
 		c, err := s.o.Directory.Config(ctx)
 		var none *metastore.NotFoundError
-		switch {
-		case errors.As(err, &none):
-		case err != nil:
-			if !lost {
-				s.o.Logger.WithField("dependency", "configuration").WithError(err).Warn("dependency lost")
-			}
-			lost = true
-		default:
-			if lost {
-				s.o.Logger.WithField("dependency", "configuration").Info("dependency regained")
-			}
-			lost = false
+		if !errors.As(err, &none) {
+			dependency.Result(err, nil)
+		}
+		if err == nil {
 			if sv := c.Services[s.o.Settings.Service]; sv != nil && sv.Engine != nil {
 				known = true
 				s.mu.Lock()
@@ -37,10 +32,7 @@
 		if !known {
 			pause = firstReadPause
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		_ = wait.Sleep(ctx, pause)
 	}
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -14,6 +12,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/admin"
+	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/residency"
 	"github.com/laureltally/laureltally/transport"
@@ -76,7 +76,7 @@
 	g.Go(func() error { s.readEngine(ctx); return nil })
 	g.Go(func() error { s.becomeHolder(ctx); return nil })
 	g.Go(func() error { s.publish(ctx); return nil })
-	s.serveAdmin(ctx, g)
+	admin.ServeMetrics(ctx, g, s.o.Settings.AdminListen, s.o.MetricsHandler, s.o.Logger)
 	err = g.Wait()
 	_ = listener.Close()
 	s.work.Wait()
@@ -87,28 +87,6 @@
 	return err
 }
 
-// serveAdmin serves metrics until ctx ends.
-func (s *Sidecar) serveAdmin(ctx context.Context, g *errgroup.Group) {
-	if s.o.MetricsHandler == nil {
-		return
-	}
-	ln, err := net.Listen("tcp4", s.o.Settings.AdminListen)
-	if err != nil {
-		s.o.Logger.WithError(err).Warn("metrics are not served")
-		return
-	}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", s.o.MetricsHandler)
-	admin := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	g.Go(func() error {
-		if err := admin.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve metrics: %w", err)
-		}
-		return nil
-	})
-	g.Go(func() error { <-ctx.Done(); return admin.Close() })
-}
-
 // becomeHolder records this process as the one that orders the engine, and lets
 // the machine give orders once no other VM's can count any more.
 func (s *Sidecar) becomeHolder(ctx context.Context) {
@@ -118,15 +96,13 @@
 		s.o.Logger.WithError(err).Warn("not recorded as the engine's holder")
 		return
 	}
-	wait := time.Duration(0)
+	pause := time.Duration(0)
 	if previous != "" && previous != me.VM {
-		wait = time.Duration(s.o.Settings.OrderLease)
+		pause = time.Duration(s.o.Settings.OrderLease)
 	}
-	s.o.Logger.WithFields(log.Fields{"fence": fence, "previous": previous, "wait_ms": wait.Milliseconds()}).Info("holder of the engine")
-	select {
-	case <-ctx.Done():
+	s.o.Logger.WithFields(log.Fields{"fence": fence, "previous": previous, "wait_ms": pause.Milliseconds()}).Info("holder of the engine")
+	if wait.Sleep(ctx, pause) != nil {
 		return
-	case <-time.After(wait):
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/upstreamhttp/client.go
+++ b/upstreamhttp/client.go
@@ -3,13 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/laureltally/laureltally/internal/sockopt"
 )
 
 // Client keeps connections to upstream VMs. It may be used concurrently.
@@ -30,26 +28,12 @@
 		dialer: net.Dialer{
 			Timeout:         o.DialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.UnackedTimeout, Interval: o.UnackedTimeout, Count: 2},
-			Control:         unackedTimeout(o.UnackedTimeout),
+			Control:         sockopt.Unacked(o.UnackedTimeout),
 		},
 		idle: make(map[string][]*conn),
 	}
 }
 
-// unackedTimeout sets how long the kernel waits for acknowledgements.
-func unackedTimeout(d time.Duration) func(string, string, syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var setErr error
-		err := c.Control(func(fd uintptr) {
-			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond))
-		})
-		if err != nil {
-			return fmt.Errorf("socket options: %w", err)
-		}
-		return setErr
-	}
-}
-
 // Send sends a request and returns the header of its answer. The connection is
 // closed when ctx ends before Answer.Close. It fails with a *DialError, after
 // which nothing was sent, or a *BrokenError.
