upstreamhttp: a late answer without a length ends the request at once

The stacks: exchange.run read the body of a late answer to an earlier request, the upstream waited for the next request. An answer without a length has the rest of the connection as its body, so it took in the answer that was waited for; only the request's deadline would have ended that. The check for such an answer came after the read of its body. Change: the check comes first. Before: TestLateAnswerWithoutLengthEndsTheRequest still waits after 5 s. After: passes; the package 200 times alone and 100 times beside 8 busy loops. The older test sent its extra bytes without waiting for them, so that they could come after the next request, where no other answer than an error is right for one without a length; it now sends the next request once they are written. Its assertions are unchanged.

--- a/upstreamhttp/client_test.go
+++ b/upstreamhttp/client_test.go
@@ -92,6 +92,7 @@
 	}
 	for name, text := range extra {
 		t.Run(name, func(t *testing.T) {
+			written := make(chan struct{})
 			address := upstream(t, func(n int, c net.Conn, in *bufio.Reader) {
 				for {
 					id, ok := readRequest(in)
@@ -101,6 +102,7 @@
 					answer(c, id, "right-"+id, "")
 					if n == 0 && id == "a" {
 						fmt.Fprint(c, text)
+						close(written)
 					}
 				}
 			})
@@ -109,6 +111,8 @@
 				if got, err := send(t, c, address, id); err != nil || got != "right-"+id {
 					t.Errorf("request %s got %q %v", id, got, err)
 				}
+				// The extra bytes come before the next request is sent.
+				<-written
 			}
 		})
 	}
@@ -136,6 +140,41 @@
 	}
 }
 
+// A late answer without a length ends with the connection: what follows it can't
+// be told from its body, so the request must not wait behind it.
+func TestLateAnswerWithoutLengthEndsTheRequest(t *testing.T) {
+	address := upstream(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		for {
+			id, ok := readRequest(in)
+			if !ok {
+				return
+			}
+			if id == "b" {
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nwrong")
+			}
+			answer(c, id, "right-"+id, "")
+		}
+	})
+	c := New(Options{})
+	if got, err := send(t, c, address, "a"); err != nil || got != "right-a" {
+		t.Fatalf("got %q %v", got, err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := send(t, c, address, "b")
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		var stray *StrayError
+		if !errors.As(err, &stray) {
+			t.Errorf("got %v", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the request waits for the end of another answer")
+	}
+}
+
 func TestCutAnswerIsNoWholeAnswer(t *testing.T) {
 	for name, text := range map[string]string{
 		"length": "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 9\r\n\r\nshort",
--- a/upstreamhttp/exchange.go
+++ b/upstreamhttp/exchange.go
@@ -42,13 +42,20 @@
 		if x.request.Matches == nil || x.request.Matches(resp.Header) {
 			return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, resp: resp, x: x}, nil
 		}
-		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil || n == maxStrayBytes || resp.Close {
+		if resp.Close || !skip(resp.Body) {
 			return nil, x.fail(StageHeader, &StrayError{Answers: 1})
 		}
 	}
 	return nil, x.fail(StageHeader, &StrayError{Answers: maxStrays + 1})
 }
 
+// skip reads the body of an answer to another request. It returns false if that
+// fails or the body is too long.
+func skip(body io.Reader) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBytes))
+	return err == nil && n < maxStrayBytes
+}
+
 // send writes the request in one call, or the body of a long one beside the
 // reading of the answer.
 func (x *exchange) send() error {
