transport: a connection is kept alive by QUIC itself, not by a stream a ping

Change: KeepAlivePeriod and MaxIdleTimeout of quic-go take the place of the pings: a probe is sent only if nothing came for 500 ms. The end that did not dial gives up after 2.5 s, so that a connection cut one way ends, too.

--- a/internal/harness/middlebox.go
+++ b/internal/harness/middlebox.go
@@ -14,11 +14,14 @@
 
 	mu    sync.Mutex
 	flows map[string]*flow
+	// passed counts the datagrams that were forwarded, both ways.
+	passed int
 }
 
 type flow struct {
-	back   *net.UDPConn
-	silent bool
+	back *net.UDPConn
+	// silent drops both ways, deaf only what goes to the agent.
+	silent, deaf bool
 }
 
 // datagramBytes is the largest datagram that is forwarded.
@@ -51,6 +54,23 @@
 	}
 }
 
+// Deafen drops for good what routers send on the flows of this moment, while the
+// agent's datagrams still reach them.
+func (m *Middlebox) Deafen() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, f := range m.flows {
+		f.deaf = true
+	}
+}
+
+// Passed returns how many datagrams were forwarded, both ways together.
+func (m *Middlebox) Passed() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.passed
+}
+
 // Close stops forwarding.
 func (m *Middlebox) Close() {
 	_ = m.front.Close()
@@ -69,7 +89,7 @@
 			return
 		}
 		f, err := m.flow(from)
-		if err != nil || m.isSilent(f) {
+		if err != nil || !m.pass(f, true) {
 			continue
 		}
 		_, _ = f.back.Write(buf[:n])
@@ -92,10 +112,15 @@
 	return f, nil
 }
 
-func (m *Middlebox) isSilent(f *flow) bool {
+// pass counts a datagram of a flow unless it has to be dropped.
+func (m *Middlebox) pass(f *flow, toAgent bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return f.silent
+	if f.silent || f.deaf && toAgent {
+		return false
+	}
+	m.passed++
+	return true
 }
 
 func (m *Middlebox) answer(f *flow, to *net.UDPAddr) {
@@ -108,7 +133,7 @@
 			}
 			continue
 		}
-		if !m.isSilent(f) {
+		if m.pass(f, false) {
 			_, _ = m.front.WriteToUDP(buf[:n], to)
 		}
 	}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
-	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -14,7 +12,6 @@
 
 const (
 	codeClosed   quic.ApplicationErrorCode = 0
-	codeSilent   quic.ApplicationErrorCode = 1
 	codeIdentity quic.ApplicationErrorCode = 2
 )
 
@@ -22,15 +19,11 @@
 type Conn struct {
 	raw  *quic.Conn
 	peer wire.Hello
-	rtt  atomic.Int64
 }
 
 // Peer returns what the peer says of itself.
 func (c *Conn) Peer() wire.Hello { return c.peer }
 
-// RTT returns the round-trip time of the latest ping, or zero before the first.
-func (c *Conn) RTT() time.Duration { return time.Duration(c.rtt.Load()) }
-
 // Context ends when the connection is lost.
 func (c *Conn) Context() context.Context { return c.raw.Context() }
 
@@ -72,46 +65,6 @@
 	return s.Recv()
 }
 
-// ping measures the round trip once.
-func (c *Conn) ping(ctx context.Context, seq uint64, now func() time.Time) error {
-	start := now()
-	m, err := c.Call(ctx, &wire.Ping{Seq: seq})
-	if err != nil {
-		return err
-	}
-	if p, ok := m.(*wire.Pong); !ok || p.Seq != seq {
-		return &wire.KindError{Kind: m.Kind()}
-	}
-	c.rtt.Store(int64(now().Sub(start)))
-	return nil
-}
-
-// keepAlive pings until the connection ends, and closes it when it is silent.
-func (c *Conn) keepAlive(o Options) {
-	tick := time.NewTicker(o.PingInterval)
-	defer tick.Stop()
-	for seq := uint64(1); ; seq++ {
-		select {
-		case <-c.raw.Context().Done():
-			return
-		case <-tick.C:
-		}
-		ctx, cancel := context.WithTimeout(c.raw.Context(), o.PingTimeout)
-		err := c.ping(ctx, seq, time.Now)
-		cancel()
-		if err == nil {
-			continue
-		}
-		if c.raw.Context().Err() != nil {
-			return
-		}
-		silent := &SilentError{Address: c.raw.RemoteAddr().String(), Timeout: o.PingTimeout}
-		o.Logger.WithField("peer", c.peer.VM).WithError(err).Warn(silent.Error())
-		_ = c.raw.CloseWithError(codeSilent, "silent")
-		return
-	}
-}
-
 // checkIdentity compares the peer's word with its certificate.
 func checkIdentity(raw *quic.Conn, claimed ident.VM) error {
 	certs := raw.ConnectionState().TLS.PeerCertificates
@@ -143,11 +96,6 @@
 		s.Reset()
 		return
 	}
-	if p, ok := first.(*wire.Ping); ok {
-		_ = s.Send(&wire.Pong{Seq: p.Seq})
-		_ = s.CloseSend()
-		return
-	}
 	if h == nil {
 		s.Reset()
 		return
--- a/transport/dial.go
+++ b/transport/dial.go
@@ -11,7 +11,7 @@
 // dialOwnSocket dials from a fresh UDP port, which is closed with the
 // connection.
 func dialOwnSocket(ctx context.Context, address string, o Options, tc *tls.Config) (*quic.Conn, error) {
-	raw, err := quic.DialAddr(ctx, address, withProtocol(tc), quicConfig(o))
+	raw, err := quic.DialAddr(ctx, address, withProtocol(tc), dialerConfig(o))
 	if err != nil {
 		return nil, fmt.Errorf("quic: %w", err)
 	}
--- a/transport/doc.go
+++ b/transport/doc.go
@@ -3,5 +3,6 @@
 //
 // A dialed connection has a UDP socket of its own. When something between two
 // ends loses track of a connection, a new one from another port still works, so
-// a connection that stops answering application pings is closed and replaced.
+// a connection that gives no sign of life is closed and replaced. QUIC's own
+// keep-alive asks for one only while nothing else comes.
 package transport
--- a/transport/listener.go
+++ b/transport/listener.go
@@ -41,7 +41,7 @@
 		}
 		return withProtocol(renewed), nil
 	}
-	ln, err := quic.ListenAddr(address, base, quicConfig(o))
+	ln, err := quic.ListenAddr(address, base, listenerConfig(o))
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
--- a/transport/options.go
+++ b/transport/options.go
@@ -9,15 +9,18 @@
 	"github.com/laureltally/laureltally/wire"
 )
 
-// Default times of the ping protocol. A silent connection is replaced at the
-// latest DefaultPingInterval + DefaultPingTimeout after it went silent.
+// Default times. A silent connection is given up at the latest
+// DefaultKeepAlive + DefaultSilence after it went silent.
 const (
-	DefaultPingInterval     = 500 * time.Millisecond
-	DefaultPingTimeout      = 1500 * time.Millisecond
+	// DefaultKeepAlive is how long nothing may come before the end that dialed asks
+	// for a sign of life; reports come more often.
+	DefaultKeepAlive = 500 * time.Millisecond
+	// DefaultSilence leaves room for two lost probes on links of 90 ms.
+	DefaultSilence          = 1500 * time.Millisecond
 	DefaultHandshakeTimeout = 2 * time.Second
-	// DefaultIdleTimeout is when the end that did not dial notices that the other
-	// is gone: after ten pings have not come.
-	DefaultIdleTimeout = 5 * time.Second
+	// DefaultIdleTimeout is when the end that did not dial gives the other up: after
+	// five probes have not come.
+	DefaultIdleTimeout = 2500 * time.Millisecond
 )
 
 // Options configures a Listener or a Pool.
@@ -28,15 +31,15 @@
 	// Handler serves the streams that peers open. A Pool may do without.
 	Handler          Handler
 	Logger           log.Interface
-	PingInterval     time.Duration
-	PingTimeout      time.Duration
+	KeepAlive        time.Duration
+	Silence          time.Duration
 	HandshakeTimeout time.Duration
 	IdleTimeout      time.Duration
 }
 
 func (o Options) withDefaults() Options {
-	o.PingInterval = cmp.Or(o.PingInterval, DefaultPingInterval)
-	o.PingTimeout = cmp.Or(o.PingTimeout, DefaultPingTimeout)
+	o.KeepAlive = cmp.Or(o.KeepAlive, DefaultKeepAlive)
+	o.Silence = cmp.Or(o.Silence, DefaultSilence)
 	o.HandshakeTimeout = cmp.Or(o.HandshakeTimeout, DefaultHandshakeTimeout)
 	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
 	if o.Logger == nil {
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 
+	"github.com/quic-go/quic-go"
+
 	"github.com/laureltally/laureltally/ident"
 )
 
@@ -101,9 +104,14 @@
 	go p.watch(e, key)
 }
 
-// watch pings the connection until it ends and then forgets it.
+// watch forgets the connection when it ends.
 func (p *Pool) watch(e *poolEntry, key string) {
-	e.conn.keepAlive(p.o)
+	<-e.conn.Context().Done()
+	var idle *quic.IdleTimeoutError
+	if cause := context.Cause(e.conn.Context()); errors.As(cause, &idle) {
+		silent := &SilentError{Address: e.conn.raw.RemoteAddr().String(), Timeout: p.o.Silence, Err: cause}
+		p.o.Logger.WithField("peer", e.conn.peer.VM).Warn(silent.Error())
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.entries[key] == e {
--- a/transport/quic_config.go
+++ b/transport/quic_config.go
@@ -16,7 +16,14 @@
 	connWindowBytes   = 8 << 20
 )
 
-func quicConfig(o Options) *quic.Config {
+// dialerConfig is for the end that dials, which keeps the connection alive.
+func dialerConfig(o Options) *quic.Config {
+	c := listenerConfig(o)
+	c.KeepAlivePeriod, c.MaxIdleTimeout = o.KeepAlive, o.Silence
+	return c
+}
+
+func listenerConfig(o Options) *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           o.HandshakeTimeout,
 		MaxIdleTimeout:                 o.IdleTimeout,
--- a/transport/silent_error.go
+++ b/transport/silent_error.go
@@ -5,13 +5,17 @@
 	"time"
 )
 
-// SilentError reports a connection that stopped answering pings.
+// SilentError reports a connection that gave no sign of life.
 type SilentError struct {
 	Address string
 	Timeout time.Duration
+	Err     error
 }
 
 // Error implements error.
 func (e *SilentError) Error() string {
-	return fmt.Sprintf("connection to %s answered no ping for %v", e.Address, e.Timeout)
+	return fmt.Sprintf("connection to %s silent for %v", e.Address, e.Timeout)
 }
+
+// Unwrap returns the cause.
+func (e *SilentError) Unwrap() error { return e.Err }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -62,8 +62,8 @@
 	return transport.Options{
 		Hello:            wire.Hello{VM: vm, Incarnation: 1},
 		Credentials:      c,
-		PingInterval:     shortPing,
-		PingTimeout:      200 * time.Millisecond,
+		KeepAlive:        shortPing,
+		Silence:          200 * time.Millisecond,
 		HandshakeTimeout: 2 * time.Second,
 	}
 }
@@ -107,7 +107,7 @@
 	}
 	t.Cleanup(box.Close)
 	o := options("router", credentials(t, ca, dir, "router"))
-	o.PingInterval = ping
+	o.KeepAlive = ping
 	p := transport.NewPool(o)
 	t.Cleanup(p.Close)
 	return l, box, p
@@ -249,3 +249,76 @@
 		}
 	}
 }
+
+// Each router keeps a connection to each sidecar, so what an idle one costs is paid
+// routers times sidecars: one probe and its acknowledgement an interval.
+func TestIdleConnectionCostsOneExchangeAnInterval(t *testing.T) {
+	t.Parallel()
+	const (
+		interval = 100 * time.Millisecond
+		watched  = 2 * time.Second
+		// slack is for the end of the handshake and for packets on their way.
+		slack = 4
+	)
+	_, box, p := behindBox(t, interval)
+	if _, err := p.Get(t.Context(), "agent", box.Address()); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	before := box.Passed()
+	time.Sleep(watched)
+	if n, most := box.Passed()-before, 2*int(watched/interval)+slack; n > most {
+		t.Errorf("%d datagrams in %v, want at most %d", n, watched, most)
+	}
+}
+
+// A peer that reports all the time but hears nothing more looks alive to the end
+// that dialed. It stops reporting when it misses the acknowledgements, and the
+// connection ends.
+func TestConnectionCutOneWayEnds(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	ca := authority(t, dir)
+	o := options("agent", credentials(t, ca, dir, "agent"))
+	o.IdleTimeout = 500 * time.Millisecond
+	o.Handler = transport.HandlerFunc(func(ctx context.Context, _ wire.Hello, _ wire.Message, s *transport.Stream) {
+		for s.Send(&wire.Report{}) == nil && ctx.Err() == nil {
+			time.Sleep(shortPing)
+		}
+	})
+	l, err := transport.Listen("127.0.0.1:0", o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	box, err := harness.NewMiddlebox(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(box.Close)
+	p := transport.NewPool(options("router", credentials(t, ca, dir, "router")))
+	t.Cleanup(p.Close)
+	c, err := p.Get(t.Context(), "agent", box.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := c.Open(t.Context(), &wire.Subscribe{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Recv(); err != nil {
+		t.Fatal(err)
+	}
+	box.Deafen()
+	begun := time.Now()
+	for {
+		if _, err := s.Recv(); err != nil {
+			break
+		}
+	}
+	// The times of both ends, one after the other, and what the probes themselves
+	// take on a busy machine.
+	if took, most := time.Since(begun), 2*time.Second; took > most {
+		t.Errorf("ended after %v, want at most %v", took, most)
+	}
+}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -78,8 +78,6 @@
 		return new(Verdict), nil
 	case KindPing:
 		return new(Ping), nil
-	case KindPong:
-		return new(Pong), nil
 	case KindSubscribe:
 		return new(Subscribe), nil
 	case KindReport:
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -52,7 +52,14 @@
 }
 
 func TestEveryKindHasAMessage(t *testing.T) {
+	const retired = Kind(12)
+	if m, err := newMessage(retired); err == nil {
+		t.Errorf("a number that is never reused gives %v", m)
+	}
 	for k := KindHello; k <= KindSettle; k++ {
+		if k == retired {
+			continue
+		}
 		m, err := newMessage(k)
 		if err != nil || m.Kind() != k {
 			t.Fatalf("kind %d: %v %v", k, m, err)
--- a/wire/kind.go
+++ b/wire/kind.go
@@ -5,18 +5,18 @@
 
 // The kinds of messages. Numbers are never reused.
 const (
-	KindHello         Kind = 1
-	KindDispatch      Kind = 2
-	KindResume        Kind = 3
-	KindHead          Kind = 4
-	KindChunk         Kind = 5
-	KindEnd           Kind = 6
-	KindAbort         Kind = 7
-	KindRefusal       Kind = 8
-	KindInquire       Kind = 9
-	KindVerdict       Kind = 10
-	KindPing          Kind = 11
-	KindPong          Kind = 12
+	KindHello    Kind = 1
+	KindDispatch Kind = 2
+	KindResume   Kind = 3
+	KindHead     Kind = 4
+	KindChunk    Kind = 5
+	KindEnd      Kind = 6
+	KindAbort    Kind = 7
+	KindRefusal  Kind = 8
+	KindInquire  Kind = 9
+	KindVerdict  Kind = 10
+	KindPing     Kind = 11
+	// 12 was an answer to Ping.
 	KindSubscribe     Kind = 13
 	KindReport        Kind = 14
 	KindDigestRequest Kind = 15
--- a/wire/ping.go
+++ b/wire/ping.go
@@ -1,6 +1,6 @@
 package wire
 
-// Ping asks for a Pong with the same number, on a stream of its own.
+// Ping tells a peer that waits on a stream that the sender is there.
 type Ping struct {
 	Seq uint64 `cbor:"1,keyasint"`
 }
