residency: the engine is read at the pace of its orders

Cause: a sidecar read its engine each 40 ms while any request waited, which under load is all the time; that is 25 calls a second for news that changes nothing, since places are given back at the sidecar itself. Ruled out: requests (unchanged). Change: each 150 ms, and sooner as the expected end of an order comes near.

--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -16,8 +16,8 @@
 
 // Defaults of Options.
 const (
-	// DefaultIdleRead is how often the engine is read while nothing is expected of
-	// it, DefaultBusyRead while an order or a request waits.
+	// DefaultIdleRead is how often the engine is read while no order is under way,
+	// DefaultBusyRead when one is about to end.
 	DefaultIdleRead = 150 * time.Millisecond
 	DefaultBusyRead = 40 * time.Millisecond
 	// DefaultReportInterval is the least time between two reports to a router and
--- a/sidecar/read_engine.go
+++ b/sidecar/read_engine.go
@@ -74,8 +74,5 @@
 func (s *Sidecar) pause() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.machine.Expecting() {
-		return s.o.BusyRead
-	}
-	return s.o.IdleRead
+	return s.machine.ReadPause(s.o.Now(), s.o.IdleRead, s.o.BusyRead)
 }
