residency: a late answer beside few requests leaves the limit alone

Cause: limits fell from 32 to 8 within seconds at engines that ran three requests: one late answer set the limit to 0.9 of what ran just then. Late were answers that an adapter, a burst of prompts or a lossy link had slowed. Ruled out: too many requests (the limit was 32, three ran). Change: a late answer speaks against the limit only if half of it was in use, and takes a tenth off the limit itself. TestLateAnswerOfFewRequestsLeavesTheLimit failed first.

--- a/residency/limit.go
+++ b/residency/limit.go
@@ -11,6 +11,9 @@
 	// backoffPause is the least time between two decreases: answers that ran side
 	// by side tell of the same overload.
 	backoffPause = 500 * time.Millisecond
+	// blameShare is the part of the limit below which a late answer does not speak
+	// against it: with so few requests something else was slow.
+	blameShare = 0.5
 	// busyShare is the part of the limit that must be in use for a good answer to
 	// prove that more would go well too.
 	busyShare = 0.8
@@ -31,8 +34,8 @@
 	}
 	slow := r.Gap > 0 && o.WorstGap > r.Gap || r.Objective > 0 && o.FirstEvent > r.Objective
 	switch {
-	case slow && now.Sub(l.lowered) >= backoffPause:
-		l.value = max(l.least, min(l.value, float64(active))*limitBackoff)
+	case slow && now.Sub(l.lowered) >= backoffPause && float64(active) >= blameShare*l.value:
+		l.value = max(l.least, l.value*limitBackoff)
 		l.lowered = now
 	case !slow && float64(active) >= busyShare*l.value:
 		l.value = min(l.most, l.value+limitStep)
--- a/residency/machine_test.go
+++ b/residency/machine_test.go
@@ -488,3 +488,19 @@
 		t.Error("not granted")
 	}
 }
+
+// One late answer while few requests run was slow for another reason, such as the
+// load of an adapter; an engine that was lowered for it refused what it could serve.
+func TestLateAnswerOfFewRequestsLeavesTheLimit(t *testing.T) {
+	l := limit{value: 32, least: 8, most: 128}
+	r := &Request{Objective: time.Second, Gap: 300 * time.Millisecond}
+	late := Outcome{FirstEvent: 100 * time.Millisecond, WorstGap: 400 * time.Millisecond}
+	l.learn(start.Add(time.Second), r, late, 3)
+	if l.value != 32 {
+		t.Errorf("limit %v after a late answer beside 3 requests", l.value)
+	}
+	l.learn(start.Add(2*time.Second), r, late, 30)
+	if l.value >= 32 {
+		t.Error("not lowered by a late answer beside 30 requests")
+	}
+}
