residency: requests wait until their prompts can be read

Ruled out: slow decoding (half of the events came within 160 ms beside 20 requests), queues at the engine (first events after 115 ms, median). Change: package residency estimates what the engine has still to read, at a rate learnt from the times to first events, and grants the next place when that is at most half of the accepted pause.

--- a/ingress/take_place.go
+++ b/ingress/take_place.go
@@ -87,6 +87,7 @@
 	p, err := link.reserve(ctx, &wire.Reserve{
 		Request: d.info.ID, Model: d.need.Model, Adapter: d.need.Adapter, Priority: d.need.Priority,
 		Tokens:    d.info.PromptTokens + d.info.MaxOutputTokens,
+		Prompt:    d.info.PromptTokens,
 		Patience:  min(patience(now, d.start, d.deadline, d.route, c.Readiness), d.s.stopPatience(now)),
 		Objective: d.start.Add(d.route.Objective).Sub(now),
 		Gap:       d.route.MaxEventGap,
--- a/residency/machine.go
+++ b/residency/machine.go
@@ -20,6 +20,7 @@
 	active   int
 	tokens   int
 	limit    limit
+	prompts  prompts
 	runTime  time.Duration
 	order    *openOrder
 	// nextOrder is when the next order may be given after one that failed.
@@ -52,7 +53,7 @@
 // New returns a Machine that knows nothing of its engine.
 func New(o Options) *Machine {
 	o = o.withDefaults()
-	return &Machine{opts: o, models: make(map[ident.Model]*modelState), runTime: o.RunTime}
+	return &Machine{opts: o, models: make(map[ident.Model]*modelState), runTime: o.RunTime, prompts: newPrompts()}
 }
 
 // Configure takes the description of the engine.
@@ -210,6 +211,9 @@
 	m.requests = slices.Delete(m.requests, i, i+1)
 	if p.holds() {
 		m.limit.learn(now, &p.Request, o, m.active)
+		if o.FirstEvent > 0 && p.ahead > 0 {
+			m.prompts.learn(p.ahead, o.FirstEvent)
+		}
 		m.count(now, p, -1)
 		if o.Took > 0 {
 			m.runTime += time.Duration(runTimeWeight * float64(o.Took-m.runTime))
@@ -281,23 +285,45 @@
 // requests at once.
 const leavingRetryAfter = 200 * time.Millisecond
 
-// grantAll gives places to those that wait longest.
+// grantAll gives places to those that wait longest. Where a prompt has to wait to be
+// read, later ones wait behind it, so that long prompts are not passed over.
 func (m *Machine) grantAll(now time.Time) []Action {
 	var out []Action
 	for _, p := range m.requests {
-		if p.holds() || !m.fits(p) {
+		if p.holds() || !m.ready(p) || !m.hasRoom(p) {
 			continue
 		}
+		if !m.mayRead(now, p) {
+			break
+		}
 		p.granted = now
+		p.ahead = m.prompts.add(now, p.Prompt)
 		m.count(now, p, 1)
 		out = append(out, &Grant{ID: p.ID, Waited: now.Sub(p.arrived)})
 	}
 	return out
 }
 
-// fits tells whether a request could run now.
-func (m *Machine) fits(p *pending) bool {
-	return m.ready(p) && m.hasRoom(p)
+// mayRead tells whether a request's prompt may join those that the engine still has
+// to read. One that is longer than all may be is read alone.
+func (m *Machine) mayRead(now time.Time, p *pending) bool {
+	left, most := m.prompts.left(now), readAhead(p.Gap)
+	return left == 0 || most == 0 || left+m.prompts.time(p.Prompt) <= most
+}
+
+// NextGrant is when a request that waits for nothing but prompts to be read gets its
+// place, if there is one.
+func (m *Machine) NextGrant(now time.Time) (time.Time, bool) {
+	left := m.prompts.left(now)
+	if left == 0 {
+		return time.Time{}, false
+	}
+	for _, p := range m.requests {
+		if !p.holds() && m.ready(p) && m.hasRoom(p) {
+			return now.Add(max(0, min(left, left+m.prompts.time(p.Prompt)-readAhead(p.Gap)))), true
+		}
+	}
+	return time.Time{}, false
 }
 
 // hasRoom tells whether the engine takes one more request.
--- a/residency/pending.go
+++ b/residency/pending.go
@@ -7,6 +7,8 @@
 	Request
 	arrived time.Time
 	granted time.Time
+	// ahead is how many tokens the engine had to read until its first event.
+	ahead int
 }
 
 func (p *pending) holds() bool { return !p.granted.IsZero() }
--- a/residency/request.go
+++ b/residency/request.go
@@ -15,8 +15,10 @@
 	Model    ident.Model
 	Adapter  ident.Adapter
 	Priority ident.Priority
-	// Tokens is how much of the cache it may take.
+	// Tokens is how much of the cache it may take, of which Prompt is read before its
+	// first event.
 	Tokens int
+	Prompt int
 	// Patience is how long it waits for a place from now.
 	Patience time.Duration
 	// Objective is how soon it should begin to be answered.
--- a/residency/status.go
+++ b/residency/status.go
@@ -91,8 +91,11 @@
 	return 0
 }
 
-// Expecting tells whether a change of the engine is awaited.
-func (m *Machine) Expecting() bool { return m.order != nil || len(m.requests) > m.active }
+// Reading returns the estimate of how many prompt tokens the engine reads in a
+// millisecond, and for how long it has to read, for logs.
+func (m *Machine) Reading(now time.Time) (tokensPerMS float64, left time.Duration) {
+	return m.prompts.rate(), m.prompts.left(now)
+}
 
 // Load returns the granted requests, how many may be granted, and the age of the
 // newest report in milliseconds, for logs.
--- a/sidecar/orders.go
+++ b/sidecar/orders.go
@@ -12,6 +12,7 @@
 
 // do carries out what the machine decided. The caller holds mu.
 func (s *Sidecar) do(actions []residency.Action) {
+	defer s.armGrant()
 	for _, a := range actions {
 		switch a := a.(type) {
 		case *residency.Grant:
@@ -27,6 +28,29 @@
 	}
 }
 
+// armGrant has the machine look again when the next place is due. The caller holds
+// mu.
+func (s *Sidecar) armGrant() {
+	if s.grantTimer != nil {
+		s.grantTimer.Stop()
+	}
+	now := s.o.Now()
+	at, due := s.machine.NextGrant(now)
+	if !due || s.ctx.Err() != nil {
+		return
+	}
+	s.grantTimer = time.AfterFunc(max(leastGrantPause, at.Sub(now)), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.ctx.Err() == nil {
+			s.do(s.machine.Tick(s.o.Now()))
+		}
+	})
+}
+
+// leastGrantPause is the resolution of timers that is of use here.
+const leastGrantPause = time.Millisecond
+
 func (s *Sidecar) decide(id residency.RequestID, a residency.Action) {
 	if ch := s.waiting[id]; ch != nil {
 		ch <- a
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -68,7 +68,7 @@
 	decision := make(chan residency.Action, 1)
 	s.waiting[id] = decision
 	s.do(s.machine.Reserve(s.o.Now(), residency.Request{
-		ID: id, Model: r.Model, Adapter: r.Adapter, Priority: r.Priority, Tokens: r.Tokens,
+		ID: id, Model: r.Model, Adapter: r.Adapter, Priority: r.Priority, Tokens: r.Tokens, Prompt: r.Prompt,
 		Patience: r.Patience, Objective: r.Objective, Gap: r.Gap,
 	}))
 	return id, decision
@@ -97,10 +97,11 @@
 func (s *Sidecar) logReturn(r *wire.Reserve, o residency.Outcome) {
 	s.mu.Lock()
 	active, limit, _ := s.machine.Load(s.o.Now())
+	rate, _ := s.machine.Reading(s.o.Now())
 	s.mu.Unlock()
 	s.o.Logger.WithFields(log.Fields{
 		"request": r.Request, "model": r.Model, "active": active, "limit": limit, "first_ms": o.FirstEvent.Milliseconds(),
-		"gap_ms": o.WorstGap.Milliseconds(), "took_ms": o.Took.Milliseconds(), "not_loaded": o.NotLoaded,
+		"gap_ms": o.WorstGap.Milliseconds(), "took_ms": o.Took.Milliseconds(), "not_loaded": o.NotLoaded, "tokens_per_ms": int(rate),
 	}).Info("place returned")
 }
 
@@ -115,7 +116,10 @@
 func (s *Sidecar) logDecision(peer wire.Hello, r *wire.Reserve, a residency.Action, took time.Duration) {
 	f := log.Fields{"request": r.Request, "router": peer.VM, "model": r.Model, "adapter": r.Adapter, "patience_ms": r.Patience.Milliseconds(), "waited_ms": took.Milliseconds()}
 	s.mu.Lock()
-	f["active"], f["limit"], f["report_ms"] = s.machine.Load(s.o.Now())
+	now := s.o.Now()
+	f["active"], f["limit"], f["report_ms"] = s.machine.Load(now)
+	_, left := s.machine.Reading(now)
+	f["read_ms"] = left.Milliseconds()
 	s.mu.Unlock()
 	if refused, ok := a.(*residency.Refuse); ok {
 		f["reason"], f["retry_after_ms"] = refused.Reason, refused.RetryAfter.Milliseconds()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -37,8 +37,10 @@
 	server        ident.VM
 	serverStarted int64
 	blind         bool
-	status        status
-	ctx           context.Context
+	// grantTimer fires when the next place is due.
+	grantTimer *time.Timer
+	status     status
+	ctx        context.Context
 	// work is what the machine's decisions have begun.
 	work sync.WaitGroup
 }
--- a/wire/reserve.go
+++ b/wire/reserve.go
@@ -17,6 +17,8 @@
 	Priority ident.Priority `cbor:"4,keyasint,omitempty"`
 	// Tokens is how much of the engine's cache the request may take.
 	Tokens int `cbor:"5,keyasint,omitempty"`
+	// Prompt is how many tokens the engine reads before the first event.
+	Prompt int `cbor:"9,keyasint,omitempty"`
 	// Patience is how long the asker waits for the place.
 	Patience time.Duration `cbor:"6,keyasint,omitempty"`
 	// Objective is how soon the place is wanted; later it is worth less.
