ingress: a sidecar that gives no first word is not waited for

Cause: a request asked a sidecar for a place and waited its whole patience (up to half of the time left) for a process that stood still or whose link was cut one way; only the loss of the connection ended that. Ruled out: reports (80 a second at that size). Change: a sidecar answers a reservation that it can't decide at once with Queued; without a first word in 450 ms the router asks elsewhere. The keep-alive is 2 s and the other end's patience 5 s: something that is sent still finds a silent connection within 1.5 s. TestMuteSidecarIsNotWaitedFor waited its minute before.

--- a/ingress/sidecar_link.go
+++ b/ingress/sidecar_link.go
@@ -23,6 +23,9 @@
 	maxLinkDelay = time.Second
 	// reserveSlack covers the link both ways and the sidecar's own work.
 	reserveSlack = 200 * time.Millisecond
+	// replyTimeout is how long a sidecar may take for its first word: five times the
+	// longest round trip of 90 ms, for a packet that is lost and sent again.
+	replyTimeout = 450 * time.Millisecond
 )
 
 // sidecarLink keeps the connection to one VM's sidecar.
@@ -104,11 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, stream.Reset)
-	m, err := stream.Recv()
-	if !stop() && err == nil {
-		err = context.Cause(ctx)
-	}
+	m, err := l.decision(ctx, stream)
 	if err != nil {
 		stream.Reset()
 		return nil, fmt.Errorf("reserve: %w", err)
@@ -123,3 +122,20 @@
 	stream.Reset()
 	return nil, &wire.KindError{Kind: m.Kind()}
 }
+
+// decision reads what a sidecar decides on a request. One that gives no sign of
+// having got it is not waited for; it may stand still, or be cut off one way.
+func (l *sidecarLink) decision(ctx context.Context, stream *transport.Stream) (wire.Message, error) {
+	defer context.AfterFunc(ctx, stream.Reset)()
+	_ = stream.SetDeadline(time.Now().Add(replyTimeout))
+	m, err := stream.Recv()
+	if _, queued := m.(*wire.Queued); err == nil && queued {
+		_ = stream.SetDeadline(time.Time{})
+		m, err = stream.Recv()
+	}
+	if err == nil {
+		err = context.Cause(ctx)
+	}
+	_ = stream.SetDeadline(time.Time{})
+	return m, err
+}
--- /dev/null
+++ b/ingress/sidecar_link_test.go
@@ -0,0 +1,69 @@
+package ingress
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/keys"
+	"github.com/laureltally/laureltally/transport"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// linkTo returns a link to a sidecar that serves reservations with h.
+func linkTo(t *testing.T, h transport.HandlerFunc) *sidecarLink {
+	t.Helper()
+	options := func(vm ident.VM) transport.Options {
+		c, err := keys.NewEphemeral(vm, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return transport.Options{Hello: wire.Hello{VM: vm}, Credentials: c}
+	}
+	o := options("sidecar")
+	o.Handler = h
+	listener, err := transport.Listen("127.0.0.1:0", o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	pool := transport.NewPool(options("router"))
+	t.Cleanup(pool.Close)
+	conn, err := pool.Get(t.Context(), "sidecar", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &sidecarLink{}
+	l.conn.Store(conn)
+	return l
+}
+
+// A sidecar that stands still, or hears nothing because its link is cut one way, must
+// not hold a request for all its patience.
+func TestMuteSidecarIsNotWaitedFor(t *testing.T) {
+	l := linkTo(t, func(ctx context.Context, _ wire.Hello, _ wire.Message, _ *transport.Stream) { <-ctx.Done() })
+	begun := time.Now()
+	p, err := l.reserve(t.Context(), &wire.Reserve{Patience: time.Minute})
+	if err == nil {
+		t.Fatalf("got %+v", p)
+	}
+	if took := time.Since(begun); took > 5*time.Second {
+		t.Errorf("waited %v", took)
+	}
+}
+
+// One that says that it has queued the request is waited for.
+func TestQueuedRequestIsWaitedFor(t *testing.T) {
+	l := linkTo(t, func(_ context.Context, _ wire.Hello, _ wire.Message, s *transport.Stream) {
+		_ = s.Send(&wire.Queued{})
+		time.Sleep(2 * replyTimeout)
+		_ = s.Send(&wire.Reserved{Waited: 2 * replyTimeout})
+		_, _ = s.Recv()
+	})
+	p, err := l.reserve(t.Context(), &wire.Reserve{Patience: time.Minute})
+	if err != nil || p.waited != 2*replyTimeout {
+		t.Fatalf("got %+v, %v", p, err)
+	}
+	p.settle(result{})
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -28,6 +28,10 @@
 func (s *Sidecar) reserve(ctx context.Context, peer wire.Hello, r *wire.Reserve, stream *transport.Stream) {
 	begun := s.o.Now()
 	id, decision := s.enter(r)
+	if len(decision) == 0 && stream.Send(&wire.Queued{}) != nil {
+		s.release(id, residency.Outcome{})
+		return
+	}
 	ended := make(chan wire.Message, 1)
 	go func() {
 		m, err := stream.Recv()
--- a/transport/options.go
+++ b/transport/options.go
@@ -10,17 +10,18 @@
 )
 
 // Default times. A silent connection is given up at the latest
-// DefaultKeepAlive + DefaultSilence after it went silent.
+// DefaultKeepAlive + DefaultSilence after it went silent, and DefaultSilence after
+// something was sent on it.
 const (
 	// DefaultKeepAlive is how long nothing may come before the end that dialed asks
-	// for a sign of life; reports come more often.
-	DefaultKeepAlive = 500 * time.Millisecond
+	// for a sign of life. It is the interval of reports at 80 routers.
+	DefaultKeepAlive = 2 * time.Second
 	// DefaultSilence leaves room for two lost probes on links of 90 ms.
 	DefaultSilence          = 1500 * time.Millisecond
 	DefaultHandshakeTimeout = 2 * time.Second
 	// DefaultIdleTimeout is when the end that did not dial gives the other up: after
-	// five probes have not come.
-	DefaultIdleTimeout = 2500 * time.Millisecond
+	// two probes have not come.
+	DefaultIdleTimeout = 5 * time.Second
 )
 
 // Options configures a Listener or a Pool.
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -100,6 +100,8 @@
 		return new(Reserved), nil
 	case KindSettle:
 		return new(Settle), nil
+	case KindQueued:
+		return new(Queued), nil
 	default:
 		return nil, &KindError{Kind: kind}
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -56,7 +56,7 @@
 	if m, err := newMessage(retired); err == nil {
 		t.Errorf("a number that is never reused gives %v", m)
 	}
-	for k := KindHello; k <= KindSettle; k++ {
+	for k := KindHello; k <= KindQueued; k++ {
 		if k == retired {
 			continue
 		}
--- a/wire/kind.go
+++ b/wire/kind.go
@@ -28,4 +28,5 @@
 	KindReserve       Kind = 21
 	KindReserved      Kind = 22
 	KindSettle        Kind = 23
+	KindQueued        Kind = 24
 )
