soak: connections between the programs that go silent or are cut one way

The soak's faults reached TCP only; routers and sidecars speak QUIC. A middlebox before each sidecar now forgets the flows of the moment for good, or drops what routers send while reports still come. Seeds that failed earlier keep the kinds of faults that they were found with, so they play the same.

--- a/e2e/soak/faults_test.go
+++ b/e2e/soak/faults_test.go
@@ -43,6 +43,8 @@
 		return fmt.Sprintf("orders of engine %d", f.target%engines)
 	case routerTerm, routerKill, routerPause, routerHangup:
 		return fmt.Sprintf("router %d", f.target%routers)
+	case linkSilent, linkDeaf:
+		return fmt.Sprintf("links of sidecar %d", f.target%engines)
 	case sidecarTerm, sidecarKill, sidecarPause:
 		return fmt.Sprintf("sidecar %d", f.target%engines)
 	default:
@@ -100,6 +102,10 @@
 		sidecar.kill(f.lasts / 4)
 	case sidecarPause:
 		sidecar.pause(f.lasts)
+	case linkSilent:
+		in.boxes[f.target%engines].Forget()
+	case linkDeaf:
+		in.boxes[f.target%engines].Deafen()
 	case configStorm:
 		for range 4 {
 			in.writeConfig()
--- a/e2e/soak/installation_test.go
+++ b/e2e/soak/installation_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/laureltally/laureltally/internal/harness"
 	"github.com/laureltally/laureltally/platform"
 	"github.com/laureltally/laureltally/platform/platformtest"
 )
@@ -33,6 +34,8 @@
 	adminPort   = 21003
 	enginePort  = 21004
 	sidecarPort = 21005
+	// behindPort is where a sidecar listens, behind what forwards to it.
+	behindPort = 21006
 )
 
 var modelNames = []string{"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"}
@@ -47,6 +50,8 @@
 	routers    []*process
 	sidecars   []*process
 	upstreams  []*upstream
+	// boxes stand before the sidecars.
+	boxes []*harness.Middlebox
 
 	config struct {
 		sync.Mutex
@@ -95,6 +100,7 @@
 		in.addUpstream(i)
 	}
 	for i := range engines {
+		in.addBox(i)
 		in.sidecars = append(in.sidecars, newProcess(t, dir, fmt.Sprintf("sidecar-%d", i), "laureltally-sidecar", in.sidecarSettings(i)))
 	}
 	for i := range routers {
@@ -136,6 +142,15 @@
 	in.upstreams = append(in.upstreams, u)
 }
 
+func (in *installation) addBox(i int) {
+	ip := ipOf(in.lane, 20+i)
+	box, err := harness.NewMiddleboxAt(fmt.Sprintf("%s:%d", ip, sidecarPort), fmt.Sprintf("%s:%d", ip, behindPort))
+	if err != nil {
+		in.t.Fatal(err)
+	}
+	in.boxes = append(in.boxes, box)
+}
+
 func (in *installation) routerAddress(i int) string {
 	return fmt.Sprintf("%s:%d", ipOf(in.lane, 1+i), callerPort)
 }
@@ -152,7 +167,7 @@
 	ip := ipOf(in.lane, 20+i)
 	return fmt.Sprintf(`{"vm": "side-%d", "region": "r1", "zone": %q, "service": "models", "engine_address": "%s:%d",
 		"peer_listen": "%s:%d", "admin_listen": "%s:%d", "metadata_store": %q, "first_start": true, "order_lease": "1s", "log": {"format": "json", "level": "info"}}`,
-		i, zone, ip, enginePort, ip, sidecarPort, ip, adminPort, in.storeProxy.address())
+		i, zone, ip, enginePort, ip, behindPort, ip, adminPort, in.storeProxy.address())
 }
 
 // writeConfig puts the next configuration into force: the fixed routes, and one
@@ -246,6 +261,9 @@
 	for _, p := range append(in.sidecars, in.routers...) {
 		p.end()
 	}
+	for _, b := range in.boxes {
+		b.Close()
+	}
 	for _, u := range in.upstreams {
 		u.proxy.close()
 		u.Close()
--- a/e2e/soak/main_test.go
+++ b/e2e/soak/main_test.go
@@ -17,17 +17,18 @@
 	"time"
 )
 
-// regressions are the seeds that once failed, with the time they were played and
-// the cause.
+// regressions are the seeds that once failed, with the time they were played, how
+// many kinds of faults there were then, and the cause.
 var regressions = []struct {
 	seed    uint64
 	seconds int
+	kinds   int
 	cause   string
 }{
-	{seed: 4, seconds: 8, cause: "a refusal at the deadline told no time to come back"},
-	{seed: 9, seconds: 8, cause: "a hangup before the process listened for it ended the process"},
-	{seed: 12, seconds: 8, cause: "a hangup during a graceful shutdown ended the process"},
-	{seed: 7, seconds: 15, cause: "places held by a killed router were kept for 30 s"},
+	{seed: 4, seconds: 8, kinds: 24, cause: "a refusal at the deadline told no time to come back"},
+	{seed: 9, seconds: 8, kinds: 24, cause: "a hangup before the process listened for it ended the process"},
+	{seed: 12, seconds: 8, kinds: 24, cause: "a hangup during a graceful shutdown ended the process"},
+	{seed: 7, seconds: 15, kinds: 24, cause: "places held by a killed router were kept for 30 s"},
 }
 
 const (
@@ -63,22 +64,23 @@
 	type round struct {
 		seed   uint64
 		played time.Duration
+		kinds  []faultKind
 	}
 	var queue []round
 	if os.Getenv("SOAK_SEEDS") == "" {
 		for _, r := range regressions {
-			queue = append(queue, round{r.seed, time.Duration(r.seconds) * time.Second})
+			queue = append(queue, round{r.seed, time.Duration(r.seconds) * time.Second, faultKinds[:r.kinds]})
 		}
 	}
 	for s := first; s <= last; s++ {
-		queue = append(queue, round{s, played})
+		queue = append(queue, round{s, played, faultKinds})
 	}
 	work := make(chan round)
 	var lanes sync.WaitGroup
 	for lane := range number(t, "SOAK_LANES", defaultLanes) {
 		lanes.Go(func() {
 			for r := range work {
-				t.Run(fmt.Sprintf("seed=%d", r.seed), func(t *testing.T) { play(t, lane, r.seed, r.played) })
+				t.Run(fmt.Sprintf("seed=%d", r.seed), func(t *testing.T) { play(t, lane, r.seed, r.played, r.kinds) })
 			}
 		})
 	}
@@ -91,12 +93,12 @@
 
 // play runs one seed: an installation, its callers, the faults, then a calm end
 // in which everything has to be served again.
-func play(t *testing.T, lane int, seed uint64, played time.Duration) {
+func play(t *testing.T, lane int, seed uint64, played time.Duration, kinds []faultKind) {
 	in := newInstallation(t, lane)
 	defer in.close()
 	j := newJudge(in)
 	stopCallers := in.startCallers(j, seed)
-	in.bring(plan(seed, played))
+	in.bring(plan(seed, played, kinds))
 	in.calm()
 	j.recovered()
 	j.metrics()
--- a/e2e/soak/plan_test.go
+++ b/e2e/soak/plan_test.go
@@ -36,12 +36,15 @@
 	sidecarKill     faultKind = "sidecar killed"
 	sidecarPause    faultKind = "sidecar paused"
 	configStorm     faultKind = "configurations in series"
+	linkSilent      faultKind = "connections to sidecar silent for good"
+	linkDeaf        faultKind = "connections to sidecar cut one way"
 )
 
 var faultKinds = []faultKind{
 	storeDown, storeSilent, storeLoses, storeReset, storeSlow,
 	upstreamReset, upstreamSlow, upstreamMute, upstreamDeaf, upstreamFails, upstreamDrops, upstreamFull, upstreamCuts, upstreamRestart, upstreamDrain,
 	ordersLate, routerTerm, routerKill, routerPause, routerHangup, sidecarTerm, sidecarKill, sidecarPause, configStorm,
+	linkSilent, linkDeaf,
 }
 
 // fault is one thing that goes wrong.
@@ -63,14 +66,14 @@
 	again = 0.3
 )
 
-// plan draws the faults of a seed.
-func plan(seed uint64, played time.Duration) []fault {
+// plan draws the faults of a seed from some kinds.
+func plan(seed uint64, played time.Duration, kinds []faultKind) []fault {
 	r := rand.New(rand.NewPCG(seed, 1))
 	var all []fault
-	kind, target := faultKinds[r.IntN(len(faultKinds))], r.IntN(60)
+	kind, target := kinds[r.IntN(len(kinds))], r.IntN(60)
 	for at := time.Duration(0); at < played; at += time.Duration(r.ExpFloat64() * float64(meanGap)) {
 		if r.Float64() >= again {
-			kind, target = faultKinds[r.IntN(len(faultKinds))], r.IntN(60)
+			kind, target = kinds[r.IntN(len(kinds))], r.IntN(60)
 		}
 		all = append(all, fault{
 			at: at, kind: kind, target: target,
--- a/internal/harness/middlebox.go
+++ b/internal/harness/middlebox.go
@@ -29,11 +29,20 @@
 
 // NewMiddlebox listens on a free loopback port and forwards to target.
 func NewMiddlebox(target string) (*Middlebox, error) {
+	return NewMiddleboxAt("127.0.0.1:0", target)
+}
+
+// NewMiddleboxAt listens on a UDP address and forwards to target.
+func NewMiddleboxAt(address, target string) (*Middlebox, error) {
+	at, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("address: %w", err)
+	}
 	to, err := net.ResolveUDPAddr("udp", target)
 	if err != nil {
 		return nil, fmt.Errorf("target: %w", err)
 	}
-	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	front, err := net.ListenUDP("udp", at)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
