ingress: a place is at the id that its sidecar names

Ruled out: sidecars that grant by an old report (theirs were 0 to 126 ms old, and they had identified the new server). Change: a grant names the id of the engine's server. The router sends to that id if its list has it at the same address, and gives the place back if not.

--- a/ingress/belief.go
+++ b/ingress/belief.go
@@ -195,6 +195,22 @@
 	return worth
 }
 
+// vmOfPlace is the VM whose place a sidecar has given, of which it names the id. It
+// answers engines that start anew while requests wait: for some seconds the list has
+// the old id and the new one at the same address. It is nil if the list does not
+// have the new one yet.
+func (b *belief) vmOfPlace(chosen *fleet.VM, id ident.VM) *fleet.VM {
+	if id == "" || id == chosen.ID {
+		return chosen
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if vm := b.roster.VMs()[id]; vm != nil && vm.Address == chosen.Address && vm.Service == chosen.Service {
+		return vm
+	}
+	return nil
+}
+
 // usable tells whether a VM that was chosen earlier still takes new requests.
 func (b *belief) usable(now time.Time, vm *fleet.VM) bool {
 	b.mu.Lock()
--- a/ingress/place.go
+++ b/ingress/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -12,6 +13,8 @@
 	stream *transport.Stream
 	// waited is how long the request was queued for it.
 	waited time.Duration
+	// vm is the id that the place is at, or empty if the sidecar does not know it.
+	vm ident.VM
 }
 
 // settle gives the place back and tells the sidecar how the request went. A nil
--- a/ingress/sidecar_link.go
+++ b/ingress/sidecar_link.go
@@ -114,7 +114,7 @@
 	}
 	switch m := m.(type) {
 	case *wire.Reserved:
-		return &place{stream: stream, waited: m.Waited}, nil
+		return &place{stream: stream, waited: m.Waited, vm: m.VM}, nil
 	case *wire.Refusal:
 		stream.Reset()
 		return nil, &RefusedError{RetryAfter: m.RetryAfter, Reason: m.Detail}
--- a/ingress/take_place.go
+++ b/ingress/take_place.go
@@ -29,7 +29,10 @@
 			return nil, true
 		}
 		p, err := d.reserve(ctx, choice)
-		err = stillGood(err, d.s.belief.usable(d.s.o.Now(), choice.VM))
+		if err == nil {
+			d.choice.VM = d.s.belief.vmOfPlace(choice.VM, p.vm)
+		}
+		err = stillGood(err, d.choice.VM != nil && d.s.belief.usable(d.s.o.Now(), d.choice.VM))
 		var (
 			refused *RefusedError
 			leaving *VMLeavingError
@@ -39,6 +42,7 @@
 			d.waited = p.waited
 			return p, true
 		case errors.As(err, &leaving):
+			d.choice = choice
 			d.note("place given back", err)
 			p.settle(result{})
 		case d.r.Context().Err() != nil:
--- a/residency/action.go
+++ b/residency/action.go
@@ -14,6 +14,8 @@
 type Grant struct {
 	ID     RequestID
 	Waited time.Duration
+	// VM is the id of the engine's server, or empty while it is not known.
+	VM ident.VM
 }
 
 // Refuse tells that a request gets no place. It has not run.
--- a/residency/machine.go
+++ b/residency/machine.go
@@ -299,7 +299,7 @@
 		p.granted = now
 		p.ahead = m.prompts.add(now, p.Prompt)
 		m.count(now, p, 1)
-		out = append(out, &Grant{ID: p.ID, Waited: now.Sub(p.arrived)})
+		out = append(out, &Grant{ID: p.ID, Waited: now.Sub(p.arrived), VM: m.snap.VM})
 	}
 	return out
 }
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -90,7 +90,7 @@
 	var m wire.Message
 	switch a := a.(type) {
 	case *residency.Grant:
-		m = &wire.Reserved{Waited: a.Waited}
+		m = &wire.Reserved{Waited: a.Waited, VM: a.VM}
 	case *residency.Refuse:
 		m = &wire.Refusal{Code: wire.CodeOverloaded, Run: wire.RunNot, RetryAfter: a.RetryAfter, Detail: string(a.Reason)}
 	}
