sidecar, ingress: reports list only the models that have changed

Besides, a router believed a sidecar's SameModels only if it had a report of the same VM: after an engine had started anew it took the sidecar as silent until some model changed, and the link of the old id took back what the link of the new one had reported. Change: a report lists the changes since the last one on its stream, and the link makes it whole before it is believed; a link that is ended tells nobody that the sidecar is lost. TestNewEngineIsKnownFromChangesAlone, TestModelChangesMakeTheNewList.

--- /dev/null
+++ b/ingress/report_models_test.go
@@ -0,0 +1,50 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/fleet"
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/placement"
+	"github.com/laureltally/laureltally/serving"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// An engine starts anew under another id beside a sidecar that lives on and reports
+// only changes: the router knows all models of the new id from its first report.
+func TestNewEngineIsKnownFromChangesAlone(t *testing.T) {
+	b, err := newBelief(config.IngressSettings{Region: "r", Zone: "z", SidecarPort: 7000, RetryShare: 0.2, RetrySlack: 50})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &serving.Engine{MemoryMB: 100, Concurrency: 8, Models: []serving.Model{{Name: "m0", MemoryMB: 40}, {Name: "m1", MemoryMB: 40}}}
+	e.Index()
+	b.configured(map[ident.Upstream]*serving.Service{"models": {Name: "models", Engine: e}})
+	const address = "10.0.0.1:80"
+	now := time.Unix(1000, 0)
+	listed := func(id ident.VM) {
+		if _, err := b.listed(now, now, []fleet.VM{{ID: id, Address: address, Service: "models", Region: "r", Zone: "z", Concurrency: 8}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	listed("old")
+	var stream reportModels
+	report := func(r *wire.Report) {
+		r.Concurrency = 8
+		stream.complete(r)
+		b.report(now, address, r)
+	}
+	report(&wire.Report{Models: []wire.ModelReport{{Model: "m0", Phase: engine.PhaseLoaded, Tier: engine.TierDisk}}})
+	now = now.Add(time.Second)
+	listed("new")
+	report(&wire.Report{SameModels: true, Models: []wire.ModelReport{{Model: "m1", Phase: engine.PhaseLoaded, Tier: engine.TierDisk}}})
+	for _, model := range []ident.Model{"m0", "m1"} {
+		c, err := b.choose(now, placement.Need{Service: "models", Model: model, Remaining: time.Second})
+		if err != nil || c.VM.ID != "new" || !c.Agent || c.Readiness != placement.Loaded {
+			t.Errorf("%s: got %+v, %v", model, c, err)
+		}
+	}
+}
--- a/ingress/sidecar_link.go
+++ b/ingress/sidecar_link.go
@@ -54,8 +54,10 @@
 		l.conn.Store(nil)
 		if came {
 			b.Reset()
-			l.s.belief.sidecarLost(l.s.o.Now(), l.vm.Address)
+			// A link that is ended belongs to a VM that is gone; another one may have its
+			// address by now.
 			if ctx.Err() == nil {
+				l.s.belief.sidecarLost(l.s.o.Now(), l.vm.Address)
 				l.s.o.Logger.WithFields(log.Fields{"dependency": "sidecar", "vm": l.vm.ID}).WithError(err).Warn("dependency lost")
 			}
 		}
@@ -76,6 +78,7 @@
 	}
 	defer stream.Reset()
 	defer context.AfterFunc(ctx, stream.Reset)()
+	var models reportModels
 	for {
 		m, err := stream.Recv()
 		if err != nil {
@@ -85,6 +88,7 @@
 		if !ok {
 			return came, &wire.KindError{Kind: m.Kind()}
 		}
+		models.complete(r)
 		l.s.belief.report(l.s.o.Now(), l.vm.Address, r)
 		if !came {
 			came = true
--- a/placement/board.go
+++ b/placement/board.go
@@ -146,19 +146,13 @@
 	b.table.Report(now, &r, 0)
 }
 
-// Report takes the report of the agent at an upstream address. It returns false
-// if no such VM is registered.
+// Report takes the report, with all models, of the agent at an upstream address. It
+// returns false if no such VM is registered.
 func (b *Board) Report(now time.Time, address string, r *wire.Report) bool {
 	m := b.members[b.byAddress[address]]
 	if m == nil {
 		return false
 	}
-	if r.SameModels {
-		if m.report == nil {
-			return false
-		}
-		r.Models = m.report.Models
-	}
 	m.take(now, r)
 	b.publish(now, m, *r)
 	return true
--- a/sidecar/pace.go
+++ b/sidecar/pace.go
@@ -38,9 +38,6 @@
 	return old.Running != next.Running || old.Waiting != next.Waiting || !sameModels(old, next)
 }
 
-func sameModels(a, b *wire.Report) bool { return slices.EqualFunc(a.Models, b.Models, sameModel) }
-
-// sameModel leaves out estimates, which change all the time.
-func sameModel(a, b wire.ModelReport) bool {
-	return a.Model == b.Model && a.Phase == b.Phase && a.Tier == b.Tier && slices.Equal(a.Adapters, b.Adapters)
+func sameModels(a, b *wire.Report) bool {
+	return slices.EqualFunc(a.Models, b.Models, wire.ModelReport.Same)
 }
--- a/sidecar/status.go
+++ b/sidecar/status.go
@@ -10,9 +10,7 @@
 
 // status is the newest report to routers.
 type status struct {
-	report *wire.Report
-	// models counts the changes of the models in it.
-	models  uint64
+	report  *wire.Report
 	sentAt  time.Time
 	changed chan struct{}
 }
@@ -46,9 +44,6 @@
 	if !p.due(old, next, now.Sub(s.status.sentAt)) {
 		return
 	}
-	if old == nil || !sameModels(old, next) {
-		s.status.models++
-	}
 	next.NextWithin = p.most
 	next.VM = s.name()
 	next.Seq = 1
@@ -62,17 +57,17 @@
 
 // sendReports serves one subscription.
 func (s *Sidecar) sendReports(ctx context.Context, stream *transport.Stream) {
-	var models uint64
+	var last *wire.Report
 	for {
 		s.mu.Lock()
 		st := s.status
 		s.mu.Unlock()
 		if st.report != nil {
 			r := *st.report
-			if st.models == models {
-				r.Models, r.SameModels = nil, true
+			if last != nil {
+				r.Models, r.SameModels = wire.ModelChanges(last.Models, r.Models), true
 			}
-			models = st.models
+			last = st.report
 			if err := stream.Send(&r); err != nil {
 				return
 			}
--- /dev/null
+++ b/wire/model_changes_test.go
@@ -0,0 +1,57 @@
+package wire
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
+)
+
+// drawModels draws some of ten models, sorted by name.
+func drawModels(t *rapid.T, label string) []ModelReport {
+	var out []ModelReport
+	for i := range 10 {
+		if !rapid.Bool().Draw(t, fmt.Sprint(label, i)) {
+			continue
+		}
+		m := ModelReport{Model: ident.Model(fmt.Sprint("m", i)), Tier: engine.TierDisk}
+		m.Phase = rapid.SampledFrom([]engine.Phase{"", engine.PhaseLoaded, engine.PhaseLoading}).Draw(t, fmt.Sprint(label, i, "phase"))
+		if rapid.Bool().Draw(t, fmt.Sprint(label, i, "adapter")) {
+			m.Adapters = []ident.Adapter{"a1"}
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// The changes between any two lists make the second of the first.
+func TestModelChangesMakeTheNewList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before, now := drawModels(t, "before"), drawModels(t, "now")
+		got := WithModelChanges(before, ModelChanges(before, now))
+		if len(got) != len(now) {
+			t.Fatalf("%v and the changes make %v, want %v", before, got, now)
+		}
+		for i := range got {
+			if !got[i].Same(now[i]) {
+				t.Fatalf("%v, want %v", got[i], now[i])
+			}
+		}
+	})
+}
+
+// One model is loaded at a VM that has many at hand: the report tells of that one.
+func TestOneChangedModelIsListedAlone(t *testing.T) {
+	var before []ModelReport
+	for i := range 30 {
+		before = append(before, ModelReport{Model: ident.Model(fmt.Sprintf("m%02d", i)), Tier: engine.TierDisk})
+	}
+	now := append([]ModelReport(nil), before...)
+	now[7].Phase = engine.PhaseLoaded
+	if got := ModelChanges(before, now); len(got) != 1 || got[0].Model != "m07" {
+		t.Errorf("got %v", got)
+	}
+}
--- a/wire/model_report.go
+++ b/wire/model_report.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"slices"
 	"time"
 
 	"github.com/laureltally/laureltally/engine"
@@ -24,3 +25,12 @@
 	// ReadyIn is when a model that is being loaded is expected to be.
 	ReadyIn time.Duration `cbor:"10,keyasint,omitempty"`
 }
+
+// Same tells whether a model is as it was, apart from estimates and counts, which
+// change all the time.
+func (m ModelReport) Same(o ModelReport) bool {
+	return m.Model == o.Model && m.Phase == o.Phase && m.Tier == o.Tier && slices.Equal(m.Adapters, o.Adapters)
+}
+
+// gone tells whether it is the name of a model that is no longer reported.
+func (m ModelReport) gone() bool { return m.Phase == "" && m.Tier == "" && m.Fence == 0 }
--- a/wire/report.go
+++ b/wire/report.go
@@ -49,7 +49,8 @@
 	// could begin; FetchWait is the same for a load from the weight store.
 	SwapWait  time.Duration `cbor:"21,keyasint,omitempty"`
 	FetchWait time.Duration `cbor:"22,keyasint,omitempty"`
-	// SameModels stands for the models of the last report on the same stream.
+	// SameModels stands for the models of the last report on the same stream, of
+	// which Models lists the changes, as ModelChanges makes them.
 	SameModels bool `cbor:"23,keyasint,omitempty"`
 	// NextWithin is the longest time until the next report, or zero if the sender
 	// does not say.
