--- a/residency/estimate.go
+++ b/residency/estimate.go
@@ -13,7 +13,7 @@
 
 // estimate is how long a request would wait for its place, and what for.
 func (m *Machine) estimate(now time.Time, p *pending) (time.Duration, Reason) {
-	room := max(m.roomWait(p), m.readWait(now, p))
+	room := max(m.roomWait(p), m.prefillWait(now, p))
 	if _, loaded := m.snap.Loaded[p.Model]; loaded && !m.unloading(p.Model, p.Adapter) {
 		return room, ReasonFull
 	}
@@ -40,23 +40,23 @@
 	return time.Duration(over / max(1, m.limit.value) * float64(m.runTime))
 }
 
-// readWait is how long until a request's prompt may be read, after those of all that
+// prefillWait is how long until a request's prompt may be read, after those of all that
 // wait for nothing else.
-func (m *Machine) readWait(now time.Time, p *pending) time.Duration {
-	most := readAhead(p.Gap)
+func (m *Machine) prefillWait(now time.Time, p *pending) time.Duration {
+	most := maxBacklog(p.Gap)
 	if most == 0 {
 		return 0
 	}
-	ahead := m.prompts.left(now)
+	ahead := m.prefill.backlog(now)
 	for _, q := range m.requests {
 		if !q.holds() && q != p && m.ready(q) {
-			ahead += m.prompts.time(q.Prompt)
+			ahead += m.prefill.time(q.Prompt)
 		}
 	}
 	if ahead == 0 {
 		return 0
 	}
-	return max(0, min(ahead, ahead+m.prompts.time(p.Prompt)-most))
+	return max(0, min(ahead, ahead+m.prefill.time(p.Prompt)-most))
 }
 
 // loadWait is how long until the model of a request would be loaded, which waits
--- a/residency/line_fit.go
+++ b/residency/line_fit.go
@@ -8,7 +8,7 @@
 
 func (f *lineFit) add(x, y float64) {
 	f.n++
-	w := max(readWeight, 1/float64(f.n))
+	w := max(sampleWeight, 1/float64(f.n))
 	dx, dy := x-f.meanX, y-f.meanY
 	f.meanX += w * dx
 	f.meanY += w * dy
--- a/residency/machine.go
+++ b/residency/machine.go
@@ -20,7 +20,7 @@
 	active   int
 	tokens   int
 	limit    limit
-	prompts  prompts
+	prefill  prefillQueue
 	runTime  time.Duration
 	order    *openOrder
 	// nextOrder is when the next order may be given after one that failed.
@@ -53,7 +53,7 @@
 // New returns a Machine that knows nothing of its engine.
 func New(o Options) *Machine {
 	o = o.withDefaults()
-	return &Machine{opts: o, models: make(map[ident.Model]*modelState), runTime: o.RunTime, prompts: newPrompts()}
+	return &Machine{opts: o, models: make(map[ident.Model]*modelState), runTime: o.RunTime, prefill: newPrefillQueue()}
 }
 
 // Configure takes the description of the engine.
@@ -212,7 +212,7 @@
 	if p.holds() {
 		m.limit.learn(now, &p.Request, o, m.active)
 		if o.FirstEvent > 0 && p.ahead > 0 {
-			m.prompts.learn(p.ahead, o.FirstEvent)
+			m.prefill.learn(p.ahead, o.FirstEvent)
 		}
 		m.count(now, p, -1)
 		if o.Took > 0 {
@@ -293,11 +293,11 @@
 		if p.holds() || !m.ready(p) || !m.hasRoom(p) {
 			continue
 		}
-		if !m.mayRead(now, p) {
+		if !m.prefillFits(now, p) {
 			break
 		}
 		p.granted = now
-		p.ahead = m.prompts.add(now, p.Prompt)
+		p.ahead = m.prefill.add(now, p.Prompt)
 		m.count(now, p, 1)
 		out = append(out, &Grant{ID: p.ID, Waited: now.Sub(p.arrived), VM: m.snap.VM})
 	}
@@ -306,21 +306,21 @@
 
 // mayRead tells whether a request's prompt may join those that the engine still has
 // to read. One that is longer than all may be is read alone.
-func (m *Machine) mayRead(now time.Time, p *pending) bool {
-	left, most := m.prompts.left(now), readAhead(p.Gap)
-	return left == 0 || most == 0 || left+m.prompts.time(p.Prompt) <= most
+func (m *Machine) prefillFits(now time.Time, p *pending) bool {
+	left, most := m.prefill.backlog(now), maxBacklog(p.Gap)
+	return left == 0 || most == 0 || left+m.prefill.time(p.Prompt) <= most
 }
 
 // NextGrant is when a request that waits for nothing but prompts to be read gets its
 // place, if there is one.
 func (m *Machine) NextGrant(now time.Time) (time.Time, bool) {
-	left := m.prompts.left(now)
+	left := m.prefill.backlog(now)
 	if left == 0 {
 		return time.Time{}, false
 	}
 	for _, p := range m.requests {
 		if !p.holds() && m.ready(p) && m.hasRoom(p) {
-			return now.Add(max(0, min(left, left+m.prompts.time(p.Prompt)-readAhead(p.Gap)))), true
+			return now.Add(max(0, min(left, left+m.prefill.time(p.Prompt)-maxBacklog(p.Gap)))), true
 		}
 	}
 	return time.Time{}, false
--- a/residency/prompts_test.go
+++ b/residency/prefill_queue_test.go
@@ -25,7 +25,7 @@
 	if len(w.granted) == 0 || len(w.granted) == len(prompts) {
 		t.Fatalf("%d granted at once", len(w.granted))
 	}
-	whole := w.m.prompts.time(900 * len(prompts))
+	whole := w.m.prefill.time(900 * len(prompts))
 	for len(w.granted) < len(prompts) {
 		at, due := w.m.NextGrant(w.now)
 		if !due {
@@ -37,7 +37,7 @@
 		if len(w.granted) == before {
 			t.Fatal("not granted when it was due")
 		}
-		if left := w.m.prompts.left(w.now); left > readAhead(gap) {
+		if left := w.m.prefill.backlog(w.now); left > maxBacklog(gap) {
 			t.Errorf("%v to read", left)
 		}
 	}
@@ -79,7 +79,7 @@
 // The rate follows answers that tell of another one, through noise.
 func TestRateOfReadingIsLearnt(t *testing.T) {
 	for _, perMS := range []float64{5, 25, 60} {
-		p, r := newPrompts(), rand.New(rand.NewPCG(1, 2))
+		p, r := newPrefillQueue(), rand.New(rand.NewPCG(1, 2))
 		for range 400 {
 			tokens := 200 + r.IntN(3000)
 			p.learn(tokens, time.Duration((60+float64(tokens)/perMS+20*r.NormFloat64())*float64(time.Millisecond)))
@@ -92,11 +92,11 @@
 
 // Answers that tell nothing leave the rate within its bounds.
 func TestRateOfReadingStaysWithinBounds(t *testing.T) {
-	p := newPrompts()
+	p := newPrefillQueue()
 	for range 1000 {
 		p.learn(1000, time.Millisecond)
 	}
-	if got := p.rate(); got < leastReadRate || got > mostReadRate {
+	if got := p.rate(); got < minPrefillRate || got > maxPrefillRate {
 		t.Errorf("%v", got)
 	}
 }
--- a/residency/status.go
+++ b/residency/status.go
@@ -91,10 +91,10 @@
 	return 0
 }
 
-// Reading returns the estimate of how many prompt tokens the engine reads in a
+// Prefill returns the estimate of how many prompt tokens the engine reads in a
 // millisecond, and for how long it has to read, for logs.
-func (m *Machine) Reading(now time.Time) (tokensPerMS float64, left time.Duration) {
-	return m.prompts.rate(), m.prompts.left(now)
+func (m *Machine) Prefill(now time.Time) (tokensPerMS float64, left time.Duration) {
+	return m.prefill.rate(), m.prefill.backlog(now)
 }
 
 // Load returns the granted requests, how many may be granted, and the age of the
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -101,11 +101,11 @@
 func (s *Sidecar) logReturn(r *wire.Reserve, o residency.Outcome) {
 	s.mu.Lock()
 	active, limit, _ := s.machine.Load(s.o.Now())
-	rate, _ := s.machine.Reading(s.o.Now())
+	rate, _ := s.machine.Prefill(s.o.Now())
 	s.mu.Unlock()
 	s.o.Logger.WithFields(log.Fields{
 		"request": r.Request, "model": r.Model, "active": active, "limit": limit, "first_ms": o.FirstEvent.Milliseconds(),
-		"gap_ms": o.WorstGap.Milliseconds(), "took_ms": o.Took.Milliseconds(), "not_loaded": o.NotLoaded, "tokens_per_ms": int(rate),
+		"gap_ms": o.WorstGap.Milliseconds(), "took_ms": o.Took.Milliseconds(), "not_loaded": o.NotLoaded, "prefill_tokens_per_ms": int(rate),
 	}).Info("place returned")
 }
 
@@ -122,8 +122,8 @@
 	s.mu.Lock()
 	now := s.o.Now()
 	f["active"], f["limit"], f["report_ms"] = s.machine.Load(now)
-	_, left := s.machine.Reading(now)
-	f["read_ms"] = left.Milliseconds()
+	_, left := s.machine.Prefill(now)
+	f["prefill_backlog_ms"] = left.Milliseconds()
 	s.mu.Unlock()
 	if refused, ok := a.(*residency.Refuse); ok {
 		f["reason"], f["retry_after_ms"] = refused.Reason, refused.RetryAfter.Milliseconds()
