--- a/residency/machine.go
+++ b/residency/machine.go
@@ -304,7 +304,7 @@
 	return out
 }
 
-// mayRead tells whether a request's prompt may join those that the engine still has
+// prefillFits tells whether a request's prompt may join those that the engine still has
 // to read. One that is longer than all may be is read alone.
 func (m *Machine) prefillFits(now time.Time, p *pending) bool {
 	left, most := m.prefill.backlog(now), maxBacklog(p.Gap)
