--- a/ingress/belief_test.go
+++ b/ingress/belief_test.go
@@ -9,14 +9,21 @@
 	"github.com/laureltally/laureltally/ident"
 )
 
-// An engine that starts anew has a new id at its old address, and the list has both
-// for some seconds. Requests that waited for a place were sent to the old id and
-// declined.
-func TestPlaceIsAtTheIDThatTheSidecarNames(t *testing.T) {
+// testBelief is a router's that knows nothing yet.
+func testBelief(t *testing.T) *belief {
+	t.Helper()
 	b, err := newBelief(config.IngressSettings{Region: "r", Zone: "z", SidecarPort: 7000, RetryShare: 0.2, RetrySlack: 50})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return b
+}
+
+// An engine that starts anew has a new id at its old address, and the list has both
+// for some seconds. Requests that waited for a place were sent to the old id and
+// declined.
+func TestPlaceIsAtTheIDThatTheSidecarNames(t *testing.T) {
+	b := testBelief(t)
 	vm := func(id ident.VM, address string) fleet.VM {
 		return fleet.VM{ID: id, Address: address, Service: "models", Region: "r", Zone: "z", Concurrency: 8}
 	}
--- a/ingress/report_models_test.go
+++ b/ingress/report_models_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/ident"
@@ -16,10 +15,7 @@
 // An engine starts anew under another id beside a sidecar that lives on and reports
 // only changes: the router knows all models of the new id from its first report.
 func TestNewEngineIsKnownFromChangesAlone(t *testing.T) {
-	b, err := newBelief(config.IngressSettings{Region: "r", Zone: "z", SidecarPort: 7000, RetryShare: 0.2, RetrySlack: 50})
-	if err != nil {
-		t.Fatal(err)
-	}
+	b := testBelief(t)
 	e := &serving.Engine{MemoryMB: 100, Concurrency: 8, Models: []serving.Model{{Name: "m0", MemoryMB: 40}, {Name: "m1", MemoryMB: 40}}}
 	e.Index()
 	b.configured(map[ident.Upstream]*serving.Service{"models": {Name: "models", Engine: e}})
