e2e/hosted: the engine loses its order from the start

Cause: TestOrderThatArrivesAfterNewerOnesIsVoid failed once. The log of a play that failed (1 of 8 side by side) shows m2 loaded ahead of requests, "it has its place at the weight store", before the test had set the fault that loses this load; it was never lost, so nothing could arrive late. Ruled out: the sidecar's orders, which were right. Change: the fault is there before the sidecar starts. What is asserted stays.

--- a/e2e/hosted/engines_test.go
+++ b/e2e/hosted/engines_test.go
@@ -21,6 +21,13 @@
 }
 
 func newEngines(t *testing.T, n int, load time.Duration) *engines {
+	t.Helper()
+	return newFaultyEngines(t, n, load, platformtest.EngineFaults{})
+}
+
+// newFaultyEngines has the faults from the start, before any model is loaded ahead of
+// requests.
+func newFaultyEngines(t *testing.T, n int, load time.Duration, f platformtest.EngineFaults) *engines {
 	t.Helper()
 	w := newWorld(t)
 	platformtest.Config{
@@ -39,6 +46,7 @@
 				Loaded: engineModels[:2], MemoryMB: 100, ModelMB: 45, AdapterSlots: 2, RemoteLoad: load, DiskLoad: 100 * time.Millisecond,
 			},
 		})
+		u.SetEngineFaults(f)
 		e.us = append(e.us, u)
 		e.stops = append(e.stops, w.startSidecar(u, "models", fmt.Sprintf("side-%d", i)))
 	}
@@ -116,14 +124,13 @@
 // late it arrives: carried out, it would load a third model.
 func TestOrderThatArrivesAfterNewerOnesIsVoid(t *testing.T) {
 	t.Parallel()
-	e := newEngines(t, 1, 200*time.Millisecond)
+	arrive := make(chan struct{})
+	e := newFaultyEngines(t, 1, 200*time.Millisecond, platformtest.EngineFaults{LoseLoad: "m2", Arrive: arrive})
 	serve := func(model string) {
 		e.eventually(model+" is served", func() bool {
 			return e.call(platformtest.Call{Path: "/outlook/a", Body: "x", Model: model, Patience: 5 * time.Second}).Status == http.StatusOK
 		})
 	}
-	arrive := make(chan struct{})
-	e.us[0].SetEngineFaults(platformtest.EngineFaults{LoseLoad: "m2", Arrive: arrive})
 	for _, model := range engineModels[2:6] {
 		serve(model)
 	}
