daemon: a SIGHUP during shutdown never ends the process

Cause: signal.Ignore at the end of the reload loop restores the default action for a moment, in which a SIGHUP ends the process (TestSIGHUPIsIgnoredDuringShutdown, 7 of 200 runs alone). Change: the channel stays registered; nothing reads it any more.

--- a/daemon/watch_settings.go
+++ b/daemon/watch_settings.go
@@ -15,14 +15,15 @@
 
 // WatchSettings calls changed with the text of a settings file on SIGHUP and when
 // the text has changed, until ctx ends; signalled reports whether SIGHUP was
-// received. A file that can't be read is skipped. After ctx ends, SIGHUP is ignored,
-// so that the signal does not interrupt a graceful shutdown.
+// received. A file that can't be read is skipped. After ctx ends, SIGHUP has no effect,
+// so that the signal does not interrupt a graceful shutdown: the channel stays
+// registered, because signal.Stop and signal.Ignore restore the default action for a
+// moment, which ends the process.
 func WatchSettings(ctx context.Context, path string, changed func(text []byte, signalled bool)) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	last, _ := os.ReadFile(path)
 	go func() {
-		defer signal.Ignore(syscall.SIGHUP)
 		tick := time.NewTicker(settingsInterval)
 		defer tick.Stop()
 		for {
