routing: a VM without a measurement counts as its peers

Change: unmeasured members take the mean of the measured ones, and the first measurements count equally.

--- a/routing/chooser.go
+++ b/routing/chooser.go
@@ -29,6 +29,9 @@
 // SetRouters updates Options.Routers after a change of membership.
 func (c *Chooser) SetRouters(n int) { c.opts.Routers = max(1, n) }
 
+// SetRegionDelay updates Options.RegionDelay after a measurement.
+func (c *Chooser) SetRegionDelay(d time.Duration) { c.opts.RegionDelay = d }
+
 // Choose picks the VM for a request. It fails with a *NoCandidateError if every
 // candidate is leaving or excluded.
 func (c *Chooser) Choose(req Request, all []Candidate) (Choice, error) {
--- a/routing/table.go
+++ b/routing/table.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// initialServiceTime is assumed until a service time has been measured.
+	// initialServiceTime is assumed until a service time of the target has been
+	// measured.
 	initialServiceTime = time.Second
 	// serviceTimeWeight is the weight of one request in the average service
 	// time.
@@ -105,7 +106,7 @@
 		return
 	}
 	if m := t.find(target, s); m != nil {
-		m.serviceTime += time.Duration(float64(duration-m.serviceTime) * serviceTimeWeight)
+		m.measure(duration)
 	}
 }
 
@@ -115,8 +116,10 @@
 	members := t.members[l.Target]
 	t.scratch = slices.Grow(t.scratch[:0], len(members))[:len(members)]
 	adapter := hashAdapter(l.Adapter)
+	assumed := assumedServiceTime(members)
 	for i := range members {
 		t.fill(now, &l, adapter, &members[i], &t.scratch[i])
+		t.scratch[i].ServiceTime = members[i].runTime(assumed)
 	}
 	ch, err := t.chooser.Choose(l.Request, t.scratch)
 	if err != nil {
@@ -130,13 +133,13 @@
 
 func (t *Table) fill(now time.Time, l *Lookup, adapter uint64, m *member, c *Candidate) {
 	m.state.fillCandidate(now, l.Priority, c)
-	c.ServiceTime = m.runTime()
 	c.AdapterLoaded = m.hasAdapter(adapter)
 	c.PrefixLikely = l.Prefix != 0 && m.state.prefixes.has(l.Prefix)
 	c.Ejected, c.Share = false, 0
 	if l.Health != nil {
 		h := l.Health(now, c.VM)
 		c.Ejected, c.Share = h.Ejected, h.LoadShare
+		c.Leaving = c.Leaving || h.Excluded
 	}
 }
 
@@ -200,7 +203,7 @@
 	if m := t.find(target, s); m != nil {
 		return m
 	}
-	t.members[target] = append(t.members[target], member{state: s, serviceTime: initialServiceTime})
+	t.members[target] = append(t.members[target], member{state: s})
 	s.targets[target] = struct{}{}
 	return t.find(target, s)
 }
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -158,3 +158,33 @@
 		t.Errorf("%v allocations per choice, want none", got)
 	}
 }
+
+// A VM restarts while the others serve short requests. Without a measurement it must not
+// count as slow, or it gets no request until the others are overloaded.
+func TestNewVMGetsRequestsBesideMeasuredOnes(t *testing.T) {
+	tab := newTable(t, "a", "b", "c")
+	now := start
+	counts := map[ident.VM]int{}
+	serve := func(n int) {
+		for range n {
+			now = now.Add(10 * time.Millisecond)
+			vm := choose(t, tab, now, 0)
+			counts[vm]++
+			tab.RequestStarted(now, vm, 0)
+			tab.RequestEnded(now.Add(5*time.Millisecond), vm, target, 0, 5*time.Millisecond)
+		}
+	}
+	serve(300)
+	for _, vm := range []ident.VM{"a", "b", "c"} {
+		if counts[vm] < 50 {
+			t.Errorf("%s got %d of 300 requests", vm, counts[vm])
+		}
+	}
+	tab.Remove("b")
+	tab.Report(now, report("b", 1, nil), 0)
+	clear(counts)
+	serve(300)
+	if counts["b"] < 50 {
+		t.Errorf("the restarted VM got %d of 300 requests", counts["b"])
+	}
+}
