--- a/cmd/laureltally-sidecar/main.go
+++ b/cmd/laureltally-sidecar/main.go
@@ -49,6 +49,7 @@
 		Settings:       s,
 		Engine:         platform.NewEngine(s.EngineAddress),
 		Store:          store,
+		Restores:       store.Restores,
 		Directory:      &platform.Directory{Store: store, Regions: platform.Regions{s.Zone: s.Region}},
 		Credentials:    credentials,
 		Logger:         components.Logger,
--- a/config/ingress_settings.go
+++ b/config/ingress_settings.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
 	"github.com/laureltally/laureltally/ident"
 )
@@ -28,6 +30,11 @@
 	// are allowed in addition.
 	RetryShare float64 `json:"retry_share"`
 	RetrySlack float64 `json:"retry_slack"`
+	// RetryWindow is the time span over which RetrySlack is counted.
+	RetryWindow Duration `json:"retry_window"`
+	// RegistrationInterval is the interval at which upstream VMs renew their entries
+	// in the VM list.
+	RegistrationInterval Duration `json:"registration_interval"`
 	// MaxConfigDelay is the maximum time from when the metadata store accepts a
 	// configuration change until the change takes effect. MaxLeaveDelay is the
 	// same for the leaving state of a VM.
@@ -38,7 +45,17 @@
 	Log             LogSettings `json:"log"`
 }
 
-func (s *IngressSettings) setDefaults() { s.Log.setDefaults() }
+func (s *IngressSettings) setDefaults() {
+	s.RetryWindow = cmp.Or(s.RetryWindow, defaultRetryWindow)
+	s.RegistrationInterval = cmp.Or(s.RegistrationInterval, defaultRegistrationInterval)
+	s.Log.setDefaults()
+}
+
+// Defaults of IngressSettings, from the platform's specification.
+const (
+	defaultRetryWindow          = Duration(10 * time.Second)
+	defaultRegistrationInterval = Duration(time.Second)
+)
 
 func (s *IngressSettings) check(c *checker) {
 	c.name("vm", string(s.VM))
@@ -54,6 +71,8 @@
 	c.address("metadata_store", s.MetadataStore)
 	within(c, "retry_share", s.RetryShare, 0, 1)
 	within(c, "retry_slack", s.RetrySlack, 0, maxRetrySlack)
+	positive(c, "retry_window", s.RetryWindow)
+	positive(c, "registration_interval", s.RegistrationInterval)
 	positive(c, "config_within", s.MaxConfigDelay)
 	positive(c, "leaving_within", s.MaxLeaveDelay)
 	positive(c, "shutdown_timeout", s.ShutdownTimeout)
--- a/e2e/hosted/rules_test.go
+++ b/e2e/hosted/rules_test.go
@@ -360,6 +360,42 @@
 	}
 }
 
+// All routers of a zone are restarted shortly after one another, so that callers keep
+// arriving at stopping ones: they get a response up to the exit, and what can't be
+// answered before it is refused and not run.
+func TestStoppingRouterRespondsUntilItExits(t *testing.T) {
+	t.Parallel()
+	in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{ProcessingTime: 100 * time.Millisecond})
+	in.stop()
+	in.eventually("a stopping router is not ready", func() bool { return !in.ready() })
+	served, refused, exiting := 0, 0, false
+	for i := 0; !exiting; i++ {
+		id := fmt.Sprint("late-", i)
+		r := in.call(platformtest.Call{ID: id, Path: "/order/a", Body: "x"})
+		switch {
+		case r.Status == http.StatusOK:
+			served++
+		case r.Status == http.StatusServiceUnavailable:
+			refused++
+			if n := countRuns(upstreams, id); n != 0 {
+				t.Errorf("refused request ran %d times", n)
+			}
+		default:
+			// The router has to exit as soon as it no longer responds.
+			exiting = true
+			select {
+			case <-in.stopped:
+			case <-time.After(500 * time.Millisecond):
+				t.Errorf("request %d: %+v although the router still runs", i, r)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if served == 0 || refused == 0 {
+		t.Errorf("%d served, %d refused", served, refused)
+	}
+}
+
 // Rule UNASKED: the bytes of a body are never parsed as a request (request
 // smuggling).
 func TestSmuggledRequestIsNotRun(t *testing.T) {
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -10,6 +10,5 @@
 // reflects all writes that were acknowledged before it was called.
 type Directory interface {
 	Config(context.Context) (*serving.Config, error)
-	// VMs also returns the errors of malformed entries.
-	VMs(context.Context) (vms []VM, malformed []error, err error)
+	VMs(context.Context) (Listing, error)
 }
--- a/fleet/tracker.go
+++ b/fleet/tracker.go
@@ -15,12 +15,20 @@
 	// DefaultReturnGrace is how long a server may take to register again after
 	// an outage. The platform promises about two seconds.
 	DefaultReturnGrace = 2500 * time.Millisecond
+	// DefaultRestoreHold is how long after a restore of the store from an older copy
+	// its listings may still name servers that have ended. The entries of such servers
+	// expire after three missed renewals.
+	DefaultRestoreHold = 5 * time.Second
+	// goneMemory is how long a removed server is remembered. Copies are some seconds
+	// old.
+	goneMemory = 2 * time.Minute
 )
 
 // Options configures a Tracker. Zero fields take the defaults.
 type Options struct {
 	OutageAfter time.Duration
 	ReturnGrace time.Duration
+	RestoreHold time.Duration
 }
 
 // Tracker holds the known VMs.
@@ -31,6 +39,18 @@
 	// missing from a listing may still be running.
 	listedAt time.Time
 	graceEnd time.Time
+	// restores is that of the newest listing. Until holdEnd, a listing may be older
+	// than the one before the newest restore.
+	restores uint64
+	holdEnd  time.Time
+	// gone holds the instances that were removed, with the times of their removal.
+	gone map[instance]time.Time
+}
+
+// instance identifies one start of a server.
+type instance struct {
+	id      ident.VM
+	started int64
 }
 
 // NewTracker returns a Tracker without VMs.
@@ -41,7 +61,10 @@
 	if o.ReturnGrace == 0 {
 		o.ReturnGrace = DefaultReturnGrace
 	}
-	return &Tracker{opts: o, vms: make(map[ident.VM]*VM)}
+	if o.RestoreHold == 0 {
+		o.RestoreHold = DefaultRestoreHold
+	}
+	return &Tracker{opts: o, vms: make(map[ident.VM]*VM), gone: make(map[instance]time.Time)}
 }
 
 // HasListing reports whether Update has been called.
@@ -57,20 +80,33 @@
 func (t *Tracker) Get(id ident.VM) *VM { return t.vms[id] }
 
 // Update replaces the known VMs by a complete listing that began at begun, and
-// returns the changes. After an outage of the store, missing VMs are kept for
-// the grace period, because registrations expire while servers cannot renew
-// them.
-func (t *Tracker) Update(begun time.Time, listed []VM) []Change {
-	if t.HasListing() && begun.Sub(t.listedAt) > t.opts.OutageAfter {
+// returns the changes. After an outage or a restore of the store, missing VMs are kept
+// for the grace period, because registrations expire while servers cannot renew them,
+// or are missing in the copy. After a restore, the listing does not take back what an
+// earlier one has shown: that a server has ended or is leaving.
+func (t *Tracker) Update(begun time.Time, l Listing) []Change {
+	if l.Restores < t.restores {
+		return nil
+	}
+	if t.HasListing() && (begun.Sub(t.listedAt) > t.opts.OutageAfter || l.Restores > t.restores) {
 		t.graceEnd = begun.Add(t.opts.ReturnGrace)
 	}
-	t.listedAt = begun
+	if t.HasListing() && l.Restores > t.restores {
+		t.holdEnd = begun.Add(t.opts.RestoreHold)
+	}
+	t.listedAt, t.restores = begun, l.Restores
 	var changes []Change
-	seen := make(map[ident.VM]bool, len(listed))
-	for i := range listed {
-		v := listed[i]
+	seen := make(map[ident.VM]bool, len(l.VMs))
+	for i := range l.VMs {
+		v := l.VMs[i]
 		seen[v.ID] = true
+		if begun.Before(t.holdEnd) && t.outdated(&v) {
+			continue
+		}
 		if kind, changed := t.classify(&v); changed {
+			if kind == Restarted {
+				t.markGone(begun, t.vms[v.ID])
+			}
 			t.vms[v.ID] = &v
 			changes = append(changes, Change{Kind: kind, VM: &v})
 		}
@@ -81,12 +117,32 @@
 	for id, v := range t.vms {
 		if !seen[id] {
 			delete(t.vms, id)
+			t.markGone(begun, v)
 			changes = append(changes, Change{Kind: Removed, VM: v})
 		}
 	}
 	return changes
 }
 
+// outdated reports whether an entry of a restored listing is older than what is known
+// of the server.
+func (t *Tracker) outdated(v *VM) bool {
+	if _, gone := t.gone[instance{v.ID, v.Started}]; gone {
+		return true
+	}
+	old := t.vms[v.ID]
+	return old != nil && old.SameInstance(v) && old.Leaving && !v.Leaving
+}
+
+func (t *Tracker) markGone(now time.Time, v *VM) {
+	for i, at := range t.gone {
+		if now.Sub(at) > goneMemory {
+			delete(t.gone, i)
+		}
+	}
+	t.gone[instance{v.ID, v.Started}] = now
+}
+
 func (t *Tracker) classify(v *VM) (ChangeKind, bool) {
 	old := t.vms[v.ID]
 	switch {
--- a/fleet/tracker_test.go
+++ b/fleet/tracker_test.go
@@ -37,7 +37,7 @@
 		{nil, []ChangeKind{Removed}},
 	} {
 		now = now.Add(time.Second)
-		if got := kinds(tracker.Update(now, step.listed)); !slices.Equal(got, step.want) {
+		if got := kinds(tracker.Update(now, Listing{VMs: step.listed})); !slices.Equal(got, step.want) {
 			t.Errorf("step %d: got %v, want %v", i, got, step.want)
 		}
 	}
@@ -48,15 +48,15 @@
 // the others are removed after it.
 func TestOutageKeepsVMsForGracePeriod(t *testing.T) {
 	tracker := NewTracker(Options{})
-	tracker.Update(start, []VM{vm("a", 1, false), vm("b", 1, false)})
+	tracker.Update(start, Listing{VMs: []VM{vm("a", 1, false), vm("b", 1, false)}})
 	outageEnd := start.Add(10 * time.Second)
-	if got := tracker.Update(outageEnd, nil); len(got) != 0 {
+	if got := tracker.Update(outageEnd, Listing{VMs: nil}); len(got) != 0 {
 		t.Fatalf("first listing after the outage: got %v, want no changes", kinds(got))
 	}
-	if got := tracker.Update(outageEnd.Add(time.Second), []VM{vm("a", 1, false)}); len(got) != 0 {
+	if got := tracker.Update(outageEnd.Add(time.Second), Listing{VMs: []VM{vm("a", 1, false)}}); len(got) != 0 {
 		t.Fatalf("within the grace period: got %v, want no changes", kinds(got))
 	}
-	if got := kinds(tracker.Update(outageEnd.Add(DefaultReturnGrace), []VM{vm("a", 1, false)})); !slices.Equal(got, []ChangeKind{Removed}) {
+	if got := kinds(tracker.Update(outageEnd.Add(DefaultReturnGrace), Listing{VMs: []VM{vm("a", 1, false)}})); !slices.Equal(got, []ChangeKind{Removed}) {
 		t.Errorf("after the grace period: got %v, want one removal", got)
 	}
 	if tracker.Get("a") == nil || tracker.Get("b") != nil {
@@ -68,8 +68,8 @@
 // leaving is updated at once, also just after an outage.
 func TestLeavingIsAppliedWithinGracePeriod(t *testing.T) {
 	tracker := NewTracker(Options{})
-	tracker.Update(start, []VM{vm("a", 1, false)})
-	if got := kinds(tracker.Update(start.Add(10*time.Second), []VM{vm("a", 1, true)})); !slices.Equal(got, []ChangeKind{Leaving}) {
+	tracker.Update(start, Listing{VMs: []VM{vm("a", 1, false)}})
+	if got := kinds(tracker.Update(start.Add(10*time.Second), Listing{VMs: []VM{vm("a", 1, true)}})); !slices.Equal(got, []ChangeKind{Leaving}) {
 		t.Errorf("got %v, want leaving", got)
 	}
 }
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -22,6 +22,9 @@
 	Leaving bool
 	// Started is the server's start time by its own clock, in Unix milliseconds.
 	Started int64
+	// Software is the version of the server's software. Streams can only be resumed at
+	// the version that began them; versions have no order.
+	Software string
 	// Models are the loaded models; empty for a service.
 	Models []ident.Model
 }
@@ -34,5 +37,5 @@
 // equal reports whether o is the same instance as v and has the same Leaving,
 // Concurrency and Models.
 func (v *VM) equal(o *VM) bool {
-	return v.SameInstance(o) && v.Leaving == o.Leaving && v.Concurrency == o.Concurrency && slices.Equal(v.Models, o.Models)
+	return v.SameInstance(o) && v.Leaving == o.Leaving && v.Software == o.Software && v.Concurrency == o.Concurrency && slices.Equal(v.Models, o.Models)
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -62,9 +62,7 @@
 	}
 	defer response.Close()
 	info := d.s.o.Protocol.ReadResponse(response.Status, response.Header)
-	if info.HasLoad {
-		d.s.clusterState.reportLoad(d.s.o.Now(), d.choice.VM.ID, info.Load)
-	}
+	d.observeResponse(&info)
 	if info.NotExecuted {
 		return d.declined(response, info)
 	}
@@ -77,6 +75,23 @@
 	return d.relayWhole(ctx, response, begun)
 }
 
+// observeResponse takes what the upstream says of itself.
+func (d *delivery) observeResponse(info *serving.ResponseInfo) {
+	leaving := d.s.clusterState.observeResponse(d.s.o.Now(), d.choice.VM, info)
+	f := log.Fields{"request": d.info.ID, "vm": d.choice.VM.ID, "service": d.choice.VM.Service}
+	if leaving {
+		d.s.o.Logger.WithFields(f).Info("upstream is leaving")
+		d.s.metrics.upstreamsLeaving.Inc(1)
+	}
+	if info.Pause > 0 {
+		d.s.o.Logger.WithFields(f).WithField("pause_ms", ms(info.Pause)).Info("upstream wants no requests")
+		d.s.metrics.upstreamPauses.Inc(1)
+	}
+	if info.MalformedPause != "" {
+		d.s.o.Logger.WithFields(f).WithFields(log.Fields{"value": info.MalformedPause, "used_ms": ms(info.Pause)}).Warn("malformed or absurd pause of an upstream")
+	}
+}
+
 // declined reads a response which states that the request has not run.
 func (d *delivery) declined(response *upstreamhttp.Response, info serving.ResponseInfo) result {
 	_, _ = io.Copy(io.Discard, io.LimitReader(response, maxWholeBytes))
--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -22,10 +22,9 @@
 	// budgetShare is the fraction of the retry budget that is used, so that
 	// differences in counting between routers never exceed the whole budget.
 	budgetShare = 0.7
-	// slackRouters is the number of routers that share the fixed part of the budget.
-	slackRouters = 8
-	// budgetFloor lets a rarely used service retry at all.
-	budgetFloor = 0.1
+	// refillShare is the fraction of the fixed part of the budget that is refilled
+	// within its window while no requests succeed; the rest of it is saved.
+	refillShare = 0.2
 )
 
 // clusterState is the server's state of VMs and services, guarded by one mutex.
@@ -35,12 +34,16 @@
 	balancer *placement.Balancer
 	budgets  map[ident.Upstream]*retry.Budget
 	opts     retry.BudgetOptions
+	// retrySlack is the fixed part of the budget within retryWindow, over all routers.
+	retrySlack  float64
+	retryWindow time.Duration
 }
 
 func newClusterState(s config.IngressSettings) (*clusterState, error) {
 	balancer, err := placement.New(placement.Options{
 		Region: s.Region, Zone: s.Zone, ReportTimeout: reportTimeout,
-		AgentPort: uint16(s.SidecarPort), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		RegistrationInterval: time.Duration(s.RegistrationInterval),
+		AgentPort:            uint16(s.SidecarPort), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("balancer: %w", err)
@@ -50,18 +53,18 @@
 		balancer: balancer,
 		budgets:  make(map[ident.Upstream]*retry.Budget),
 		opts: retry.BudgetOptions{
-			Share:          max(0.01, s.RetryShare*budgetShare),
-			MaxSaved:       max(1, s.RetrySlack*budgetShare/slackRouters),
-			FloorPerSecond: budgetFloor,
+			Share:    max(0.01, s.RetryShare*budgetShare),
+			MaxSaved: 1,
 		},
+		retrySlack: s.RetrySlack, retryWindow: time.Duration(s.RetryWindow),
 	}, nil
 }
 
 // applyVMs applies a list of the VMs.
-func (c *clusterState) applyVMs(begun, now time.Time, vms []fleet.VM) ([]fleet.Change, error) {
+func (c *clusterState) applyVMs(begun, now time.Time, l fleet.Listing) ([]fleet.Change, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changes := c.tracker.Update(begun, vms)
+	changes := c.tracker.Update(begun, l)
 	return changes, c.balancer.Apply(now, changes)
 }
 
@@ -84,9 +87,12 @@
 	return c.balancer.Choose(now, n)
 }
 
-func (c *clusterState) report(now time.Time, address string, r *wire.Report) bool {
+// report takes a sidecar's report, received over a connection with the given round-trip
+// time.
+func (c *clusterState) report(now time.Time, address string, r *wire.Report, roundTrip time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.balancer.ObserveRoundTrip(address, roundTrip)
 	return c.balancer.Report(now, address, r)
 }
 
@@ -111,12 +117,6 @@
 	}
 }
 
-func (c *clusterState) reportLoad(now time.Time, vm ident.VM, l serving.Load) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.balancer.ReportLoad(now, vm, l)
-}
-
 // misdirected records that an address belongs to a different VM or, if a model is
 // given, that the VM has not loaded it.
 func (c *clusterState) misdirected(now time.Time, vm ident.VM, model ident.Model) {
@@ -133,7 +133,22 @@
 func (c *clusterState) takeRetry(now time.Time, service ident.Upstream) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.budget(service).Take(now)
+	b := c.budget(service)
+	if routers := c.balancer.Routers(now); routers > 0 {
+		b.SetRefill(now, c.retriesSaved(routers), c.retriesPerSecond(routers))
+	}
+	return b.Take(now)
+}
+
+// retriesSaved and retriesPerSecond divide the fixed part of the retry budget among the
+// routers. Every router may find all of its share unused when an upstream fails, so
+// their number decides how much each may save.
+func (c *clusterState) retriesSaved(routers int) float64 {
+	return max(1, c.retrySlack*budgetShare/float64(routers))
+}
+
+func (c *clusterState) retriesPerSecond(routers int) float64 {
+	return c.retrySlack * refillShare / float64(routers) / c.retryWindow.Seconds()
 }
 
 func (c *clusterState) budget(service ident.Upstream) *retry.Budget {
@@ -172,17 +187,24 @@
 
 // expectLoad records that a VM is about to load a model from the weight store and
 // returns the model. If model is empty, it is the one with the highest load value. Vm
-// is the id under which sidecars identify themselves: the address of their engine.
-func (c *clusterState) expectLoad(now time.Time, service ident.Upstream, vm ident.VM, model ident.Model) ident.Model {
+// is the id under which sidecars identify themselves: the address of their engine. The
+// load is expected until endExpectedLoad is called with the returned id.
+func (c *clusterState) expectLoad(now time.Time, service ident.Upstream, vm ident.VM, model ident.Model) (ident.Model, placement.ExpectedLoadID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if model == "" {
 		model, _ = c.balancer.NextRemoteLoad(now, service, string(vm))
 	}
-	if model != "" {
-		c.balancer.ExpectLoad(now, model)
+	if model == "" {
+		return "", 0
 	}
-	return model
+	return model, c.balancer.ExpectLoad(model, string(vm))
+}
+
+func (c *clusterState) endExpectedLoad(id placement.ExpectedLoadID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.balancer.EndExpectedLoad(id)
 }
 
 // remoteLoadValue returns the value, in requests per second, of a load for which a VM
@@ -200,19 +222,44 @@
 // reservedVM returns the VM at which a sidecar made a reservation, given the id that
 // the sidecar reported. It handles engines that restart while requests wait: for some
 // seconds the list has both the old id and the new one at the same address. It
-// returns nil if the list does not contain the new one yet.
-func (c *clusterState) reservedVM(chosen *fleet.VM, id ident.VM) *fleet.VM {
+// returns nil if the list does not contain the new one yet. A started other than zero
+// must be that of the listed server: its software version is known only then.
+func (c *clusterState) reservedVM(chosen *fleet.VM, id ident.VM, started int64) *fleet.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if id == "" || id == chosen.ID {
+		if started != 0 && started != chosen.Started {
+			return nil
+		}
 		return chosen
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if vm := c.tracker.VMs()[id]; vm != nil && vm.Address == chosen.Address && vm.Service == chosen.Service {
 		return vm
 	}
 	return nil
 }
 
+// observeResponse takes what a server says of itself in a response, and reports whether
+// it is news that the server is leaving.
+func (c *clusterState) observeResponse(now time.Time, vm *fleet.VM, r *serving.ResponseInfo) (leaving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.HasLoad {
+		c.balancer.ReportLoad(now, vm.ID, r.Load)
+	}
+	if r.Pause > 0 {
+		c.balancer.PauseServer(now, vm, r.Pause)
+	}
+	return r.Leaving && c.balancer.ServerLeaving(now, vm)
+}
+
+// versions returns the software versions that may have begun a stream of a service.
+func (c *clusterState) versions(now time.Time, service ident.Upstream) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.balancer.Versions(now, service)
+}
+
 // usable reports whether a VM chosen earlier still accepts new requests.
 func (c *clusterState) usable(now time.Time, vm *fleet.VM) bool {
 	c.mu.Lock()
--- a/ingress/cluster_state_test.go
+++ b/ingress/cluster_state_test.go
@@ -7,6 +7,7 @@
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/wire"
 )
 
 // testClusterState returns the state of a router without VMs.
@@ -28,13 +29,13 @@
 		return fleet.VM{ID: id, Address: address, Service: "models", Region: "r", Zone: "z", Concurrency: 8}
 	}
 	now := time.Unix(1000, 0)
-	if _, err := state.applyVMs(now, now, []fleet.VM{vm("old", "10.0.0.1:80"), vm("new", "10.0.0.1:80"), vm("other", "10.0.0.2:80")}); err != nil {
+	if _, err := state.applyVMs(now, now, fleet.Listing{VMs: []fleet.VM{vm("old", "10.0.0.1:80"), vm("new", "10.0.0.1:80"), vm("other", "10.0.0.2:80")}}); err != nil {
 		t.Fatal(err)
 	}
 	chosen := vm("old", "10.0.0.1:80")
 	for id, want := range map[ident.VM]ident.VM{"": "old", "old": "old", "new": "new", "other": "", "unknown": ""} {
 		got := ident.VM("")
-		if v := state.reservedVM(&chosen, id); v != nil {
+		if v := state.reservedVM(&chosen, id, 0); v != nil {
 			got = v.ID
 		}
 		if got != want {
@@ -42,3 +43,40 @@
 		}
 	}
 }
+
+// An upstream fails after a quiet time: every router of a small and of a large
+// deployment may find all of its saved retries unused, and uses them within one window.
+func TestRoutersShareTheRetryBudget(t *testing.T) {
+	const window = 10 * time.Second
+	for _, d := range []struct {
+		routers int
+		slack   float64
+	}{{4, 52}, {30, 100}, {68, 176}} {
+		state, err := newClusterState(config.IngressSettings{
+			Region: "r", Zone: "z", SidecarPort: 7000, RetryShare: 0.2, RetrySlack: d.slack, RetryWindow: config.Duration(window),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Unix(1000, 0)
+		if _, err := state.applyVMs(now, now, fleet.Listing{VMs: []fleet.VM{{ID: "a", Address: "10.0.0.1:80", Service: "models", Region: "r", Zone: "z", Concurrency: 8}}}); err != nil {
+			t.Fatal(err)
+		}
+		report := func() {
+			state.report(now, "10.0.0.1:80", &wire.Report{Concurrency: 8, Routers: d.routers, MaxReportInterval: time.Second}, 0)
+		}
+		report()
+		state.takeRetry(now, "models")
+		now = now.Add(time.Hour)
+		retries := 0
+		for end := now.Add(window); now.Before(end); now = now.Add(50 * time.Millisecond) {
+			report()
+			for state.takeRetry(now, "models") {
+				retries++
+			}
+		}
+		if total := float64(retries * d.routers); total > d.slack || total < d.slack/4 {
+			t.Errorf("%d routers make %v retries in %v, allowed are %v", d.routers, total, window, d.slack)
+		}
+	}
+}
--- /dev/null
+++ b/ingress/connected_at.go
@@ -0,0 +1,23 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// connectedAtKey is the context key of the time at which a connection was accepted.
+type connectedAtKey struct{}
+
+// connContext is the ConnContext hook of an http.Server that records when a connection
+// was accepted.
+func (s *Server) connContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connectedAtKey{}, s.o.Now())
+}
+
+// connectedAt returns when the connection of a request was accepted.
+func connectedAt(r *http.Request) time.Time {
+	at, _ := r.Context().Value(connectedAtKey{}).(time.Time)
+	return at
+}
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -58,12 +58,18 @@
 // run makes attempts until the request has its final response.
 func (d *delivery) run() {
 	d.prepare()
+	if d.refusedWhileStopping() {
+		return
+	}
 	ctx, cancel := context.WithDeadline(d.r.Context(), d.deadline.Add(responseSlack))
 	defer cancel()
 	// Before the process has to exit, the attempt is given up, so that the caller still
 	// gets a response if none has begun.
 	defer context.AfterFunc(d.s.forceStop, cancel)()
 	_ = http.NewResponseController(d.w).SetWriteDeadline(d.deadline.Add(responseSlack + writeSlack))
+	if !d.bindToSoftware(ctx) {
+		return
+	}
 	for {
 		rsv, ok := d.reservation(ctx)
 		if !ok {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -18,6 +18,8 @@
 
 // ServeHTTP serves one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.requests.started()
+	defer s.requests.ended()
 	now := s.o.Now()
 	_ = http.NewResponseController(w).SetWriteDeadline(now.Add(maxRequestTime))
 	if s.draining.Load() {
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -19,6 +19,13 @@
 	timeToFirstEvent tally.Histogram
 	reserve          tally.Histogram
 	attempts         tally.Counter
+	// upstreamsLeaving and upstreamPauses count what upstreams have asked for in
+	// responses, storeRestores the restores of the store, resumesRefused the streams
+	// whose software version was unknown and originsNotRecorded those that no sidecar
+	// could be told of.
+	upstreamsLeaving, upstreamPauses   tally.Counter
+	storeRestores                      tally.Counter
+	resumesRefused, originsNotRecorded tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -27,6 +34,10 @@
 		timeToFirstEvent: scope.Histogram("first_byte_seconds", latencyBuckets),
 		reserve:          scope.Histogram("reserve_seconds", latencyBuckets),
 		attempts:         scope.Counter("attempts"),
+
+		upstreamsLeaving: scope.Counter("upstreams_leaving"), upstreamPauses: scope.Counter("upstream_pauses"),
+		storeRestores:  scope.Counter("store_restores"),
+		resumesRefused: scope.Counter("resumes_refused"), originsNotRecorded: scope.Counter("stream_origins_not_recorded"),
 	}
 }
 
--- a/ingress/permit_server.go
+++ b/ingress/permit_server.go
@@ -10,17 +10,19 @@
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/loadlimit"
+	"github.com/laureltally/laureltally/serving"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/wire"
 )
 
 const (
-	// parallelLoads is the number of loads that the weight store runs at full speed
-	// concurrently, as given in the requirements.
-	parallelLoads = 4
-	// parallelAdapters is the same for adapters, which sidecars load without a
-	// permit.
-	parallelAdapters = 32
+	// firstParallelLoads is the number of loads that the weight store is assumed to run
+	// at full speed concurrently until load times show it. A low value costs a few
+	// seconds on large stores; a high one slows the first loads down on small ones.
+	firstParallelLoads = 2
+	// parallelAdapters is not used: sidecars load adapters without a permit, since they
+	// take milliseconds.
+	parallelAdapters = 1
 )
 
 // permitServer issues load permits for the weight store to the sidecars that ask this
@@ -65,41 +67,54 @@
 		stream.Reset()
 		return
 	}
-	defer p.release(r.Upstream, id)
-	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		_, _ = stream.Recv()
-	}()
+	load := &permittedLoad{service: r.Upstream, id: id}
+	defer func() { p.release(load) }()
+	ended := make(chan time.Duration, 1)
+	go func() { ended <- receiveLoadTime(stream) }()
 	select {
 	case v := <-decided:
 		if v != loadlimit.Granted {
 			return
 		}
-	case <-closed:
+	case <-ended:
 		return
 	case <-ctx.Done():
 		return
 	}
-	model := p.s.clusterState.expectLoad(p.s.o.Now(), r.Upstream, r.VM, r.Model)
-	p.s.o.Logger.WithFields(log.Fields{"vm": peer.VM, "model": model, "ahead": r.Model == ""}).Info("load permit issued")
+	model, expected := p.s.clusterState.expectLoad(p.s.o.Now(), r.Upstream, r.VM, r.Model)
+	defer p.s.clusterState.endExpectedLoad(expected)
+	p.s.o.Logger.WithFields(log.Fields{"vm": peer.VM, "model": model, "ahead": r.Model == "", "value": value}).Info("load permit issued")
 	if model == "" {
 		return
 	}
-	if stream.Send(&wire.LoadPermit{Model: model}) != nil {
+	load.model = model
+	if stream.Send(&wire.LoadPermit{Model: model, ParallelLoads: p.parallelLoads(r.Upstream)}) != nil {
 		return
 	}
 	select {
-	case <-closed:
+	case load.took = <-ended:
 	case <-ctx.Done():
 	}
 }
 
+// receiveLoadTime returns the time of the load for which a permit was granted, when the
+// sidecar returns the permit. It returns zero if there was no load.
+func receiveLoadTime(stream *transport.Stream) time.Duration {
+	m, err := stream.Recv()
+	if err != nil {
+		return 0
+	}
+	if o, ok := m.(*wire.LoadOutcome); ok {
+		return o.Took
+	}
+	return 0
+}
+
 // requestPermit queues a request for a load permit.
 func (p *permitServer) requestPermit(r *wire.LoadPermitRequest, value float64) (loadlimit.PermitID, chan loadlimit.Verdict, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l, err := p.serviceLimiter(r.Upstream)
+	l, err := p.serviceLimiter(r.Upstream, r.ParallelLoads)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -132,18 +147,66 @@
 }
 
 const (
-	// topPriorityValue is the value of the first level, about what one VM can serve.
-	topPriorityValue = 8
+	// topPriorityValue is the value of the first level. The levels below it reach down to
+	// models that are asked for once in half a minute.
+	topPriorityValue = 32
 	// lowestPriority is the last level.
 	lowestPriority = 9
 )
 
-func (p *permitServer) release(service ident.Upstream, id loadlimit.PermitID) {
+// permittedLoad is a request for a permit and the load for which it was granted.
+type permittedLoad struct {
+	service ident.Upstream
+	id      loadlimit.PermitID
+	model   ident.Model
+	// took is the time of the load, or zero if there was none.
+	took time.Duration
+}
+
+func (p *permitServer) release(load *permittedLoad) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.limiters[load.service]
+	delete(l.waiting, load.id)
+	now := p.s.o.Now()
+	if load.took == 0 {
+		p.dispatch(l, l.limiter.Cancel(load.id, now))
+		return
+	}
+	before := l.limiter.ParallelLoads()
+	expected := p.loadTime(load.service, load.model)
+	p.dispatch(l, l.limiter.CompleteLoad(load.id, load.took, expected, now))
+	p.s.o.Logger.WithFields(log.Fields{
+		"service": load.service, "model": load.model, "took_ms": ms(load.took), "configured_ms": ms(expected),
+		"parallel": l.limiter.ParallelLoads(), "parallel_before": before,
+	}).Info("load from the weight store ended")
+}
+
+// parallelLoads returns how many loads of a service run concurrently.
+func (p *permitServer) parallelLoads(service ident.Upstream) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.limiters[service]
-	delete(l.waiting, id)
-	p.dispatch(l, l.limiter.Complete(id, p.s.o.Now()))
+	return p.limiters[service].limiter.ParallelLoads()
+}
+
+// loadTime returns the configured time of a load from the weight store, or zero if it is
+// unknown.
+func (p *permitServer) loadTime(service ident.Upstream, model ident.Model) time.Duration {
+	if e := p.engine(service); e != nil {
+		if spec := e.Model(model); spec != nil {
+			return spec.RemoteLoad
+		}
+	}
+	return 0
+}
+
+// engine returns the configured engine of a service, or nil.
+func (p *permitServer) engine(service ident.Upstream) *serving.Engine {
+	snap := p.s.currentConfig.Get()
+	if snap == nil || snap.Config.Services[service] == nil {
+		return nil
+	}
+	return snap.Config.Services[service].Engine
 }
 
 // dispatch passes decisions on and sets the timer for the next ones. The caller holds
@@ -170,19 +233,21 @@
 }
 
 // serviceLimiter returns the limiter of a service, created with the load rate
-// configured for it.
-func (p *permitServer) serviceLimiter(service ident.Upstream) (*serviceLimiter, error) {
+// configured for it. parallel is the requester's estimate of the number of concurrent
+// loads, with which a new limiter starts.
+func (p *permitServer) serviceLimiter(service ident.Upstream, parallel int) (*serviceLimiter, error) {
 	if l := p.limiters[service]; l != nil {
 		return l, nil
 	}
-	store := config.WeightStore{LoadsPerSecond: 1, ParallelLoads: parallelLoads, ParallelAdapters: parallelAdapters}
+	if parallel <= 0 {
+		parallel = firstParallelLoads
+	}
+	store := config.WeightStore{LoadsPerSecond: 1, ParallelLoads: parallel, ParallelAdapters: parallelAdapters}
 	expected := time.Duration(0)
-	if snap := p.s.currentConfig.Get(); snap != nil {
-		if s := snap.Config.Services[service]; s != nil && s.Engine != nil && s.Engine.LoadsPerSecond > 0 {
-			store.LoadsPerSecond = s.Engine.LoadsPerSecond
-			for i := range s.Engine.Models {
-				expected = max(expected, s.Engine.Models[i].RemoteLoad)
-			}
+	if e := p.engine(service); e != nil && e.LoadsPerSecond > 0 {
+		store.LoadsPerSecond = e.LoadsPerSecond
+		for i := range e.Models {
+			expected = max(expected, e.Models[i].RemoteLoad)
 		}
 	}
 	lim, err := loadlimit.New(loadlimit.Config{Store: store, ExpectedLoad: expected})
--- a/ingress/poll.go
+++ b/ingress/poll.go
@@ -74,18 +74,24 @@
 
 func (s *Server) pollVMs(ctx context.Context) {
 	logged := make(map[string]bool)
+	listed, restores := false, uint64(0)
 	s.poller("vm list").run(ctx, s.o.PollInterval, s.o.Now, func(ctx context.Context, begun time.Time) error {
-		vms, malformed, err := s.o.Directory.VMs(ctx)
+		listing, err := s.o.Directory.VMs(ctx)
 		if err != nil {
 			return err
 		}
-		for _, e := range malformed {
+		for _, e := range listing.Malformed {
 			if text := e.Error(); !logged[text] && len(logged) < maxMalformedLogged {
 				logged[text] = true
 				s.o.Logger.WithError(e).Warn("VM list entry skipped")
 			}
 		}
-		return s.applyVMs(ctx, begun, vms)
+		if listed && listing.Restores > restores {
+			s.o.Logger.WithFields(log.Fields{"restores": listing.Restores, "vms": len(listing.VMs)}).Warn("metadata store restored from an older copy")
+			s.metrics.storeRestores.Inc(1)
+		}
+		listed, restores = true, listing.Restores
+		return s.applyVMs(ctx, begun, listing)
 	})
 }
 
@@ -93,9 +99,9 @@
 const maxMalformedLogged = 1000
 
 // applyVMs applies a VM list and maintains a link to the sidecar of each engine.
-func (s *Server) applyVMs(ctx context.Context, begun time.Time, vms []fleet.VM) error {
+func (s *Server) applyVMs(ctx context.Context, begun time.Time, l fleet.Listing) error {
 	now := s.o.Now()
-	changes, err := s.clusterState.applyVMs(begun, now, vms)
+	changes, err := s.clusterState.applyVMs(begun, now, l)
 	if err != nil {
 		return err
 	}
--- a/ingress/relay_stream.go
+++ b/ingress/relay_stream.go
@@ -60,6 +60,7 @@
 		copyHeader(d.w.Header(), response.Header)
 		d.w.WriteHeader(response.Status)
 		d.stream.begun = true
+		d.streamBegun()
 	}
 	if _, err := d.w.Write(e.text); err != nil {
 		return err
--- a/ingress/report_models_test.go
+++ b/ingress/report_models_test.go
@@ -22,7 +22,7 @@
 	const address = "10.0.0.1:80"
 	now := time.Unix(1000, 0)
 	applyVMs := func(id ident.VM) {
-		if _, err := state.applyVMs(now, now, []fleet.VM{{ID: id, Address: address, Service: "models", Region: "r", Zone: "z", Concurrency: 8}}); err != nil {
+		if _, err := state.applyVMs(now, now, fleet.Listing{VMs: []fleet.VM{{ID: id, Address: address, Service: "models", Region: "r", Zone: "z", Concurrency: 8}}}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -31,7 +31,7 @@
 	report := func(r *wire.Report) {
 		r.Concurrency = 8
 		stream.complete(r)
-		state.report(now, address, r)
+		state.report(now, address, r, 0)
 	}
 	report(&wire.Report{Models: []wire.ModelReport{{Model: "m0", Phase: engine.PhaseLoaded, Tier: engine.TierDisk}}})
 	now = now.Add(time.Second)
--- a/ingress/reservation.go
+++ b/ingress/reservation.go
@@ -16,6 +16,8 @@
 	// vm is the id of the VM that the reservation is at, or empty if the sidecar does
 	// not know it.
 	vm ident.VM
+	// started is the start time of the VM's server in Unix milliseconds, or zero.
+	started int64
 }
 
 // release releases the reservation and reports the outcome of the request to the
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -30,7 +30,11 @@
 		}
 		rsv, err := d.reserve(ctx, choice)
 		if err == nil {
-			d.choice.VM = d.s.clusterState.reservedVM(choice.VM, rsv.vm)
+			started := int64(0)
+			if d.requirements.Software != "" {
+				started = rsv.started
+			}
+			d.choice.VM = d.s.clusterState.reservedVM(choice.VM, rsv.vm, started)
 		}
 		err = checkUsable(err, d.choice.VM != nil && d.s.clusterState.usable(d.s.o.Now(), d.choice.VM))
 		var (
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -15,6 +15,7 @@
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/internal/admin"
 	"github.com/laureltally/laureltally/metastore"
+	"github.com/laureltally/laureltally/resume"
 	"github.com/laureltally/laureltally/serving"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/upstreamhttp"
@@ -50,6 +51,14 @@
 	// forceStopAt is when forceStop will be cancelled, in nanoseconds since epoch; zero
 	// means never.
 	forceStopAt atomic.Int64
+	// stopBegun is when the shutdown began, in nanoseconds since epoch.
+	stopBegun atomic.Int64
+	// requests counts the requests of callers, for the shutdown.
+	requests requestCount
+
+	originsMu sync.Mutex
+	// origins holds the software versions of streams that this process began.
+	origins resume.Records
 
 	mu    sync.Mutex
 	links map[ident.VM]*sidecarLink
@@ -125,6 +134,7 @@
 		ReadHeaderTimeout: headerReadTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         t.state,
+		ConnContext:       s.connContext,
 	}
 }
 
@@ -135,46 +145,6 @@
 	return 0
 }
 
-const (
-	// forceStopSlack is how long before the end of a shutdown running requests are
-	// given up; it covers writing the responses to those that have none yet.
-	forceStopSlack = 700 * time.Millisecond
-	// exitSlack is reserved for the exit of the process itself.
-	exitSlack = 300 * time.Millisecond
-	// shutdownServeTime is the time that an admitted request needs to be answered
-	// before a shutdown ends.
-	shutdownServeTime = 3 * time.Second
-)
-
-// shutdownMaxWait returns the limit that a shutdown sets on the wait for a reservation.
-// While the process stops, the wait must leave shutdownServeTime for the response;
-// otherwise it is bounded only by maxRequestTime.
-func (s *Server) shutdownMaxWait(now time.Time) time.Duration {
-	at := s.forceStopAt.Load()
-	if at == 0 {
-		return maxRequestTime
-	}
-	return max(0, s.epoch.Add(time.Duration(at)).Sub(now)-shutdownServeTime)
-}
-
-// shutdown waits for the load balancer to notice, then closes the listener and waits
-// for running requests.
-func (s *Server) shutdown(server *http.Server) {
-	begun := time.Now()
-	grace := time.Duration(s.o.Settings.ShutdownTimeout)
-	s.forceStopAt.Store(int64(s.o.Now().Sub(s.epoch) + grace - forceStopSlack))
-	s.draining.Store(true)
-	timer := time.AfterFunc(grace-forceStopSlack, s.cancelForceStop)
-	defer timer.Stop()
-	s.o.Logger.Info("stopping, no longer ready")
-	time.Sleep(s.o.ShutdownDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-exitSlack))
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		s.o.Logger.WithError(err).Warn("requests still running at the end of the shutdown")
-	}
-}
-
 func serveError(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- /dev/null
+++ b/ingress/shutdown.go
@@ -0,0 +1,91 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/laureltally/laureltally/internal/wait"
+)
+
+const (
+	// forceStopSlack is how long before the end of a shutdown running requests are
+	// given up; it covers writing the responses to those that have none yet.
+	forceStopSlack = 700 * time.Millisecond
+	// exitSlack is reserved for the exit of the process itself.
+	exitSlack = 300 * time.Millisecond
+	// shutdownServeTime is the time that an admitted request needs to be answered
+	// before a shutdown ends.
+	shutdownServeTime = 3 * time.Second
+	// shutdownAdmitTime is how long a stopping process admits every request: load
+	// balancers need that long to send callers elsewhere.
+	shutdownAdmitTime = 3 * time.Second
+	// shutdownQuiet is the time without requests after which a stopping process exits.
+	// While callers still arrive, it stays until its shutdown has to end.
+	shutdownQuiet = 300 * time.Millisecond
+	// shutdownPoll is the interval of checks for that.
+	shutdownPoll = 20 * time.Millisecond
+)
+
+// shutdownMaxWait returns the limit that a shutdown sets on the wait for a reservation.
+// While the process stops, the wait must leave shutdownServeTime for the response;
+// otherwise it is bounded only by maxRequestTime.
+func (s *Server) shutdownMaxWait(now time.Time) time.Duration {
+	at := s.forceStopAt.Load()
+	if at == 0 {
+		return maxRequestTime
+	}
+	return max(0, s.epoch.Add(time.Duration(at)).Sub(now)-shutdownServeTime)
+}
+
+// admitsWhileStopping reports whether a request is admitted that arrives at now, with
+// the given deadline, during a shutdown that began at begun and gives up all requests at
+// end. It answers rolling restarts in which all routers of a zone stop at the same time
+// and callers have no other: what can't be answered in time is refused at once, not cut
+// off later.
+func admitsWhileStopping(now, begun, end, deadline time.Time) bool {
+	return now.Sub(begun) < shutdownAdmitTime || !deadline.After(end)
+}
+
+// shutdown waits for the load balancer to notice, and for the requests of callers who
+// still arrive or wait. The listener stays open meanwhile, since a refused connection
+// tells a caller less than a response.
+func (s *Server) shutdown(server *http.Server) {
+	begun, now := time.Now(), s.o.Now()
+	grace := time.Duration(s.o.Settings.ShutdownTimeout)
+	s.stopBegun.Store(int64(now.Sub(s.epoch)))
+	s.forceStopAt.Store(int64(now.Sub(s.epoch) + grace - forceStopSlack))
+	s.draining.Store(true)
+	timer := time.AfterFunc(grace-forceStopSlack, s.cancelForceStop)
+	defer timer.Stop()
+	s.o.Logger.Info("stopping, no longer ready")
+	time.Sleep(s.o.ShutdownDelay)
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-exitSlack))
+	defer cancel()
+	for !s.requests.quietFor(shutdownQuiet) && wait.Sleep(ctx, shutdownPoll) == nil {
+	}
+	if err := server.Shutdown(ctx); err != nil {
+		s.o.Logger.WithError(err).Warn("requests still running at the end of the shutdown")
+	}
+}
+
+// refusedWhileStopping responds to a request that can't be answered before the process
+// exits, and reports whether it did. A caller on an older connection finds another router
+// at once. If the load balancer still sends new connections here, it has no other, and
+// the caller is told to come back when this process has exited.
+func (d *delivery) refusedWhileStopping() bool {
+	if !d.s.draining.Load() {
+		return false
+	}
+	begun := d.s.epoch.Add(time.Duration(d.s.stopBegun.Load()))
+	end := d.s.epoch.Add(time.Duration(d.s.forceStopAt.Load()))
+	if admitsWhileStopping(d.start, begun, end, d.deadline) {
+		return false
+	}
+	retryAfter := minRetryAfter
+	if connectedAt(d.r).Sub(begun) >= shutdownAdmitTime {
+		retryAfter = end.Sub(d.start)
+	}
+	d.finish(stepRefuse, http.StatusServiceUnavailable, (&StoppingError{}).Error(), retryAfter)
+	return true
+}
--- a/ingress/sidecar_link.go
+++ b/ingress/sidecar_link.go
@@ -92,7 +92,7 @@
 			return received, &wire.KindError{Kind: m.Kind()}
 		}
 		models.complete(r)
-		l.s.clusterState.report(l.s.o.Now(), l.vm.Address, r)
+		l.s.clusterState.report(l.s.o.Now(), l.vm.Address, r, conn.RoundTrip())
 		if !received {
 			received = true
 			l.conn.Store(conn)
@@ -121,7 +121,7 @@
 	}
 	switch m := m.(type) {
 	case *wire.Reserved:
-		return &reservation{stream: stream, waited: m.Waited, vm: m.VM}, nil
+		return &reservation{stream: stream, waited: m.Waited, vm: m.VM, started: m.Started}, nil
 	case *wire.Refusal:
 		stream.Reset()
 		return nil, &RefusedError{RetryAfter: m.RetryAfter, Reason: m.Detail}
--- a/loadlimit/limiter.go
+++ b/loadlimit/limiter.go
@@ -15,6 +15,10 @@
 	// nextStart is the earliest time at which the store's rate allows the next
 	// model load.
 	nextStart time.Time
+	// parallel is the learned number of concurrent model loads, and history the number
+	// of permits for them.
+	parallel parallelism
+	history  permitHistory
 }
 
 // New returns a Limiter with no permits issued. It fails with *ConfigError.
@@ -23,7 +27,7 @@
 	if err := cfg.validate(); err != nil {
 		return nil, fmt.Errorf("new load limiter: %w", err)
 	}
-	l := &Limiter{cfg: cfg}
+	l := &Limiter{cfg: cfg, parallel: parallelism{value: cfg.Store.ParallelLoads}}
 	l.classes[ModelLoad] = newClassLimiter(cfg.Store.ParallelLoads, cfg.ExpectedLoad)
 	l.classes[AdapterLoad] = newClassLimiter(cfg.Store.ParallelAdapters, cfg.ExpectedAdapter)
 	return l, nil
@@ -66,6 +70,22 @@
 	return l.Tick(now)
 }
 
+// CompleteLoad returns the permit of a model load that has ended, took from its start
+// and is configured to take expected. Unlike Complete, it adjusts the number of
+// concurrent loads.
+func (l *Limiter) CompleteLoad(id PermitID, took, expected time.Duration, now time.Time) []Decision {
+	c := l.classes[ModelLoad]
+	if _, ok := c.remove(id, now); ok && took > 0 && expected > 0 {
+		c.updateMean(took)
+		l.parallel.observe(now, l.history.mean(now.Add(-took), now), float64(took)/float64(expected))
+		c.maxPermits = l.parallel.value
+	}
+	return l.Tick(now)
+}
+
+// ParallelLoads returns the number of model loads that may run concurrently.
+func (l *Limiter) ParallelLoads() int { return l.classes[ModelLoad].maxPermits }
+
 // Cancel returns a permit or withdraws a queued request because the requester
 // failed or gave up. It does not update the mean load time.
 func (l *Limiter) Cancel(id PermitID, now time.Time) []Decision {
@@ -90,6 +110,7 @@
 	for adapters.canGrant() {
 		out = append(out, Decision{ID: adapters.grant(now), Verdict: Granted})
 	}
+	l.history.record(now, len(models.permits))
 	return out
 }
 
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -15,13 +15,19 @@
 	"github.com/laureltally/laureltally/wire"
 )
 
-// blockDuration is how long no requests are sent to a VM whose address responded as a
-// different VM; its registration changes within about a second.
-const blockDuration = 2 * time.Second
-
-// missingModelTTL is how long a model that a VM reported as not loaded is left out of
-// the models in its registration, which is renewed about every second.
-const missingModelTTL = 3 * time.Second
+const (
+	// blockIntervals is for how many registration intervals no requests are sent to a
+	// VM whose address responded as a different VM: one until the next registration
+	// and one until it is read.
+	blockIntervals = 2
+	// missingModelIntervals is for how many registration intervals a model that a VM
+	// reported as not loaded is left out of the models in its registration. It is
+	// longer, since a registration that was begun before may still arrive.
+	missingModelIntervals = 3
+	// delayWeight is the weight of one measurement in the moving average of the
+	// latency between regions.
+	delayWeight = 0.1
+)
 
 // packShare is the fraction of a VM's concurrency that requests for a model fill
 // before the next VM is used. Above it, the time to the first event at Muotiennuste
@@ -35,16 +41,25 @@
 // Balancer is the load balancer state of one router.
 type Balancer struct {
 	opts    Options
+	chooser *routing.Chooser
 	table   *routing.Table
 	members map[ident.VM]*member
+	// linkDelay is the average one-way latency to agents in other regions.
+	linkDelay time.Duration
+	// instances holds the state of servers that said that they are leaving or paused,
+	// and of the registered ones.
+	instances map[instanceKey]*instance
 	// byAddress maps the upstream address of an agent's report to its VM.
-	byAddress   map[string]ident.VM
+	byAddress map[string]ident.VM
+	// versions maps the software versions of each service to when a VM with that
+	// version was last registered or removed.
+	versions    map[ident.Upstream]map[string]time.Time
 	detectors   map[ident.Upstream]*outlier.Detector
 	services    map[ident.Upstream]*serving.Service
 	unmetDemand map[ident.Model]*decay.Rate
-	// expectedLoads holds, for each model, one expiry time per VM that is expected to
-	// load it.
-	expectedLoads map[ident.Model][]time.Time
+	// expectedLoads holds the loads for which VMs hold permits.
+	expectedLoads    map[ExpectedLoadID]expectedLoad
+	lastExpectedLoad ExpectedLoadID
 }
 
 // New returns a Balancer without VMs.
@@ -56,13 +71,17 @@
 	}
 	return &Balancer{
 		opts:          o,
+		chooser:       chooser,
+		linkDelay:     o.LinkDelay,
 		table:         routing.NewTable(chooser),
 		members:       make(map[ident.VM]*member),
+		instances:     make(map[instanceKey]*instance),
+		versions:      make(map[ident.Upstream]map[string]time.Time),
 		byAddress:     make(map[string]ident.VM),
 		detectors:     make(map[ident.Upstream]*outlier.Detector),
 		services:      make(map[ident.Upstream]*serving.Service),
 		unmetDemand:   make(map[ident.Model]*decay.Rate),
-		expectedLoads: make(map[ident.Model][]time.Time),
+		expectedLoads: make(map[ExpectedLoadID]expectedLoad),
 	}, nil
 }
 
@@ -74,7 +93,7 @@
 	for _, c := range changes {
 		m := b.members[c.VM.ID]
 		if m != nil && (c.Kind == fleet.Removed || c.Kind == fleet.Restarted) {
-			b.remove(m)
+			b.remove(now, m)
 			m = nil
 		}
 		if c.Kind == fleet.Removed {
@@ -87,6 +106,7 @@
 			m = b.members[c.VM.ID]
 		}
 		m.vm = c.VM
+		b.versionSeen(now, c.VM)
 		b.publishRegistration(now, m)
 	}
 	return nil
@@ -103,12 +123,16 @@
 		b.detectors[vm.Service] = detector
 	}
 	detector.Add(vm.ID)
-	b.members[vm.ID] = &member{vm: vm}
+	b.members[vm.ID] = &member{vm: vm, instance: b.instance(vm)}
 	b.byAddress[vm.Address] = vm.ID
 	return nil
 }
 
-func (b *Balancer) remove(m *member) {
+func (b *Balancer) remove(now time.Time, m *member) {
+	b.versionSeen(now, m.vm)
+	if *m.instance == (instance{}) {
+		delete(b.instances, instanceKey{m.vm.ID, m.vm.Started})
+	}
 	b.table.Remove(m.vm.ID)
 	b.detectors[m.vm.Service].Remove(m.vm.ID)
 	delete(b.members, m.vm.ID)
@@ -121,7 +145,7 @@
 // report of its agent is published again instead, as draining if the VM is leaving.
 func (b *Balancer) publishRegistration(now time.Time, m *member) {
 	if m.fresh(now, b.opts.ReportTimeout) {
-		m.report.Draining = m.report.Draining || m.vm.Leaving
+		m.report.Draining = m.report.Draining || m.leaving()
 		b.publish(now, m, *m.report)
 		return
 	}
@@ -143,7 +167,7 @@
 	m.seq++
 	r.VM, r.Upstream, r.Region, r.Zone = m.vm.ID, m.vm.Service, m.vm.Region, m.vm.Zone
 	r.Role, r.Incarnation, r.Seq = metastore.RoleAgent, 1, m.seq
-	r.Draining = r.Draining || m.vm.Leaving
+	r.Draining = r.Draining || m.leaving()
 	b.table.Report(now, &r, 0)
 }
 
@@ -159,6 +183,29 @@
 	return true
 }
 
+// ObserveRoundTrip takes the round-trip time of the connection to the agent at an
+// upstream address.
+func (b *Balancer) ObserveRoundTrip(address string, rtt time.Duration) {
+	m := b.members[b.byAddress[address]]
+	if m == nil || rtt <= 0 || m.vm.Region == b.opts.Region {
+		return
+	}
+	b.linkDelay += time.Duration(delayWeight * float64(rtt/2-b.linkDelay))
+	b.chooser.SetRegionDelay(b.linkDelay)
+}
+
+// Routers returns the number of routers that share the VMs, as far as agents report it,
+// or zero. While some links are down, the agent with the most routers knows best.
+func (b *Balancer) Routers(now time.Time) int {
+	n := 0
+	for _, m := range b.members {
+		if m.fresh(now, b.opts.ReportTimeout) {
+			n = max(n, m.report.Routers)
+		}
+	}
+	return n
+}
+
 // AgentDisconnected discards the report of an agent whose connection has ended.
 func (b *Balancer) AgentDisconnected(now time.Time, address string) {
 	if m := b.members[b.byAddress[address]]; m != nil && m.report != nil {
@@ -176,11 +223,11 @@
 	b.publish(now, m, wire.Report{Running: l.Running, Waiting: l.Waiting, Concurrency: l.Concurrency})
 }
 
-// Block stops sending requests to a VM for blockDuration, since its address responded
-// as a different VM.
+// Block stops sending requests to a VM for some registration intervals, since its
+// address responded as a different VM.
 func (b *Balancer) Block(now time.Time, vm ident.VM) {
 	if m := b.members[vm]; m != nil {
-		m.blockedUntil = now.Add(blockDuration)
+		m.blockedUntil = now.Add(blockIntervals * b.opts.RegistrationInterval)
 	}
 }
 
@@ -195,7 +242,7 @@
 	if m.missingModels == nil {
 		m.missingModels = make(map[ident.Model]time.Time)
 	}
-	m.missingModels[name] = now.Add(missingModelTTL)
+	m.missingModels[name] = now.Add(missingModelIntervals * b.opts.RegistrationInterval)
 	b.publishRegistration(now, m)
 }
 
--- a/placement/balancer_test.go
+++ b/placement/balancer_test.go
@@ -150,8 +150,8 @@
 			t.Fatalf("got %s", c.VM.ID)
 		}
 	}
-	if b.Usable(start, &vm) || !b.Usable(start.Add(blockDuration), b.members["1"].vm) {
-		t.Error("a leaving VM is usable, or a VM is unusable after blockDuration")
+	if b.Usable(start, &vm) || !b.Usable(start.Add(blockIntervals*DefaultRegistrationInterval), b.members["1"].vm) {
+		t.Error("a leaving VM is usable, or a VM stays blocked for too long")
 	}
 }
 
@@ -192,7 +192,7 @@
 	seen := map[ident.Model]bool{}
 	for i := range 3 {
 		name, _ := b.NextRemoteLoad(start, "models", address(i%2))
-		b.ExpectLoad(start, name)
+		b.ExpectLoad(name, address(i%2))
 		if name == "" || seen[name] {
 			t.Fatalf("%q is chosen again", name)
 		}
@@ -245,7 +245,7 @@
 	if c, err := b.Choose(start, Requirements{Service: "models", Model: "m0"}); err == nil {
 		t.Errorf("got %s", c.VM.ID)
 	}
-	later := start.Add(missingModelTTL)
+	later := start.Add(missingModelIntervals * DefaultRegistrationInterval)
 	if err := b.Apply(later, []fleet.Change{{Kind: fleet.Updated, VM: first.VM}}); err != nil {
 		t.Fatal(err)
 	}
@@ -269,7 +269,7 @@
 	if b.RemoteLoadValue(now, "models", "m0") == 0 {
 		t.Fatal("the first load has no value")
 	}
-	b.ExpectLoad(now, "m0")
+	expected := b.ExpectLoad("m0", address(0))
 	if value := b.RemoteLoadValue(now, "models", "m0"); value > 0 {
 		t.Errorf("value %v although a load is expected", value)
 	}
@@ -279,6 +279,33 @@
 	if value := b.RemoteLoadValue(now, "models", "m0"); value == 0 {
 		t.Error("a second load has no value although demand is unmet")
 	}
+	second := b.RemoteLoadValue(now, "models", "m0")
+	report(b, now, 0, 0, models{"m1"}, models{"m0"})
+	if value := b.RemoteLoadValue(now, "models", "m0"); value != second {
+		t.Errorf("value %v once the VM reports the expected load, %v before: it counts twice", value, second)
+	}
+	b.EndExpectedLoad(expected)
+	if value := b.RemoteLoadValue(now, "models", "m0"); value != second {
+		t.Errorf("value %v after the end of the load, %v before", value, second)
+	}
+}
+
+// A sidecar that is restarted, or that drops its permit for another model, ends a load
+// that never began: the next permit for the model must not wait for a timeout.
+func TestLoadThatNeverBeganIsNotExpected(t *testing.T) {
+	b := newBalancer(t, 2, "r0")
+	for i := range 2 {
+		report(b, start, i, 0, models{"m1"}, nil)
+	}
+	value := b.RemoteLoadValue(start, "models", "m0")
+	id := b.ExpectLoad("m0", address(0))
+	if b.RemoteLoadValue(start, "models", "m0") >= value {
+		t.Fatal("the expected load is not counted")
+	}
+	b.EndExpectedLoad(id)
+	if got := b.RemoteLoadValue(start, "models", "m0"); got != value {
+		t.Errorf("value %v after the end, want %v", got, value)
+	}
 }
 
 // The load headers of a plain service direct requests to the VM with free capacity.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,7 +18,7 @@
 	loaded, found := b.chooseLoaded(now, n)
 	if found && loaded.Wait == 0 || n.Model == "" {
 		if !found {
-			return Choice{}, b.noVMError(n)
+			return Choice{}, b.noVMError(now, n)
 		}
 		return loaded, nil
 	}
@@ -31,45 +30,54 @@
 	case found:
 		return loaded, nil
 	}
-	return Choice{}, b.noVMError(n)
+	return Choice{}, b.noVMError(now, n)
 }
 
-func (b *Balancer) noVMError(n Requirements) error {
-	known := 0
+// noVMError returns the error of a request that no VM can accept. If all VMs that could
+// serve it want no requests for now, the caller is told when the first one does again.
+func (b *Balancer) noVMError(now time.Time, n Requirements) error {
+	e := &NoVMError{Service: n.Service, Software: n.Software, RetryAfter: b.opts.RetryAfter}
+	paused, shortest := 0, time.Duration(0)
 	for _, m := range b.members {
-		if m.vm.Service == n.Service {
-			known++
+		if m.vm.Service != n.Service || n.Software != "" && n.Software != m.vm.Software {
+			continue
+		}
+		e.Known++
+		if left := m.instance.pausedUntil.Sub(now); left > 0 && !m.leaving() {
+			if paused == 0 || left < shortest {
+				shortest = left
+			}
+			paused++
 		}
 	}
-	return &NoVMError{Service: n.Service, Known: known, RetryAfter: b.opts.RetryAfter}
+	if paused > 0 && paused == e.Known {
+		e.RetryAfter = shortest
+	}
+	return e
 }
 
 // chooseLoaded picks among the VMs that have loaded the model, or that serve the
 // plain service.
 func (b *Balancer) chooseLoaded(now time.Time, n Requirements) (Choice, bool) {
-	exclude := ident.VM("")
-	if len(n.Exclude) > 0 {
-		exclude = n.Exclude[len(n.Exclude)-1]
-	}
 	vm, ch, err := b.table.Choose(now, routing.Lookup{
 		Request: routing.Request{
 			Region: b.opts.Region, Zone: b.opts.Zone, Priority: n.Priority, Remaining: n.Remaining,
-			Affinity: modelKey(n.Model), Exclude: exclude, AllowCrossRegion: true,
+			Affinity: modelKey(n.Model), AllowCrossRegion: true,
 		},
 		Target:  routing.Target{Upstream: n.Service, Model: n.Model},
 		Adapter: n.Adapter,
-		Health:  b.health,
+		Health:  func(now time.Time, vm ident.VM) routing.Health { return b.health(now, vm, &n) },
 	})
 	if err != nil {
 		return Choice{}, false
 	}
 	m := b.members[vm]
-	if m == nil || !m.usable(now) || slices.Contains(n.Exclude, vm) {
+	if m == nil {
 		return Choice{}, false
 	}
 	wait := ch.Wait
 	if ch.CrossRegion {
-		wait = max(0, wait-2*b.opts.LinkDelay)
+		wait = max(0, wait-2*b.linkDelay)
 	}
 	return b.choice(now, m, Loaded, wait), true
 }
@@ -85,13 +93,13 @@
 	return xxhash.Sum64String(string(name)) | 1
 }
 
-func (b *Balancer) health(now time.Time, vm ident.VM) routing.Health {
+func (b *Balancer) health(now time.Time, vm ident.VM, n *Requirements) routing.Health {
 	m := b.members[vm]
-	if m == nil {
-		return routing.Health{Ejected: true}
+	if m == nil || !m.usable(now) || !m.suits(n) {
+		return routing.Health{Excluded: true}
 	}
 	s := b.detectors[m.vm.Service].Status(now, vm)
-	return routing.Health{Ejected: s.Blocked || !m.usable(now), LoadShare: s.LoadShare}
+	return routing.Health{Ejected: s.Blocked, LoadShare: s.LoadShare}
 }
 
 // chooseToLoad picks the VM that can load the model soonest. All routers break ties
@@ -110,7 +118,7 @@
 		bestCost time.Duration
 	)
 	for _, m := range b.members {
-		if m.vm.Service != n.Service || !m.usable(now) || !m.fresh(now, b.opts.ReportTimeout) || slices.Contains(n.Exclude, m.vm.ID) {
+		if m.vm.Service != n.Service || !m.usable(now) || !m.fresh(now, b.opts.ReportTimeout) || !m.suits(&n) {
 			continue
 		}
 		if b.detectors[n.Service].Status(now, m.vm.ID).Blocked || m.readiness(n.Model) == Loaded {
@@ -146,7 +154,7 @@
 func (b *Balancer) loadCost(m *member, spec *serving.Model) time.Duration {
 	cost := b.loadWait(m, spec) + time.Duration(m.utilization()*float64(b.opts.LoadCost))
 	if m.vm.Region != b.opts.Region {
-		cost += 2 * b.opts.LinkDelay
+		cost += 2 * b.linkDelay
 	}
 	return cost
 }
--- a/placement/member.go
+++ b/placement/member.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/laureltally/laureltally/engine"
@@ -12,6 +13,8 @@
 // member is the state of one VM in a Balancer.
 type member struct {
 	vm *fleet.VM
+	// instance is the state of the VM's server.
+	instance *instance
 	// report is the newest report of the agent, received at reportedAt, or nil.
 	report     *wire.Report
 	reportedAt time.Time
@@ -55,7 +58,18 @@
 
 // usable reports whether new requests may be sent to the VM.
 func (m *member) usable(now time.Time) bool {
-	return !m.vm.Leaving && !now.Before(m.blockedUntil) && (m.report == nil || !m.report.Draining)
+	return !m.leaving() && !now.Before(m.blockedUntil) && !now.Before(m.instance.pausedUntil)
+}
+
+// leaving reports whether the VM is about to stop, by its registration, its agent or its
+// own responses.
+func (m *member) leaving() bool {
+	return m.vm.Leaving || m.instance.leaving || m.report != nil && m.report.Draining
+}
+
+// suits reports whether the VM may serve a request.
+func (m *member) suits(n *Requirements) bool {
+	return (n.Software == "" || n.Software == m.vm.Software) && !slices.Contains(n.Exclude, m.vm.ID)
 }
 
 // utilization returns the fraction of the VM's concurrency in use.
--- a/placement/no_vm_error.go
+++ b/placement/no_vm_error.go
@@ -10,7 +10,10 @@
 // NoVMError reports that no VM can accept the request now.
 type NoVMError struct {
 	Service ident.Upstream
-	// Known is the number of registered VMs of the service.
+	// Software is the software version that the request is bound to, or empty.
+	Software string
+	// Known is the number of registered VMs of the service, with that version if there
+	// is one.
 	Known int
 	// RetryAfter is the suggested delay before a retry.
 	RetryAfter time.Duration
@@ -18,5 +21,8 @@
 
 // Error implements error.
 func (e *NoVMError) Error() string {
+	if e.Software != "" {
+		return fmt.Sprintf("no VM of %s with software version %s can accept the request: %d registered", e.Service, e.Software, e.Known)
+	}
 	return fmt.Sprintf("no VM of %s can accept the request: %d registered", e.Service, e.Known)
 }
--- a/placement/options.go
+++ b/placement/options.go
@@ -13,8 +13,12 @@
 	// DefaultReportTimeout is the age from which a report is ignored; agents report
 	// several times a second.
 	DefaultReportTimeout = 2 * time.Second
-	// DefaultLinkDelay is the one-way latency between regions.
+	// DefaultLinkDelay is the assumed one-way latency between regions until
+	// connections to agents there show it.
 	DefaultLinkDelay = 30 * time.Millisecond
+	// DefaultRegistrationInterval is the interval at which VMs renew their entries in
+	// the VM list.
+	DefaultRegistrationInterval = time.Second
 	// DefaultLoadCost is the additional cost of a full VM over an idle one when a
 	// model has to be loaded: about the time by which a full batch delays a request.
 	DefaultLoadCost = 2 * time.Second
@@ -29,8 +33,11 @@
 
 	ReportTimeout time.Duration
 	LinkDelay     time.Duration
-	LoadCost      time.Duration
-	RetryAfter    time.Duration
+	// RegistrationInterval is the interval at which VMs renew their entries in the VM
+	// list.
+	RegistrationInterval time.Duration
+	LoadCost             time.Duration
+	RetryAfter           time.Duration
 	// AgentPort is the UDP port of agents, at the address of their VM.
 	AgentPort uint16
 	// Rand breaks ties.
@@ -40,6 +47,7 @@
 func (o Options) withDefaults() Options {
 	o.ReportTimeout = cmp.Or(o.ReportTimeout, DefaultReportTimeout)
 	o.LinkDelay = cmp.Or(o.LinkDelay, DefaultLinkDelay)
+	o.RegistrationInterval = cmp.Or(o.RegistrationInterval, DefaultRegistrationInterval)
 	o.LoadCost = cmp.Or(o.LoadCost, DefaultLoadCost)
 	o.RetryAfter = cmp.Or(o.RetryAfter, DefaultRetryAfter)
 	return o
--- a/placement/remote_load.go
+++ b/placement/remote_load.go
@@ -9,23 +9,22 @@
 )
 
 const (
-	// expectedLoadTTL is how long a load is expected after a VM was given a permit
-	// for it; the VM's report shows the load well before that.
-	expectedLoadTTL = 20 * time.Second
 	// unmetDemandHalfLife is the half-life of unmet demand: demand shifts between
 	// models within about five seconds.
 	unmetDemandHalfLife = 4 * time.Second
-	// firstLoadValue is the assumed request rate of a model that no VM has cached;
-	// rare models are requested about that often.
-	firstLoadValue = 0.1
-	// minUnmetDemand is the unmet demand per VM above which another load of the model
-	// is worthwhile: a load keeps its VM from swapping models for several seconds.
-	minUnmetDemand = 0.5
-	// maxCachedVMs is the number of VMs with cached weights from which no further
-	// load is worthwhile, since any of them can load the model in about a second.
-	maxCachedVMs = 4
+	// firstLoadValue is the assumed request rate, over all routers, of a model that no
+	// VM has cached: models that nobody has asked for yet come after all others.
+	firstLoadValue = 0.4
+	// minUnmetDemand is the unmet demand per copy, in requests per second over all
+	// routers, above which another load of a model is worthwhile: a load keeps its VM
+	// from swapping models, about one a second, for several seconds.
+	minUnmetDemand = 2
+	// maxCopiesShare is the fraction of a service's VMs that may cache a model on demand,
+	// and minMaxCopies a number that is allowed in any case, for VMs that fail.
+	maxCopiesShare = 0.05
+	minMaxCopies   = 4
 	// waitingLoadValue is added to the value of a first load that a request waits for.
-	waitingLoadValue = 0.3
+	waitingLoadValue = 1.2
 )
 
 // addUnmetDemand counts a request for which no VM with the model loaded was free.
@@ -63,13 +62,14 @@
 		best      ident.Model
 		bestValue float64
 	)
-	cachedCounts := b.cachedCounts(service)
+	copies, vms := b.copies(service)
+	routers := b.routersAtLeastOne(now)
 	for i := range s.Engine.Models {
 		name := s.Engine.Models[i].Name
 		if m.readiness(name) != Remote {
 			continue
 		}
-		if value := b.loadValue(now, name, cachedCounts[name], firstLoadValue); value > bestValue {
+		if value := b.loadValue(name, copies[name], vms, firstLoadValue, routers*b.UnmetDemand(now, name)); value > bestValue {
 			best, bestValue = name, value
 		}
 	}
@@ -80,72 +80,85 @@
 // need the same model at the same time, only some of them load it and the others keep
 // serving their models.
 func (b *Balancer) RemoteLoadValue(now time.Time, service ident.Upstream, name ident.Model) float64 {
-	cached := 0
+	copies, vms := 0, 0
 	for m := range b.activeMembers(service) {
+		vms++
 		if m.readiness(name) != Remote {
-			cached++
+			copies++
 		}
 	}
-	return b.loadValue(now, name, cached, waitingLoadValue)
+	return b.loadValue(name, copies, vms, waitingLoadValue, b.routersAtLeastOne(now)*b.UnmetDemand(now, name))
 }
 
-// loadValue returns the value of caching a model on one more VM, given the number of
-// VMs that have it cached. For a model that no VM has or is expected to load, first
-// is added to its unmet demand.
-func (b *Balancer) loadValue(now time.Time, name ident.Model, cached int, first float64) float64 {
-	// An expected load that has become visible in a report is counted twice for a
-	// while, which only delays a further load.
-	demand, vms := b.UnmetDemand(now, name), cached+b.countExpectedLoads(now, name)
-	if vms == 0 {
+// loadValue returns the value of caching a model on one more of the VMs, given the number
+// that have it cached and the unmet demand over all routers. For a model that no VM has or
+// is expected to load, first is added to the demand.
+func (b *Balancer) loadValue(name ident.Model, copies, vms int, first, demand float64) float64 {
+	copies += b.countExpectedLoads(name)
+	if copies == 0 {
 		return first + demand
 	}
-	if value := demand / float64(1+vms); vms < maxCachedVMs && value > minUnmetDemand {
+	if value := demand / float64(1+copies); copies < maxCopies(vms) && value > minUnmetDemand {
 		return value
 	}
 	return 0
 }
 
-// ExpectLoad records that a VM is about to load a model.
-func (b *Balancer) ExpectLoad(now time.Time, name ident.Model) {
-	kept := b.expectedLoads[name][:0]
-	for _, until := range b.expectedLoads[name] {
-		if now.Before(until) {
-			kept = append(kept, until)
-		}
-	}
-	b.expectedLoads[name] = append(kept, now.Add(expectedLoadTTL))
+// maxCopies returns the number of VMs with cached weights of a model from which no
+// further load is worthwhile, since any of them can load the model in about a second.
+func maxCopies(vms int) int { return max(minMaxCopies, int(maxCopiesShare*float64(vms))) }
+
+// routersAtLeastOne returns the number of routers that share the demand.
+func (b *Balancer) routersAtLeastOne(now time.Time) float64 {
+	return float64(max(1, b.Routers(now)))
+}
+
+// ExpectLoad records that the VM at an address is about to load a model. The load is
+// expected until EndExpectedLoad is called with the returned id.
+func (b *Balancer) ExpectLoad(name ident.Model, address string) ExpectedLoadID {
+	b.lastExpectedLoad++
+	b.expectedLoads[b.lastExpectedLoad] = expectedLoad{model: name, address: address}
+	return b.lastExpectedLoad
 }
 
-// countExpectedLoads returns the number of VMs that are expected to load a model.
-func (b *Balancer) countExpectedLoads(now time.Time, name ident.Model) int {
+// EndExpectedLoad ends an expected load, whether or not the model was loaded.
+func (b *Balancer) EndExpectedLoad(id ExpectedLoadID) { delete(b.expectedLoads, id) }
+
+// countExpectedLoads returns the number of VMs that are expected to load a model and
+// that do not report it yet.
+func (b *Balancer) countExpectedLoads(name ident.Model) int {
 	n := 0
-	for _, until := range b.expectedLoads[name] {
-		if now.Before(until) {
+	for _, l := range b.expectedLoads {
+		if l.model != name {
+			continue
+		}
+		if m := b.members[b.byAddress[l.address]]; m == nil || m.readiness(name) == Remote {
 			n++
 		}
 	}
 	return n
 }
 
-// cachedCounts returns, for each model, the number of VMs that can serve it without
-// the weight store.
-func (b *Balancer) cachedCounts(service ident.Upstream) map[ident.Model]int {
-	cachedCounts := make(map[ident.Model]int)
+// copies returns, for each model, the number of VMs that can serve it without the weight
+// store, and the number of VMs.
+func (b *Balancer) copies(service ident.Upstream) (copies map[ident.Model]int, vms int) {
+	copies = make(map[ident.Model]int)
 	for m := range b.activeMembers(service) {
+		vms++
 		for name := range m.models {
 			if m.readiness(name) != Remote {
-				cachedCounts[name]++
+				copies[name]++
 			}
 		}
 	}
-	return cachedCounts
+	return copies, vms
 }
 
 // activeMembers yields the VMs of a service that are not leaving.
 func (b *Balancer) activeMembers(service ident.Upstream) iter.Seq[*member] {
 	return func(yield func(*member) bool) {
 		for _, m := range b.members {
-			if m.vm.Service == service && !m.vm.Leaving && !yield(m) {
+			if m.vm.Service == service && !m.leaving() && !yield(m) {
 				return
 			}
 		}
--- a/placement/requirements.go
+++ b/placement/requirements.go
@@ -15,6 +15,8 @@
 	Priority ident.Priority
 	// Remaining is the time until the caller's deadline.
 	Remaining time.Duration
+	// Software is the software version that the request is bound to, or empty.
+	Software string
 	// Exclude lists VMs that have refused or failed this request.
 	Exclude []ident.VM
 }
--- a/residency/action.go
+++ b/residency/action.go
@@ -17,6 +17,8 @@
 	Waited time.Duration
 	// VM is the id of the engine's VM in the VM list, or empty while it is unknown.
 	VM ident.VM
+	// Started is the start time of the engine in Unix milliseconds.
+	Started int64
 }
 
 // Refuse rejects a request, which has not run.
--- a/residency/concurrency_limit.go
+++ b/residency/concurrency_limit.go
@@ -8,6 +8,9 @@
 	// by one with every two timely responses.
 	decreaseFactor = 0.9
 	increaseStep   = 0.5
+	// startStep is the increase for a timely response until the first decrease: the
+	// limit doubles within the time of one request.
+	startStep = 1
 	// decreaseInterval is the minimum time between two decreases: responses that ran
 	// concurrently are evidence of the same overload.
 	decreaseInterval = 500 * time.Millisecond
@@ -25,7 +28,8 @@
 // additional request slows down all others.
 type concurrencyLimit struct {
 	value, minValue, maxValue float64
-	decreasedAt               time.Time
+	// decreasedAt is when the limit was last lowered, or zero.
+	decreasedAt time.Time
 }
 
 // observe adjusts the limit to the outcome of a request; active is the number of
@@ -40,6 +44,10 @@
 		l.value = max(l.minValue, l.value*decreaseFactor)
 		l.decreasedAt = now
 	case !slow && float64(active) >= increaseLoadShare*l.value:
-		l.value = min(l.maxValue, l.value+increaseStep)
+		step := increaseStep
+		if l.decreasedAt.IsZero() {
+			step = startStep
+		}
+		l.value = min(l.maxValue, l.value+step)
 	}
 }
--- a/residency/options.go
+++ b/residency/options.go
@@ -17,7 +17,7 @@
 	DefaultMinLimit = 8
 	// DefaultStartShare is the fraction of an engine's concurrency that is used
 	// before any request has shown how long requests take.
-	DefaultStartShare = 0.25
+	DefaultStartShare = 1
 	// DefaultSettleTime is how long a newly loaded model can't be unloaded, so that
 	// the requests it was loaded for can use it.
 	DefaultSettleTime = 700 * time.Millisecond
--- a/residency/plan.go
+++ b/residency/plan.go
@@ -138,8 +138,11 @@
 // swap serves one rare request, the remote load serves all that are refused
 // meanwhile.
 func (s *Scheduler) permitBeforeSwap(now time.Time, next ident.Model) bool {
-	return s.permit.held() && s.permit.Model != next &&
-		s.model(s.permit.Model).requestRate.Get(now, s.opts.RateHalfLife) > busyEvictionFactor*s.model(next).requestRate.Get(now, s.opts.RateHalfLife)
+	return s.permit.held() && s.permit.Model != next && s.requestRate(now, s.permit.Model) > busyEvictionFactor*s.requestRate(now, next)
+}
+
+func (s *Scheduler) requestRate(now time.Time, name ident.Model) float64 {
+	return s.model(name).requestRate.Get(now, s.opts.RateHalfLife)
 }
 
 // loadOrMakeRoom returns an order that loads a model if memory is free, or otherwise
@@ -201,7 +204,7 @@
 // one, or an empty name. The engine finishes its running requests before it unloads
 // the model.
 func (s *Scheduler) busyVictim(now time.Time, forModel ident.Model) ident.Model {
-	threshold := s.model(forModel).requestRate.Get(now, s.opts.RateHalfLife) / busyEvictionFactor
+	threshold := s.requestRate(now, forModel) / busyEvictionFactor
 	return s.leastRequested(now, forModel, func(st *modelState) bool { return st.requestRate.Get(now, s.opts.RateHalfLife) < threshold })
 }
 
--- a/residency/scheduler.go
+++ b/residency/scheduler.go
@@ -22,8 +22,10 @@
 	tokens           int
 	concurrencyLimit concurrencyLimit
 	prefill          prefillQueue
-	runTime          time.Duration
-	inFlight         *inFlightOrder
+	// runTime is the average run time of requests, and runTimes their number.
+	runTime  time.Duration
+	runTimes int
+	inFlight *inFlightOrder
 	// nextOrder is the earliest time of the next order, after one that was not
 	// accepted.
 	nextOrder time.Time
@@ -34,6 +36,8 @@
 	permit *permitState
 	// permitRequestID is the ID of the newest PermitRequest.
 	permitRequestID uint64
+	// lastLoad is the newest completed load from the weight store.
+	lastLoad        permittedLoad
 	expectedRetries []expectedRetry
 	// nextPermitRequest is the earliest time of the next permit request.
 	nextPermitRequest time.Time
@@ -46,6 +50,12 @@
 	grantedAt time.Time
 }
 
+// permittedLoad is a completed load for which a permit was granted.
+type permittedLoad struct {
+	permit uint64
+	took   time.Duration
+}
+
 // held reports whether the permit has been granted.
 func (p *permitState) held() bool { return p != nil && p.granted }
 
@@ -71,6 +81,9 @@
 // AllowOrders permits the Scheduler to send orders to the engine from now on.
 func (s *Scheduler) AllowOrders() { s.ordersAllowed = true }
 
+// StopOrders ends that permission.
+func (s *Scheduler) StopOrders() { s.ordersAllowed = false }
+
 // Observe takes a snapshot of the engine.
 func (s *Scheduler) Observe(now time.Time, snapshot Snapshot) []Action {
 	if s.snap != nil && s.snap.Started != snapshot.Started {
@@ -104,6 +117,9 @@
 		s.model(o.Model).loadedAt = now
 	}
 	if o.loadsModel() && s.hasPermit(o.Model) {
+		if done {
+			s.lastLoad = permittedLoad{permit: s.permit.ID, took: s.snap.ReadAt.Sub(o.answeredAt)}
+		}
 		s.permit = nil
 	}
 	s.inFlight = nil
@@ -165,6 +181,15 @@
 // held.
 func (s *Scheduler) PermitRequestOpen(id uint64) bool { return s.permit != nil && s.permit.ID == id }
 
+// LoadTime returns how long the load took for which a permit was granted, or zero if it
+// has not completed.
+func (s *Scheduler) LoadTime(id uint64) time.Duration {
+	if s.lastLoad.permit != id {
+		return 0
+	}
+	return s.lastLoad.took
+}
+
 // Reserve admits, queues or refuses a request.
 func (s *Scheduler) Reserve(now time.Time, r Request) []Action {
 	if reason := s.refusalReason(now, &r); reason != "" {
@@ -223,14 +248,20 @@
 		}
 		s.addActive(now, p, -1)
 		if o.Duration > 0 {
-			s.runTime += time.Duration(runTimeWeight * float64(o.Duration-s.runTime))
+			s.runTimes++
+			weight := max(runTimeWeight, 1/float64(s.runTimes+assumedRunTimes))
+			s.runTime += time.Duration(weight * float64(o.Duration-s.runTime))
 		}
 	}
 	return s.Tick(now)
 }
 
-// runTimeWeight is the weight of one request in the moving average of run times.
-const runTimeWeight = 0.05
+const (
+	// runTimeWeight is the weight of one request in the moving average of run times.
+	runTimeWeight = 0.05
+	// assumedRunTimes is the number of requests that the assumed run time counts as.
+	assumedRunTimes = 4
+)
 
 // addActive adds n requests like p to the running ones; n is 1 or -1.
 func (s *Scheduler) addActive(now time.Time, p *pending, n int) {
@@ -308,7 +339,7 @@
 		p.grantedAt = now
 		p.prefillAhead = s.prefill.add(now, p.PromptTokens)
 		s.addActive(now, p, 1)
-		out = append(out, &Grant{ID: p.ID, Waited: now.Sub(p.arrivedAt), VM: s.snap.VM})
+		out = append(out, &Grant{ID: p.ID, Waited: now.Sub(p.arrivedAt), VM: s.snap.VM, Started: s.snap.Started})
 	}
 	return out
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -41,6 +41,13 @@
 	return b.tokens
 }
 
+// SetRefill changes MaxSaved and FloorPerSecond of the options.
+func (b *Budget) SetRefill(now time.Time, maxSaved, floorPerSecond float64) {
+	b.refill(now)
+	b.opts.MaxSaved, b.opts.FloorPerSecond = maxSaved, floorPerSecond
+	b.addTokens(0)
+}
+
 func (b *Budget) refill(now time.Time) {
 	if b.refilled.IsZero() {
 		b.refilled = now
--- a/serving/current_config.go
+++ b/serving/current_config.go
@@ -15,7 +15,7 @@
 	next := &Snapshot{Config: c, Table: NewTable(c.Routes)}
 	for {
 		old := f.current.Load()
-		if old != nil && old.Config.Revision >= c.Revision {
+		if old != nil && !c.Supersedes(old.Config) {
 			return false
 		}
 		if f.current.CompareAndSwap(old, next) {
--- a/serving/request_info.go
+++ b/serving/request_info.go
@@ -26,4 +26,7 @@
 	Prefix []PromptPart
 	// LastEventID is set when the caller resumes a stream.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the
+	// stream that it resumes, or empty.
+	Resumes string
 }
--- a/serving/response_info.go
+++ b/serving/response_info.go
@@ -1,5 +1,7 @@
 package serving
 
+import "time"
+
 // ResponseInfo is the content of the header of an upstream's response.
 type ResponseInfo struct {
 	// RequestID is the id of the request that the response belongs to.
@@ -13,6 +15,12 @@
 	// WrongVM is set when the address belongs to a different VM than the one
 	// addressed, or when the VM has not loaded the requested model.
 	WrongVM bool
+	// Leaving is set when the upstream is about to stop and accepts no new requests.
+	Leaving bool
+	// Pause is how long the upstream wants no requests from this VM, or zero.
+	Pause time.Duration
+	// MalformedPause is the text of a pause that can't be read, or empty.
+	MalformedPause string
 	// ContentEncoded is set when the body has a content encoding, and so is not as
 	// the upstream produced it.
 	ContentEncoded bool
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -53,6 +53,28 @@
 	}
 }
 
+// The store is restored from a copy that lacks the newest configurations; the operator
+// writes them again afterwards.
+func TestRestoredStoreDoesNotRevertTheConfiguration(t *testing.T) {
+	var f CurrentConfig
+	for _, tt := range []struct {
+		restores, revision, number uint64
+		adopted                    bool
+	}{
+		{0, 50, 7, true},
+		{1, 1<<36 + 40, 5, false},
+		{1, 1<<36 + 45, 7, true},
+		{0, 60, 8, false},
+		{1, 1<<36 + 46, 9, true},
+		{2, 2<<36 + 30, 8, false},
+		{2, 2<<36 + 31, 11, true},
+	} {
+		if got := f.Adopt(&Config{Restores: tt.restores, Revision: tt.revision, Number: tt.number}); got != tt.adopted {
+			t.Errorf("version %d after %d restores: adopted %v", tt.number, tt.restores, got)
+		}
+	}
+}
+
 func TestPickFollowsWeights(t *testing.T) {
 	r := Route{Targets: []Target{{"a", 90}, {"b", 10}}}
 	n := map[ident.Upstream]int{}
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/laureltally/laureltally/engine"
 	"github.com/laureltally/laureltally/ident"
@@ -18,4 +19,7 @@
 	// Refused reports whether an error of Submit proves that the order has not been
 	// and will not be accepted.
 	Refused(error) bool
+	// Pause returns how long the engine wants no calls after a call that failed with an
+	// error, or zero.
+	Pause(error) time.Duration
 }
--- a/sidecar/engine_owner.go
+++ b/sidecar/engine_owner.go
@@ -31,35 +31,94 @@
 	Incarnation ident.Incarnation `json:"incarnation"`
 }
 
-// acquireOwnership records this process as the owner of its engine. The revision of the
+// ownership is the result of acquireOwnership.
+type ownership struct {
+	// fence is the fencing token of the process's orders.
+	fence ident.Fence
+	// replaced is the record that the process overwrote; empty if there was none.
+	replaced owner
+}
+
+// acquireOwnership records this process as the owner of its engine. The version of the
 // write is the fencing token of its orders: it is higher than that of any earlier
-// start, independent of clocks. previous is the VM that was recorded before.
-func acquireOwnership(ctx context.Context, s metastore.Store, engineAddress string, me owner) (fence ident.Fence, previous ident.VM, err error) {
-	key := ownerKeyPrefix + strings.NewReplacer(":", "-", ".", "-").Replace(engineAddress)
-	value, err := json.Marshal(me)
-	if err != nil {
-		return 0, "", fmt.Errorf("encode engine owner: %w", err)
-	}
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval = minAcquirePause, maxAcquirePause
-	_, err = backoff.Retry(ctx, func() (struct{}, error) {
-		current, readErr := readOwner(ctx, s, key)
-		if readErr != nil {
-			return struct{}{}, readErr
+// start, independent of clocks and of restores of the store.
+func acquireOwnership(ctx context.Context, s metastore.Store, engineAddress string, me owner) (ownership, error) {
+	var o ownership
+	key := ownerKey(engineAddress)
+	err := retryStore(ctx, func() error {
+		current, err := readOwner(ctx, s, key)
+		if err != nil {
+			return err
 		}
 		if current.owner == me {
 			// An earlier write succeeded although its response was lost.
-			fence = ident.Fence(current.version)
-			return struct{}{}, nil
+			o.fence = ident.Fence(current.version)
+			return nil
 		}
-		if previous == "" {
-			previous = current.owner.VM
+		if o.replaced == (owner{}) {
+			o.replaced = current.owner
 		}
-		version, writeErr := s.Put(ctx, key, value, current.version)
-		fence = ident.Fence(version)
-		return struct{}{}, writeErr
-	}, backoff.WithBackOff(b), backoff.WithMaxElapsedTime(0))
-	return fence, previous, err
+		version, err := writeOwner(ctx, s, key, me, current.version)
+		o.fence = ident.Fence(version)
+		return err
+	})
+	return o, err
+}
+
+// restoreOwnership writes the record again after a restore of the store, whose copy may
+// lack it or hold the one that this process replaced; without it, a process on another VM
+// would not wait for the orders of this one.
+func restoreOwnership(ctx context.Context, s metastore.Store, engineAddress string, me owner, o ownership) (state recordState, err error) {
+	key := ownerKey(engineAddress)
+	err = retryStore(ctx, func() error {
+		current, err := readOwner(ctx, s, key)
+		if err != nil {
+			return err
+		}
+		switch current.owner {
+		case me:
+			state = recordKept
+			return nil
+		case owner{}, o.replaced:
+			state = recordRewritten
+			_, err := writeOwner(ctx, s, key, me, current.version)
+			return err
+		}
+		state = recordSuperseded
+		return nil
+	})
+	return state, err
+}
+
+// recordState is what a process found of its record after a restore. It is a log value.
+type recordState string
+
+const (
+	recordKept      recordState = "kept"
+	recordRewritten recordState = "rewritten"
+	// recordSuperseded means that the engine has another owner by now, whose record is
+	// newer than the copy.
+	recordSuperseded recordState = "superseded"
+)
+
+func ownerKey(engineAddress string) string {
+	return ownerKeyPrefix + strings.NewReplacer(":", "-", ".", "-").Replace(engineAddress)
+}
+
+// retryStore repeats an operation until it succeeds or ctx ends.
+func retryStore(ctx context.Context, operation func() error) error {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = minAcquirePause, maxAcquirePause
+	_, err := backoff.Retry(ctx, func() (struct{}, error) { return struct{}{}, operation() }, backoff.WithBackOff(b), backoff.WithMaxElapsedTime(0))
+	return err
+}
+
+func writeOwner(ctx context.Context, s metastore.Store, key string, me owner, expect metastore.Version) (metastore.Version, error) {
+	value, err := json.Marshal(me)
+	if err != nil {
+		return 0, fmt.Errorf("encode engine owner: %w", err)
+	}
+	return s.Put(ctx, key, value, expect)
 }
 
 // storedOwner is an owner as read from the store, with its version.
--- a/sidecar/options.go
+++ b/sidecar/options.go
@@ -45,6 +45,9 @@
 	IdleRead, BusyRead        time.Duration
 	ReportInterval, Heartbeat time.Duration
 	ConfigInterval            time.Duration
+	// Restores returns how often the store has been restored from an older copy, as far
+	// as its responses have shown. Nil means never.
+	Restores func() uint64
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -55,6 +58,9 @@
 	o.ReportInterval = cmp.Or(o.ReportInterval, DefaultReportInterval)
 	o.Heartbeat = cmp.Or(o.Heartbeat, DefaultHeartbeat)
 	o.ConfigInterval = cmp.Or(o.ConfigInterval, DefaultConfigInterval)
+	if o.Restores == nil {
+		o.Restores = func() uint64 { return 0 }
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/sidecar/read_engine.go
+++ b/sidecar/read_engine.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/residency"
 )
 
@@ -19,6 +20,12 @@
 			s.identify(ctx, &snap)
 		}
 		s.observe(snap, err)
+		if pause := s.o.Engine.Pause(err); pause > 0 {
+			s.o.Logger.WithField("pause_ms", pause.Milliseconds()).Info("engine wants no calls")
+			if wait.Sleep(ctx, pause) != nil {
+				return
+			}
+		}
 		select {
 		case <-ctx.Done():
 		case <-s.readNow:
@@ -56,11 +63,11 @@
 		return
 	}
 	snap.VM = ""
-	vms, _, err := s.o.Directory.VMs(ctx)
+	listing, err := s.o.Directory.VMs(ctx)
 	if err != nil {
 		return
 	}
-	for _, v := range vms {
+	for _, v := range listing.VMs {
 		if v.Address == s.o.Settings.EngineAddress && v.Started == snap.Started {
 			s.mu.Lock()
 			s.server, s.serverStarted = v.ID, v.Started
--- a/sidecar/remote_load.go
+++ b/sidecar/remote_load.go
@@ -37,12 +37,13 @@
 	defer cancel()
 	stream, err := conn.Open(ctx, &wire.LoadPermitRequest{
 		VM: s.name(), Upstream: s.o.Settings.Service, Model: r.Model, Priority: r.Priority, Remaining: r.Remaining,
+		ParallelLoads: int(s.parallelLoads.Load()),
 	})
 	if err != nil {
 		s.loadWithoutPermit(r)
 		return
 	}
-	defer stream.Reset()
+	defer func() { s.endPermit(stream, r.ID) }()
 	_ = stream.SetDeadline(time.Now().Add(permitTimeout))
 	m, err := stream.Recv()
 	permit, ok := m.(*wire.LoadPermit)
@@ -50,6 +51,7 @@
 		s.reportPermit(r.ID, "", false)
 		return
 	}
+	s.parallelLoads.Store(int64(permit.ParallelLoads))
 	model := r.Model
 	if model == "" {
 		model = permit.Model
@@ -59,6 +61,20 @@
 	s.holdPermit(conn, r.ID)
 }
 
+// endPermit returns a permit to the router, with the time of the load if there was one.
+func (s *Sidecar) endPermit(stream *transport.Stream, id uint64) {
+	s.mu.Lock()
+	took := s.scheduler.LoadTime(id)
+	s.mu.Unlock()
+	_ = stream.SetDeadline(time.Time{})
+	if took == 0 || stream.Send(&wire.LoadOutcome{Took: took}) != nil {
+		stream.Reset()
+		return
+	}
+	_ = stream.CloseSend()
+	stream.CloseRecv()
+}
+
 // loadWithoutPermit starts a load without a permit after noRouterDelay, but only a load
 // for waiting requests or expected retries: an unreachable router may slow loads down
 // but must not fail requests.
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -18,6 +18,10 @@
 		s.sendReports(ctx, stream)
 	case *wire.Reserve:
 		s.reserve(ctx, peer, m, stream)
+	case *wire.StreamBegun:
+		s.recordStream(m, stream)
+	case *wire.StreamOriginQuery:
+		s.answerOrigin(m, stream)
 	default:
 		s.o.Logger.WithField("peer", peer.VM).WithError(&wire.KindError{Kind: first.Kind()}).Warn("stream refused")
 		stream.Reset()
@@ -90,7 +94,7 @@
 	var m wire.Message
 	switch a := a.(type) {
 	case *residency.Grant:
-		m = &wire.Reserved{Waited: a.Waited, VM: a.VM}
+		m = &wire.Reserved{Waited: a.Waited, VM: a.VM, Started: a.Started}
 	case *residency.Refuse:
 		m = &wire.Refusal{Code: wire.CodeOverloaded, Run: wire.RunStateNotRun, RetryAfter: a.RetryAfter, Detail: string(a.Reason)}
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -13,9 +13,9 @@
 
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/internal/admin"
-	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/residency"
+	"github.com/laureltally/laureltally/resume"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -24,9 +24,16 @@
 type Sidecar struct {
 	o        Options
 	listener *transport.Listener
+	// parallelLoads is the newest estimate of a router of how many loads the weight
+	// store runs at full speed, or zero.
+	parallelLoads atomic.Int64
 	// readNow triggers an immediate read of the engine.
 	readNow chan struct{}
 
+	streamsMu sync.Mutex
+	// streams holds the software versions that began streams, as told by routers.
+	streams resume.Records
+
 	mu        sync.Mutex
 	scheduler *residency.Scheduler
 	nextID    residency.RequestID
@@ -78,7 +85,7 @@
 	s.o.Logger.WithFields(log.Fields{"engine": s.o.Settings.EngineAddress, "service": s.o.Settings.Service}).Info("started")
 	g.Go(func() error { s.readConfig(ctx); return nil })
 	g.Go(func() error { s.readEngine(ctx); return nil })
-	g.Go(func() error { s.becomeOwner(ctx); return nil })
+	g.Go(func() error { s.ownEngine(ctx); return nil })
 	g.Go(func() error { s.publish(ctx); return nil })
 	admin.ServeMetrics(ctx, g, s.o.Settings.AdminListen, s.o.MetricsHandler, s.o.Logger)
 	err = g.Wait()
@@ -90,28 +97,3 @@
 	}
 	return err
 }
-
-// becomeOwner records this process as the owner of the engine and allows the scheduler
-// to send orders. If another VM was the owner before, it first waits for the order
-// lease, after which orders of that VM are no longer valid.
-func (s *Sidecar) becomeOwner(ctx context.Context) {
-	me := owner{VM: s.o.Settings.VM, Incarnation: ident.Incarnation(rand.Uint64() | 1)}
-	fence, previous, err := acquireOwnership(ctx, s.o.Store, s.o.Settings.EngineAddress, me)
-	if err != nil {
-		s.o.Logger.WithError(err).Warn("engine ownership not acquired")
-		return
-	}
-	pause := time.Duration(0)
-	if previous != "" && previous != me.VM {
-		pause = time.Duration(s.o.Settings.OrderLease)
-	}
-	s.o.Logger.WithFields(log.Fields{"fence": fence, "previous": previous, "wait_ms": pause.Milliseconds()}).Info("engine ownership acquired")
-	if wait.Sleep(ctx, pause) != nil {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fence = fence
-	s.scheduler.AllowOrders()
-	s.perform(s.scheduler.Tick(s.o.Now()))
-}
--- a/sidecar/status.go
+++ b/sidecar/status.go
@@ -40,7 +40,8 @@
 		return
 	}
 	old := s.status.report
-	intervals := intervalsFor(len(s.listener.Conns()), s.o)
+	next.Routers = len(s.listener.Conns())
+	intervals := intervalsFor(next.Routers, s.o)
 	if !intervals.due(old, next, now.Sub(s.status.sentAt)) {
 		return
 	}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -27,6 +28,10 @@
 // Context ends when the connection is lost.
 func (c *Conn) Context() context.Context { return c.raw.Context() }
 
+// RoundTrip returns the smoothed round-trip time of the connection, or zero before the
+// first measurement.
+func (c *Conn) RoundTrip() time.Duration { return c.raw.ConnectionStats().SmoothedRTT }
+
 // Close closes the connection and aborts its streams.
 func (c *Conn) Close() { _ = c.raw.CloseWithError(codeClosed, "closed") }
 
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -95,6 +95,14 @@
 		return new(Prewarm), nil
 	case KindLoadPermit:
 		return new(LoadPermit), nil
+	case KindLoadOutcome:
+		return new(LoadOutcome), nil
+	case KindStreamBegun:
+		return new(StreamBegun), nil
+	case KindStreamOriginQuery:
+		return new(StreamOriginQuery), nil
+	case KindStreamOrigin:
+		return new(StreamOrigin), nil
 	case KindReserve:
 		return new(Reserve), nil
 	case KindReserved:
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -56,7 +56,7 @@
 	if m, err := newMessage(retired); err == nil {
 		t.Errorf("retired kind decodes as %v", m)
 	}
-	for k := KindHello; k <= KindQueued; k++ {
+	for k := KindHello; k <= KindStreamOrigin; k++ {
 		if k == retired {
 			continue
 		}
--- a/wire/kind.go
+++ b/wire/kind.go
@@ -29,4 +29,8 @@
 	KindReserved           Kind = 22
 	KindReservationOutcome Kind = 23
 	KindQueued             Kind = 24
+	KindLoadOutcome        Kind = 25
+	KindStreamBegun        Kind = 26
+	KindStreamOriginQuery  Kind = 27
+	KindStreamOrigin       Kind = 28
 )
--- a/wire/load_permit_request.go
+++ b/wire/load_permit_request.go
@@ -18,6 +18,9 @@
 	// Upstream is the service that the VM belongs to. If Model is empty, the
 	// granting router chooses the model to load next.
 	Upstream ident.Upstream `cbor:"7,keyasint,omitempty"`
+	// ParallelLoads is the newest estimate that the requester has received in a
+	// LoadPermit, or zero. A router that has none of its own starts from it.
+	ParallelLoads int `cbor:"8,keyasint,omitempty"`
 }
 
 // Kind implements Message.
--- a/wire/report.go
+++ b/wire/report.go
@@ -55,6 +55,8 @@
 	ModelsDelta bool `cbor:"23,keyasint,omitempty"`
 	// MaxReportInterval is the maximum time until the next report, or zero if unknown.
 	MaxReportInterval time.Duration `cbor:"24,keyasint,omitempty"`
+	// Routers is the number of routers connected to the reporting process.
+	Routers int `cbor:"25,keyasint,omitempty"`
 }
 
 // Kind implements Message.
--- a/wire/reserved.go
+++ b/wire/reserved.go
@@ -13,6 +13,8 @@
 	// VM is the id of the VM that holds the reservation, which may have changed
 	// since the requester chose the address. Empty means that the id is unknown.
 	VM ident.VM `cbor:"2,keyasint,omitempty"`
+	// Started is the start time of the VM's server in Unix milliseconds.
+	Started int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind implements Message.
--- /dev/null
+++ b/wire/stream_begun.go
@@ -0,0 +1,15 @@
+package wire
+
+import "github.com/laureltally/laureltally/ident"
+
+// StreamBegun tells an agent which software version began a stream, for routers at which
+// the caller may resume it. There is no reply.
+type StreamBegun struct {
+	Upstream ident.Upstream `cbor:"1,keyasint"`
+	// Request is the id of the caller's attempt that got the first event.
+	Request  string `cbor:"2,keyasint"`
+	Software string `cbor:"3,keyasint"`
+}
+
+// Kind implements Message.
+func (*StreamBegun) Kind() Kind { return KindStreamBegun }
