placement, sidecar, ingress: views of hundreds of VMs

The entry that started last is in use, links and reports belong to the address, a 421 of another server or for a second model blocks the entry.

Reports: routers of other regions get one report for four of the near ones where the rate is shared by many, and their idle links are probed every two seconds instead of 750 ms; replies to reservations carry the engine's load, so that a router's view of the VMs that it uses does not wait for a report.

Store: the configuration and the list are read after half of the time within which changes have to be in force, with an early repeat after one failure; a sidecar reads the list to find its server at most twice a second.

residency: a model that a new configuration drops no longer ends the process while requests wait for it.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -34,7 +34,7 @@
 		d.s.metrics.timeToFirstEvent.RecordDuration(res.timeToFirstEvent)
 	}
 	if res.kind == outcomeOtherVM {
-		d.misdirected(vm, requirements.Model)
+		d.misdirected(vm, res.responder, requirements.Model)
 	}
 	d.s.clusterState.requestEnded(d.s.o.Now(), vm, requirements, took, !isVMFailure(res.kind))
 	return res
@@ -42,10 +42,13 @@
 
 // misdirected records that a VM's address belongs to a different VM or, if a model is
 // given, that the VM has not loaded it.
-func (d *delivery) misdirected(vm ident.VM, model ident.Model) {
+func (d *delivery) misdirected(vm, responder ident.VM, model ident.Model) {
+	if responder != "" && responder != vm {
+		model = ""
+	}
 	d.s.clusterState.misdirected(d.s.o.Now(), vm, model)
 	d.s.o.Logger.WithFields(log.Fields{
-		"request": d.info.ID, "vm": vm, "model": model, "report_ms": ms(d.choice.ReportAge), "agent": d.choice.AgentReachable,
+		"request": d.info.ID, "vm": vm, "responder": responder, "model": model, "report_ms": ms(d.choice.ReportAge), "agent": d.choice.AgentReachable,
 	}).Info("request reached the wrong vm or a vm without the model")
 }
 
@@ -99,7 +102,7 @@
 	if info.WrongVM {
 		kind = outcomeOtherVM
 	}
-	return result{kind: kind, err: &DeclinedError{Status: response.Status}}
+	return result{kind: kind, responder: info.VM, err: &DeclinedError{Status: response.Status}}
 }
 
 // request returns the caller's request in the form in which it is sent to the chosen
--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -96,6 +96,13 @@
 	return c.balancer.Report(now, address, r)
 }
 
+// observeLoad takes the load that a sidecar stated in a reply.
+func (c *clusterState) observeLoad(now time.Time, address string, l *wire.EngineLoad) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.balancer.ObserveLoad(now, address, l)
+}
+
 func (c *clusterState) sidecarDisconnected(now time.Time, address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -165,14 +172,15 @@
 	return budget
 }
 
-// engines returns the VMs whose service has a model engine.
-func (c *clusterState) engines(services map[ident.Upstream]*serving.Service) map[ident.VM]*fleet.VM {
+// engines returns the VMs whose service has a model engine, by address. Of several VMs at
+// one address it is the one in use.
+func (c *clusterState) engines(services map[ident.Upstream]*serving.Service) map[string]*fleet.VM {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make(map[ident.VM]*fleet.VM)
+	out := make(map[string]*fleet.VM)
 	for id, vm := range c.tracker.VMs() {
-		if s := services[vm.Service]; s != nil && s.Engine != nil {
-			out[id] = vm
+		if s := services[vm.Service]; s != nil && s.Engine != nil && c.balancer.InUse(id) {
+			out[vm.Address] = vm
 		}
 	}
 	return out
--- a/ingress/poll.go
+++ b/ingress/poll.go
@@ -9,18 +9,26 @@
 
 	"github.com/laureltally/laureltally/decisionlog"
 	"github.com/laureltally/laureltally/fleet"
-	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/metastore"
 )
 
-// firstPollInterval is the pause between reads before the first successful one.
-const firstPollInterval = 150 * time.Millisecond
+const (
+	// firstPollInterval is the pause between reads before the first successful one.
+	firstPollInterval = 150 * time.Millisecond
+	// failedPollShare is the fraction of the interval after which the next read begins
+	// when one has failed, and failingPollShare the same when several have: every call
+	// to the store counts.
+	failedPollShare  = 0.2
+	failingPollShare = 0.6
+)
 
 // poller repeats a read and logs when it begins or ceases to fail.
 type poller struct {
 	decisionlog.Dependency
 	succeeded bool
+	// failures counts the failed reads since the last successful one.
+	failures int
 }
 
 // run calls read until ctx ends.
@@ -29,13 +37,26 @@
 		begun := now()
 		err := read(ctx, begun)
 		p.Record(err, log.Fields{"took_ms": now().Sub(begun).Milliseconds()})
-		p.succeeded = p.succeeded || err == nil
-		pause := interval
-		if !p.succeeded {
-			pause = firstPollInterval
-		}
-		_ = wait.Sleep(ctx, pause-now().Sub(begun))
+		_ = wait.Sleep(ctx, p.pause(interval, err)-now().Sub(begun))
+	}
+}
+
+// pause returns the time between the beginnings of a read that ended with err and the
+// next one.
+func (p *poller) pause(interval time.Duration, err error) time.Duration {
+	p.failures++
+	if err == nil {
+		p.succeeded, p.failures = true, 0
+	}
+	switch {
+	case !p.succeeded:
+		return firstPollInterval
+	case p.failures == 0:
+		return interval
+	case p.failures == 1:
+		return fraction(failedPollShare, interval)
 	}
+	return fraction(failingPollShare, interval)
 }
 
 func (s *Server) poller(name string) *poller {
@@ -131,22 +152,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	engines := s.clusterState.engines(snap.Config.Services)
-	for id, l := range s.links {
-		if vm, ok := engines[id]; !ok || vm.Address != l.vm.Address {
+	for address, l := range s.links {
+		if engines[address] == nil {
 			l.stop()
-			delete(s.links, id)
+			delete(s.links, address)
 		}
 	}
-	for id, vm := range engines {
-		if s.links[id] == nil {
-			s.links[id] = s.startLink(ctx, vm)
+	for address, vm := range engines {
+		if s.links[address] == nil {
+			s.links[address] = s.startLink(ctx, vm)
 		}
 	}
 }
 
-// sidecar returns the link to a VM's sidecar, or nil.
-func (s *Server) sidecar(vm ident.VM) *sidecarLink {
+// sidecar returns the link to the sidecar beside an engine, or nil.
+func (s *Server) sidecar(engineAddress string) *sidecarLink {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.links[vm]
+	return s.links[engineAddress]
 }
--- a/ingress/refused_error.go
+++ b/ingress/refused_error.go
@@ -3,12 +3,16 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/laureltally/laureltally/wire"
 )
 
 // RefusedError reports that a sidecar refused a reservation. The request has not run.
 type RefusedError struct {
 	RetryAfter time.Duration
 	Reason     string
+	// Load is the load of the engine at the time of the reply, or nil.
+	Load *wire.EngineLoad
 }
 
 // Error implements error.
--- a/ingress/reservation.go
+++ b/ingress/reservation.go
@@ -18,6 +18,8 @@
 	vm ident.VM
 	// started is the start time of the VM's server in Unix milliseconds, or zero.
 	started int64
+	// load is the load of the engine at the time of the reply, or nil.
+	load *wire.EngineLoad
 }
 
 // release releases the reservation and reports the outcome of the request to the
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -86,7 +86,7 @@
 
 // reserve requests a reservation from the sidecar of a VM.
 func (d *delivery) reserve(ctx context.Context, c placement.Choice) (*reservation, error) {
-	link := d.s.sidecar(c.VM.ID)
+	link := d.s.sidecar(c.VM.Address)
 	if link == nil {
 		return nil, &upstreamhttp.DialError{Address: c.AgentAddress, Err: context.Canceled}
 	}
@@ -101,6 +101,13 @@
 		MaxEventGap:  d.route.MaxEventGap,
 	})
 	d.s.metrics.reserve.RecordDuration(time.Since(begun))
+	var refused *RefusedError
+	switch {
+	case err == nil:
+		d.s.clusterState.observeLoad(d.s.o.Now(), c.VM.Address, rsv.load)
+	case errors.As(err, &refused):
+		d.s.clusterState.observeLoad(d.s.o.Now(), c.VM.Address, refused.Load)
+	}
 	return rsv, err
 }
 
--- a/ingress/result.go
+++ b/ingress/result.go
@@ -1,12 +1,18 @@
 package ingress
 
-import "time"
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
 
 // result describes how one attempt ended.
 type result struct {
 	kind outcome
 	// err is the cause of a failure.
 	err error
+	// responder is the id of the VM that declined the request, or empty if it did not say.
+	responder ident.VM
 	// response is set for a sealed response that was read but not relayed.
 	response *wholeResponse
 	// timeToFirstEvent is the time to the first event of a stream or to the header of
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -12,7 +12,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/internal/admin"
 	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/resume"
@@ -30,15 +29,21 @@
 	maxHeaderBytes = 128 << 10
 )
 
+// farIdleTimeout is the idle timeout of connections to other regions, which are probed
+// after half of it. A sidecar that restarts is missed for that long there.
+const farIdleTimeout = 4 * time.Second
+
 // Server serves callers. Create one with New.
 type Server struct {
 	o             Options
 	currentConfig serving.CurrentConfig
 	clusterState  *clusterState
 	client        *upstreamhttp.Client
-	pool          *transport.Pool
-	metrics       *metrics
-	draining      atomic.Bool
+	// nearPool holds the connections to sidecars of this region, farPool those to other
+	// regions, which are probed less often: most of them are idle.
+	nearPool, farPool *transport.Pool
+	metrics           *metrics
+	draining          atomic.Bool
 	// configAt is when the newest read of the configuration was started, in
 	// nanoseconds since epoch.
 	configAt atomic.Int64
@@ -60,8 +65,9 @@
 	// origins holds the software versions of streams that this process began.
 	origins resume.Records
 
-	mu    sync.Mutex
-	links map[ident.VM]*sidecarLink
+	mu sync.Mutex
+	// links holds the link to each sidecar by the address of its engine.
+	links map[string]*sidecarLink
 }
 
 // New returns a Server, which is inactive until Run is called.
@@ -75,18 +81,26 @@
 		o: o, clusterState: state, epoch: o.Now(),
 		client:  upstreamhttp.New(upstreamhttp.Options{Now: o.Now}),
 		metrics: newMetrics(o.Metrics),
-		links:   make(map[ident.VM]*sidecarLink),
+		links:   make(map[string]*sidecarLink),
 	}
 	s.forceStop, s.cancelForceStop = context.WithCancel(context.Background())
-	s.pool = transport.NewPool(transport.Options{
-		Hello:       wire.Hello{VM: o.Settings.VM, Role: metastore.RoleRouter, Region: o.Settings.Region, Zone: o.Settings.Zone},
-		Credentials: o.Credentials,
-		Handler:     transport.HandlerFunc(newPermitServer(s).handle),
-		Logger:      o.Logger,
-	})
+	handler := transport.HandlerFunc(newPermitServer(s).handle)
+	s.nearPool = transport.NewPool(s.transportOptions(handler))
+	far := s.transportOptions(handler)
+	far.DialIdleTimeout, far.KeepAlive = farIdleTimeout, farIdleTimeout/2
+	s.farPool = transport.NewPool(far)
 	return s, nil
 }
 
+func (s *Server) transportOptions(h transport.Handler) transport.Options {
+	return transport.Options{
+		Hello:       wire.Hello{VM: s.o.Settings.VM, Role: metastore.RoleRouter, Region: s.o.Settings.Region, Zone: s.o.Settings.Zone},
+		Credentials: s.o.Credentials,
+		Handler:     h,
+		Logger:      s.o.Logger,
+	}
+}
+
 // Run serves until ctx ends and then shuts down gracefully.
 func (s *Server) Run(ctx context.Context) error {
 	callers, err := net.Listen("tcp4", s.o.Settings.Listen)
@@ -119,7 +133,8 @@
 	s.shutdown(server)
 	stop()
 	_ = readiness.Close()
-	s.pool.Close()
+	s.nearPool.Close()
+	s.farPool.Close()
 	err = g.Wait()
 	s.o.Logger.Info("stopped")
 	return err
--- a/ingress/sidecar_link.go
+++ b/ingress/sidecar_link.go
@@ -29,9 +29,11 @@
 	replyTimeout = 450 * time.Millisecond
 )
 
-// sidecarLink maintains the connection to one VM's sidecar.
+// sidecarLink maintains the connection to the sidecar beside one engine, across restarts
+// of the engine.
 type sidecarLink struct {
-	s      *Server
+	s *Server
+	// vm is the VM that was registered at the engine's address when the link started.
 	vm     *fleet.VM
 	cancel context.CancelFunc
 	conn   atomic.Pointer[transport.Conn]
@@ -66,12 +68,20 @@
 	}
 }
 
+// pool returns the connections to the sidecars of the VM's region.
+func (l *sidecarLink) pool() *transport.Pool {
+	if l.vm.Region == l.s.o.Settings.Region {
+		return l.s.nearPool
+	}
+	return l.s.farPool
+}
+
 // receiveReports receives reports until the connection fails and returns whether any
 // report arrived.
 func (l *sidecarLink) receiveReports(ctx context.Context) (received bool, err error) {
 	// Sidecars are identified by the address of their engine, which is all that
 	// routers know.
-	conn, err := l.s.pool.Get(ctx, ident.VM(l.vm.Address), l.s.clusterState.sidecarAddress(l.vm))
+	conn, err := l.pool().Get(ctx, ident.VM(l.vm.Address), l.s.clusterState.sidecarAddress(l.vm))
 	if err != nil {
 		return false, err
 	}
@@ -121,10 +131,10 @@
 	}
 	switch m := m.(type) {
 	case *wire.Reserved:
-		return &reservation{stream: stream, waited: m.Waited, vm: m.VM, started: m.Started}, nil
+		return &reservation{stream: stream, waited: m.Waited, vm: m.VM, started: m.Started, load: m.Load}, nil
 	case *wire.Refusal:
 		stream.Reset()
-		return nil, &RefusedError{RetryAfter: m.RetryAfter, Reason: m.Detail}
+		return nil, &RefusedError{RetryAfter: m.RetryAfter, Reason: m.Detail, Load: m.Load}
 	}
 	stream.Reset()
 	return nil, &wire.KindError{Kind: m.Kind()}
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -92,9 +92,10 @@
 func (b *Balancer) Apply(now time.Time, changes []fleet.Change) error {
 	for _, c := range changes {
 		m := b.members[c.VM.ID]
+		var before *member
 		if m != nil && (c.Kind == fleet.Removed || c.Kind == fleet.Restarted) {
 			b.remove(now, m)
-			m = nil
+			before, m = m, nil
 		}
 		if c.Kind == fleet.Removed {
 			continue
@@ -104,6 +105,9 @@
 				return err
 			}
 			m = b.members[c.VM.ID]
+			if before != nil {
+				m.takeReport(before)
+			}
 		}
 		m.vm = c.VM
 		b.versionSeen(now, c.VM)
@@ -123,11 +127,30 @@
 		b.detectors[vm.Service] = detector
 	}
 	detector.Add(vm.ID)
-	b.members[vm.ID] = &member{vm: vm, instance: b.instance(vm)}
-	b.byAddress[vm.Address] = vm.ID
+	m := &member{vm: vm, instance: b.instance(vm)}
+	b.members[vm.ID] = m
+	b.takeAddress(m)
 	return nil
 }
 
+// takeAddress decides which of the VMs registered at one address is in use: after a
+// restart under a new id, the list has the entry of the ended server for some seconds
+// too. The agent stays, and its newest report holds for the new server.
+func (b *Balancer) takeAddress(m *member) {
+	other := b.members[b.byAddress[m.vm.Address]]
+	if other == nil {
+		b.byAddress[m.vm.Address] = m.vm.ID
+		return
+	}
+	if other.vm.Started > m.vm.Started {
+		m.superseded = true
+		return
+	}
+	other.superseded = true
+	b.byAddress[m.vm.Address] = m.vm.ID
+	m.takeReport(other)
+}
+
 func (b *Balancer) remove(now time.Time, m *member) {
 	b.versionSeen(now, m.vm)
 	if *m.instance == (instance{}) {
@@ -136,8 +159,15 @@
 	b.table.Remove(m.vm.ID)
 	b.detectors[m.vm.Service].Remove(m.vm.ID)
 	delete(b.members, m.vm.ID)
-	if b.byAddress[m.vm.Address] == m.vm.ID {
-		delete(b.byAddress, m.vm.Address)
+	if b.byAddress[m.vm.Address] != m.vm.ID {
+		return
+	}
+	delete(b.byAddress, m.vm.Address)
+	for _, other := range b.members {
+		if other.vm.Address == m.vm.Address {
+			other.superseded = false
+			b.takeAddress(other)
+		}
 	}
 }
 
@@ -183,6 +213,21 @@
 	return true
 }
 
+// ObserveLoad takes the load that the agent at an upstream address stated in a reply. It
+// updates the agent's report, which may be seconds old where many routers share the rate
+// of reports.
+func (b *Balancer) ObserveLoad(now time.Time, address string, l *wire.EngineLoad) {
+	m := b.members[b.byAddress[address]]
+	if m == nil || m.report == nil || l == nil {
+		return
+	}
+	r := *m.report
+	r.Running, r.Waiting, r.Concurrency = l.Running, l.Waiting, l.Concurrency
+	r.SwapWait, r.RemoteLoadWait = l.SwapWait, l.RemoteLoadWait
+	m.report = &r
+	b.publish(now, m, r)
+}
+
 // ObserveRoundTrip takes the round-trip time of the connection to the agent at an
 // upstream address.
 func (b *Balancer) ObserveRoundTrip(address string, rtt time.Duration) {
@@ -243,9 +288,19 @@
 		m.missingModels = make(map[ident.Model]time.Time)
 	}
 	m.missingModels[name] = now.Add(missingModelIntervals * b.opts.RegistrationInterval)
+	if m.countMissing(now) > 1 {
+		// It is not one model that has been unloaded meanwhile.
+		b.Block(now, vm)
+	}
 	b.publishRegistration(now, m)
 }
 
+// InUse reports whether no newer VM is registered at the address of a VM.
+func (b *Balancer) InUse(vm ident.VM) bool {
+	m := b.members[vm]
+	return m != nil && !m.superseded
+}
+
 // Usable reports whether a VM chosen earlier still accepts new requests.
 func (b *Balancer) Usable(now time.Time, vm *fleet.VM) bool {
 	m := b.members[vm.ID]
--- a/placement/balancer_test.go
+++ b/placement/balancer_test.go
@@ -357,3 +357,81 @@
 		}
 	}
 }
+
+// With many routers an agent's reports are seconds apart. A reply to one request tells the
+// router that the VM has filled up meanwhile, so the next one goes elsewhere.
+func TestLoadInRepliesIsUsed(t *testing.T) {
+	b := newBalancer(t, 2, "r0")
+	report(b, start, 0, 0, models{"m0"}, nil)
+	report(b, start, 1, 0, models{"m0"}, nil)
+	first := choose(t, b, start, Requirements{Model: "m0"}).VM
+	b.ObserveLoad(start, first.Address, &wire.EngineLoad{Running: 16, Waiting: 4, Concurrency: 16})
+	if c := choose(t, b, start, Requirements{Model: "m0"}); c.VM.ID == first.ID || c.Wait != 0 {
+		t.Errorf("%s is chosen again, expected wait %v", c.VM.ID, c.Wait)
+	}
+	b.ObserveLoad(start, first.Address, nil)
+	b.ObserveLoad(start, "10.9.9.9:80", &wire.EngineLoad{})
+}
+
+// A power loss restarts engines under new ids at their addresses. The list has the entries
+// of before, with the models of before, for some seconds; requests sent there are declined.
+func TestEntryOfEndedServerIsNotUsed(t *testing.T) {
+	for name, order := range map[string][2]int64{"new entry after the old one": {1, 2}, "old entry after the new one": {2, 1}} {
+		b := newBalancer(t, 0, "r0")
+		ids := map[int64]ident.VM{1: "old", 2: "new"}
+		for _, started := range order {
+			vm := &fleet.VM{ID: ids[started], Started: started, Service: "models", Address: address(0), Zone: "z0", Region: "r0", Concurrency: 16, Models: models{"m0"}}
+			if err := b.Apply(start, []fleet.Change{{Kind: fleet.Joined, VM: vm}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		report(b, start, 0, 0, models{"m0"}, nil)
+		for range 20 {
+			if c := choose(t, b, start, Requirements{Model: "m0"}); c.VM.ID != "new" {
+				t.Fatalf("%s: %s is chosen", name, c.VM.ID)
+			}
+		}
+		if b.InUse("old") || !b.InUse("new") {
+			t.Errorf("%s: in use: old %v, new %v", name, b.InUse("old"), b.InUse("new"))
+		}
+		if err := b.Apply(start, []fleet.Change{{Kind: fleet.Removed, VM: b.members["old"].vm}}); err != nil {
+			t.Fatal(err)
+		}
+		if c := choose(t, b, start, Requirements{Model: "m0"}); c.VM.ID != "new" || !c.AgentReachable {
+			t.Errorf("%s: after the old entry has expired: %+v", name, c)
+		}
+	}
+}
+
+// The engine's sidecar stays when the engine restarts: its report holds for the new id.
+func TestReportHoldsForRestartedServer(t *testing.T) {
+	b := newBalancer(t, 1, "r0")
+	report(b, start, 0, 0, models{"m0"}, nil)
+	vm := *b.members["0"].vm
+	vm.ID, vm.Started = "new", 5
+	if err := b.Apply(start, []fleet.Change{{Kind: fleet.Joined, VM: &vm}}); err != nil {
+		t.Fatal(err)
+	}
+	if c := choose(t, b, start, Requirements{Model: "m0"}); c.VM.ID != "new" || !c.AgentReachable {
+		t.Errorf("got %+v", c)
+	}
+}
+
+// A server that lacks two of its registered models has restarted: the others are not
+// tried one by one.
+func TestServerThatLacksSeveralModelsIsBlocked(t *testing.T) {
+	b := newBalancer(t, 1, "r0")
+	vm := *b.members["0"].vm
+	vm.Models = models{"m0", "m1", "m2"}
+	if err := b.Apply(start, []fleet.Change{{Kind: fleet.Updated, VM: &vm}}); err != nil {
+		t.Fatal(err)
+	}
+	b.ModelMissing(start, "0", "m0")
+	if c := choose(t, b, start, Requirements{Model: "m2"}); c.VM.ID != "0" {
+		t.Fatalf("got %+v", c)
+	}
+	b.ModelMissing(start, "0", "m1")
+	if c, err := b.Choose(start, Requirements{Service: "models", Model: "m2"}); err == nil {
+		t.Errorf("got %+v", c)
+	}
+}
--- a/placement/member.go
+++ b/placement/member.go
@@ -19,6 +19,8 @@
 	report     *wire.Report
 	reportedAt time.Time
 	models     map[ident.Model]*wire.ModelReport
+	// superseded is set while another VM is in use at the same address.
+	superseded bool
 	// seq numbers the reports that the Balancer itself creates.
 	seq uint64
 	// inFlight counts the router's own requests at the VM.
@@ -36,6 +38,25 @@
 	return now.Before(m.missingModels[name])
 }
 
+// countMissing returns the number of such models.
+func (m *member) countMissing(now time.Time) int {
+	n := 0
+	for name := range m.missingModels {
+		if m.missing(now, name) {
+			n++
+		}
+	}
+	return n
+}
+
+// takeReport takes over the agent's report from the member that was in use at the same
+// address before.
+func (m *member) takeReport(before *member) {
+	if before.vm.Address == m.vm.Address && before.vm.Service == m.vm.Service {
+		m.report, m.reportedAt, m.models = before.report, before.reportedAt, before.models
+	}
+}
+
 // missedReports is how many consecutive reports may be missing before an agent is
 // considered silent: one may be lost in transit.
 const missedReports = 2
@@ -58,7 +79,7 @@
 
 // usable reports whether new requests may be sent to the VM.
 func (m *member) usable(now time.Time) bool {
-	return !m.leaving() && !now.Before(m.blockedUntil) && !now.Before(m.instance.pausedUntil)
+	return !m.leaving() && !m.superseded && !now.Before(m.blockedUntil) && !now.Before(m.instance.pausedUntil)
 }
 
 // leaving reports whether the VM is about to stop, by its registration, its agent or its
--- a/placement/remote_load.go
+++ b/placement/remote_load.go
@@ -154,11 +154,11 @@
 	return copies, vms
 }
 
-// activeMembers yields the VMs of a service that are not leaving.
+// activeMembers yields the VMs of a service that are in use and not leaving.
 func (b *Balancer) activeMembers(service ident.Upstream) iter.Seq[*member] {
 	return func(yield func(*member) bool) {
 		for _, m := range b.members {
-			if m.vm.Service == service && !m.leaving() && !yield(m) {
+			if m.vm.Service == service && !m.leaving() && !m.superseded && !yield(m) {
 				return
 			}
 		}
--- a/residency/scheduler.go
+++ b/residency/scheduler.go
@@ -69,13 +69,27 @@
 	return &Scheduler{opts: o, models: make(map[ident.Model]*modelState), runTime: o.RunTime, prefill: newPrefillQueue()}
 }
 
-// Configure sets the description of the engine.
-func (s *Scheduler) Configure(e *serving.Engine) {
+// Configure sets the description of the engine. It refuses the waiting requests, and
+// forgets the plans, for models that the description lacks.
+func (s *Scheduler) Configure(e *serving.Engine) []Action {
 	if s.spec == nil {
 		maxValue := float64(e.Concurrency)
 		s.concurrencyLimit = concurrencyLimit{value: max(s.opts.MinLimit, s.opts.StartShare*maxValue), minValue: min(s.opts.MinLimit, maxValue), maxValue: maxValue}
 	}
 	s.spec = e
+	if s.permit != nil && s.permit.Model != "" && e.Model(s.permit.Model) == nil {
+		s.permit = nil
+	}
+	s.expectedRetries = slices.DeleteFunc(s.expectedRetries, func(r expectedRetry) bool { return e.Model(r.model) == nil })
+	var out []Action
+	s.requests = slices.DeleteFunc(s.requests, func(p *pending) bool {
+		if p.isGranted() || e.Model(p.Model) != nil {
+			return false
+		}
+		out = append(out, &Refuse{ID: p.ID, RetryAfter: noReportRetryAfter, Reason: ReasonUnknownModel})
+		return true
+	})
+	return out
 }
 
 // AllowOrders permits the Scheduler to send orders to the engine from now on.
--- a/residency/scheduler_test.go
+++ b/residency/scheduler_test.go
@@ -506,3 +506,35 @@
 		t.Error("not lowered by a late response with 30 requests running")
 	}
 }
+
+// The operator removes a model while requests wait for it, callers are expected to retry
+// and a permit is held: nothing is planned for it any more.
+func TestModelRemovedFromConfiguration(t *testing.T) {
+	h := newHarness(t, "a", "b")
+	h.holdOrders = true
+	h.reserve(Request{ID: 1, Model: "c", MaxWait: time.Minute})
+	h.reserve(Request{ID: 2, Model: "d", MaxWait: time.Millisecond})
+	h.reserve(Request{ID: 3, Model: "c", MaxWait: time.Minute})
+	last := h.permitRequests[len(h.permitRequests)-1]
+	h.apply(h.scheduler.PermitDecided(h.now, last.ID, "c", true))
+	e := testEngine()
+	e.Models = e.Models[:2]
+	e.Index()
+	h.apply(h.scheduler.Configure(e))
+	for _, id := range []RequestID{1, 3} {
+		if r := h.refused[id]; r == nil || r.Reason != ReasonUnknownModel {
+			t.Errorf("request %d: %+v", id, r)
+		}
+	}
+	for range 20 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.observe()
+		h.scheduler.Status(h.now)
+	}
+	// One of the models may be on its way out, to make room for the removed one.
+	h.reserve(Request{ID: 4, Model: "a", MaxWait: time.Minute})
+	h.reserve(Request{ID: 5, Model: "b", MaxWait: time.Minute})
+	if !slices.Contains(h.granted, 4) && !slices.Contains(h.granted, 5) {
+		t.Error("no request for a remaining model is granted")
+	}
+}
--- a/residency/status.go
+++ b/residency/status.go
@@ -16,17 +16,27 @@
 	if s.spec == nil || s.snap == nil {
 		return nil
 	}
-	r := &wire.Report{
-		Draining:    s.snap.Leaving,
-		Running:     s.active,
-		Waiting:     s.queued(),
-		Concurrency: max(1, int(s.concurrencyLimit.value)),
-		RunTime:     s.runTime,
-		Models:      s.modelReports(now),
+	l := s.EngineLoad(now)
+	return &wire.Report{
+		Draining:       s.snap.Leaving,
+		Running:        l.Running,
+		Waiting:        l.Waiting,
+		Concurrency:    l.Concurrency,
+		RunTime:        s.runTime,
+		Models:         s.modelReports(now),
+		SwapWait:       l.SwapWait,
+		RemoteLoadWait: l.RemoteLoadWait,
 	}
-	r.SwapWait = s.swapWait(now)
-	r.RemoteLoadWait = r.SwapWait + s.remoteLoadAhead()
-	return r
+}
+
+// EngineLoad returns the load of the engine for the reply to a request.
+func (s *Scheduler) EngineLoad(now time.Time) *wire.EngineLoad {
+	if s.spec == nil || s.snap == nil {
+		return nil
+	}
+	l := &wire.EngineLoad{Running: s.active, Waiting: s.queued(), Concurrency: max(1, int(s.concurrencyLimit.value)), SwapWait: s.swapWait(now)}
+	l.RemoteLoadWait = l.SwapWait + s.remoteLoadAhead()
+	return l
 }
 
 // queued returns the number of requests that wait only for capacity.
--- a/serving/response_info.go
+++ b/serving/response_info.go
@@ -1,11 +1,17 @@
 package serving
 
-import "time"
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
 
 // ResponseInfo is the content of the header of an upstream's response.
 type ResponseInfo struct {
 	// RequestID is the id of the request that the response belongs to.
 	RequestID string
+	// VM is the id of the VM that responds, or empty if it does not say.
+	VM ident.VM
 	// Sealed is set when the response carries the upstream's seal, which attests the
 	// body.
 	Sealed bool
--- a/sidecar/read_config.go
+++ b/sidecar/read_config.go
@@ -25,7 +25,7 @@
 			if sv := c.Services[s.o.Settings.Service]; sv != nil && sv.Engine != nil {
 				known = true
 				s.mu.Lock()
-				s.scheduler.Configure(sv.Engine)
+				s.perform(s.scheduler.Configure(sv.Engine))
 				s.mu.Unlock()
 			}
 		}
--- a/sidecar/read_engine.go
+++ b/sidecar/read_engine.go
@@ -52,6 +52,10 @@
 	s.perform(s.scheduler.Observe(s.o.Now(), snap))
 }
 
+// identifyInterval is the minimum time between two reads of the list of VMs while the
+// engine's server is not listed yet. Servers register about once a second.
+const identifyInterval = 500 * time.Millisecond
+
 // identify looks up the id of the engine's server in the list of VMs, once for each
 // start of the server.
 func (s *Sidecar) identify(ctx context.Context, snap *residency.Snapshot) {
@@ -63,6 +67,10 @@
 		return
 	}
 	snap.VM = ""
+	if snap.ReadAt.Sub(s.identifiedAt) < identifyInterval {
+		return
+	}
+	s.identifiedAt = snap.ReadAt
 	listing, err := s.o.Directory.VMs(ctx)
 	if err != nil {
 		return
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -15,7 +15,7 @@
 func (s *Sidecar) handle(ctx context.Context, peer wire.Hello, first wire.Message, stream *transport.Stream) {
 	switch m := first.(type) {
 	case *wire.Subscribe:
-		s.sendReports(ctx, stream)
+		s.sendReports(ctx, peer, stream)
 	case *wire.Reserve:
 		s.reserve(ctx, peer, m, stream)
 	case *wire.StreamBegun:
@@ -91,12 +91,17 @@
 
 // sendDecision sends the decision to the router and reports whether that succeeded.
 func (s *Sidecar) sendDecision(stream *transport.Stream, a residency.Action) bool {
+	s.mu.Lock()
+	load := s.scheduler.EngineLoad(s.o.Now())
+	s.mu.Unlock()
 	var m wire.Message
 	switch a := a.(type) {
 	case *residency.Grant:
-		m = &wire.Reserved{Waited: a.Waited, VM: a.VM, Started: a.Started}
+		// The router counts its request itself.
+		load.Running--
+		m = &wire.Reserved{Waited: a.Waited, VM: a.VM, Started: a.Started, Load: load}
 	case *residency.Refuse:
-		m = &wire.Refusal{Code: wire.CodeOverloaded, Run: wire.RunStateNotRun, RetryAfter: a.RetryAfter, Detail: string(a.Reason)}
+		m = &wire.Refusal{Code: wire.CodeOverloaded, Run: wire.RunStateNotRun, RetryAfter: a.RetryAfter, Detail: string(a.Reason), Load: load}
 	}
 	return stream.Send(m) == nil
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -42,8 +42,11 @@
 	fence   ident.Fence
 	// server is the VM id of the engine's server, valid while the engine's start time
 	// is serverStarted.
-	server            ident.VM
-	serverStarted     int64
+	server        ident.VM
+	serverStarted int64
+	// identifiedAt is when the list was last read to find the server. It is used by the
+	// goroutine that reads the engine only.
+	identifiedAt      time.Time
 	engineUnreachable bool
 	// grantTimer fires when the next grant is due.
 	grantTimer *time.Timer
--- a/sidecar/status.go
+++ b/sidecar/status.go
@@ -4,15 +4,17 @@
 	"context"
 	"time"
 
+	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/wire"
 )
 
 // status is the latest report to routers. changed is closed when it is replaced.
 type status struct {
-	report  *wire.Report
-	sentAt  time.Time
-	changed chan struct{}
+	report    *wire.Report
+	sentAt    time.Time
+	intervals reportIntervals
+	changed   chan struct{}
 }
 
 // publish creates reports at an interval until ctx ends.
@@ -40,25 +42,40 @@
 		return
 	}
 	old := s.status.report
-	next.Routers = len(s.listener.Conns())
-	intervals := intervalsFor(next.Routers, s.o)
+	near, far := s.countRouters()
+	next.Routers = near + far
+	intervals := intervalsFor(near, far, s.o)
 	if !intervals.due(old, next, now.Sub(s.status.sentAt)) {
 		return
 	}
-	next.MaxReportInterval = intervals.longest
 	next.VM = s.name()
 	next.Seq = 1
 	if old != nil {
 		next.Seq = old.Seq + 1
 	}
-	s.status.report, s.status.sentAt = next, now
+	s.status.report, s.status.sentAt, s.status.intervals = next, now, intervals
 	close(s.status.changed)
 	s.status.changed = make(chan struct{})
 }
 
+// countRouters returns the numbers of connected routers in the sidecar's region and in
+// others.
+func (s *Sidecar) countRouters() (near, far int) {
+	for _, c := range s.listener.Conns() {
+		if c.Peer().Region == s.o.Settings.Region {
+			near++
+		} else {
+			far++
+		}
+	}
+	return near, far
+}
+
 // sendReports sends the reports of one subscription: the first in full, later ones
-// with only the changed models.
-func (s *Sidecar) sendReports(ctx context.Context, stream *transport.Stream) {
+// with only the changed models. A router of another region gets only the newest report
+// when one is due to it.
+func (s *Sidecar) sendReports(ctx context.Context, peer wire.Hello, stream *transport.Stream) {
+	near := peer.Region == s.o.Settings.Region
 	var last *wire.Report
 	for {
 		s.mu.Lock()
@@ -70,10 +87,14 @@
 				r.Models, r.ModelsDelta = wire.DiffModels(last.Models, r.Models), true
 			}
 			last = st.report
+			r.MaxReportInterval = st.intervals.nextWithin(near)
 			if err := stream.Send(&r); err != nil {
 				return
 			}
 		}
+		if !near && wait.Sleep(stream.Context(), st.intervals.far) != nil {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/transport/options.go
+++ b/transport/options.go
@@ -21,8 +21,8 @@
 	// lost probes on links with a delay of 90 ms.
 	DefaultDialIdleTimeout  = 1500 * time.Millisecond
 	DefaultHandshakeTimeout = 2 * time.Second
-	// DefaultIdleTimeout is the idle timeout of the listening end. It allows for two
-	// missing probes.
+	// DefaultIdleTimeout is the idle timeout of the listening end, and so the longest
+	// that a dialing end can have: the lower one holds for both.
 	DefaultIdleTimeout = 5 * time.Second
 )
 
--- a/wire/refusal.go
+++ b/wire/refusal.go
@@ -13,6 +13,8 @@
 	Run        RunState      `cbor:"3,keyasint"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 	Detail     string        `cbor:"5,keyasint,omitempty"`
+	// Load is set in replies to a Reserve.
+	Load *EngineLoad `cbor:"6,keyasint,omitempty"`
 }
 
 // Kind implements Message.
--- a/wire/reserved.go
+++ b/wire/reserved.go
@@ -15,6 +15,8 @@
 	VM ident.VM `cbor:"2,keyasint,omitempty"`
 	// Started is the start time of the VM's server in Unix milliseconds.
 	Started int64 `cbor:"3,keyasint,omitempty"`
+	// Load does not count the request itself.
+	Load *EngineLoad `cbor:"4,keyasint,omitempty"`
 }
 
 // Kind implements Message.
