--- a/ingress/poll.go
+++ b/ingress/poll.go
@@ -16,6 +16,8 @@
 const (
 	// firstPollInterval is the pause between reads before the first successful one.
 	firstPollInterval = 150 * time.Millisecond
+	// earlyPollInterval is the minimum time between two reads when events ask for one.
+	earlyPollInterval = 300 * time.Millisecond
 	// failedPollShare is the fraction of the interval after which the next read begins
 	// when one has failed, and failingPollShare the same when several have: every call
 	// to the store counts.
@@ -29,6 +31,8 @@
 	succeeded bool
 	// failures counts the failed reads since the last successful one.
 	failures int
+	// early asks for a read before the interval has passed. It may be nil.
+	early <-chan struct{}
 }
 
 // run calls read until ctx ends.
@@ -37,7 +41,21 @@
 		begun := now()
 		err := read(ctx, begun)
 		p.Record(err, log.Fields{"took_ms": now().Sub(begun).Milliseconds()})
-		_ = wait.Sleep(ctx, p.pause(interval, err)-now().Sub(begun))
+		p.sleep(ctx, p.pause(interval, err)-now().Sub(begun), earlyPollInterval-now().Sub(begun))
+	}
+}
+
+// sleep waits for a pause, or only for a shorter one if an early read is asked for.
+func (p *poller) sleep(ctx context.Context, pause, shortest time.Duration) {
+	if wait.Sleep(ctx, min(pause, shortest)) != nil || shortest >= pause {
+		return
+	}
+	timer := time.NewTimer(pause - max(0, shortest))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-p.early:
+	case <-timer.C:
 	}
 }
 
@@ -96,7 +114,9 @@
 func (s *Server) pollVMs(ctx context.Context) {
 	logged := make(map[string]bool)
 	listed, restores := false, uint64(0)
-	s.poller("vm list").run(ctx, s.o.PollInterval, s.o.Now, func(ctx context.Context, begun time.Time) error {
+	p := s.poller("vm list")
+	p.early = s.listOutdated
+	p.run(ctx, s.o.PollInterval, s.o.Now, func(ctx context.Context, begun time.Time) error {
 		listing, err := s.o.Directory.VMs(ctx)
 		if err != nil {
 			return err
--- a/ingress/poll_test.go
+++ b/ingress/poll_test.go
@@ -1,9 +1,16 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/laureltally/laureltally/decisionlog"
 )
 
 // Hundreds of routers read the store. A single failed read is repeated early, so that a
@@ -34,3 +41,33 @@
 		t.Errorf("a change is seen after %v if one read fails, allowed are %v", late, within)
 	}
 }
+
+// After a power loss servers register again while requests already meet them: the list is
+// read early, but not with every request.
+func TestOutdatedListIsReadEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		early := make(chan struct{}, 1)
+		p := poller{Dependency: decisionlog.Dependency{Name: "list", Logger: &log.Logger{Handler: discard.New()}}, early: early}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		reads := 0
+		go p.run(ctx, 2*time.Second, time.Now, func(context.Context, time.Time) error {
+			reads++
+			return nil
+		})
+		time.Sleep(3 * time.Second)
+		if reads != 2 {
+			t.Errorf("%d reads in 3 s without events", reads)
+		}
+		for range 100 {
+			select {
+			case early <- struct{}{}:
+			default:
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if reads < 4 || reads > 6 {
+			t.Errorf("%d reads after a second of events", reads)
+		}
+	})
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -61,6 +61,10 @@
 	// requests counts the requests of callers, for the shutdown.
 	requests requestCount
 
+	// listOutdated asks for an early read of the list of VMs, after a request has met a
+	// server that the list does not have.
+	listOutdated chan struct{}
+
 	originsMu sync.Mutex
 	// origins holds the software versions of streams that this process began.
 	origins resume.Records
@@ -82,6 +86,8 @@
 		client:  upstreamhttp.New(upstreamhttp.Options{Now: o.Now}),
 		metrics: newMetrics(o.Metrics),
 		links:   make(map[string]*sidecarLink),
+
+		listOutdated: make(chan struct{}, 1),
 	}
 	s.forceStop, s.cancelForceStop = context.WithCancel(context.Background())
 	handler := transport.HandlerFunc(newPermitServer(s).handle)
