--- a/e2e/hosted/engines_test.go
+++ b/e2e/hosted/engines_test.go
@@ -67,6 +67,19 @@
 	return all
 }
 
+// awaitPort waits until the port of the first engine's sidecar, which was stopped, is
+// free.
+func (e *engines) awaitPort() {
+	e.t.Helper()
+	e.eventually("the port is free", func() bool {
+		c, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.11:%d", e.udp))
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
+}
+
 func (e *engines) checkLimit() {
 	e.t.Helper()
 	for i, u := range e.upstreams {
@@ -158,13 +171,7 @@
 	// The sidecar sends prewarm orders until it stops; one may still be in flight.
 	time.Sleep(100 * time.Millisecond)
 	first := e.upstreams[0].Orders()
-	e.eventually("the port is free", func() bool {
-		c, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.11:%d", e.udp))
-		if err == nil {
-			c.Close()
-		}
-		return err == nil
-	})
+	e.awaitPort()
 	e.startSidecar(e.upstreams[0], "models", "side-other")
 	for _, model := range engineModels {
 		call(model)
--- a/e2e/soak/faults_test.go
+++ b/e2e/soak/faults_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"sync"
 	"syscall"
@@ -31,13 +32,13 @@
 // subject returns the name of what a fault changes.
 func (in *installation) subject(f fault) string {
 	switch f.kind {
-	case storeDown, storeSilent, storeDropsResponses:
+	case storeDown, storeSilent, storeDropsResponses, storeRestored:
 		return "store"
 	case storeReset, storeSlow:
 		return "store's connections"
 	case upstreamReset, upstreamSlow, upstreamResponsesHeld, upstreamRequestsHeld:
 		return fmt.Sprintf("connections of upstream %d", f.target%len(in.upstreams))
-	case upstreamErrors, upstreamDropsResponses, upstreamDeclines, upstreamTruncatesResponses, upstreamRestart, upstreamDrain:
+	case upstreamErrors, upstreamDropsResponses, upstreamDeclines, upstreamTruncatesResponses, upstreamRestart, upstreamDrain, upstreamLeaves, upstreamPauses:
 		return fmt.Sprintf("upstream %d", f.target%len(in.upstreams))
 	case ordersLate:
 		return fmt.Sprintf("orders of engine %d", f.target%engines)
@@ -62,6 +63,13 @@
 		in.storeFault(platformtest.StoreFaults{Unresponsive: true}, f.lasts)
 	case storeDropsResponses:
 		in.storeFault(platformtest.StoreFaults{DropResponses: 3}, f.lasts)
+	case storeRestored:
+		in.restoreStore(f.lasts)
+	case upstreamLeaves:
+		u.misbehave(platformtest.Behavior{Leaving: true}, f.lasts)
+		in.restart(u, f.lasts)
+	case upstreamPauses:
+		u.misbehave(platformtest.Behavior{Decline: true, RetryAfter: f.lasts / 2}, f.lasts)
 	case storeReset:
 		in.storeProxy.reset()
 	case storeSlow:
@@ -120,6 +128,29 @@
 	in.store.SetFaults(platformtest.StoreFaults{})
 }
 
+// restoreStore copies the store and, later, takes it down for a moment and restores the
+// copy. The operator and the upstreams write again what they had written since.
+func (in *installation) restoreStore(age time.Duration) {
+	copied := in.store.Copy()
+	time.Sleep(age)
+	in.store.SetFaults(platformtest.StoreFaults{Down: true})
+	time.Sleep(restoreDowntime)
+	in.registrations.Lock()
+	in.store.Restore(copied)
+	for _, u := range in.upstreams {
+		for _, id := range u.ended {
+			in.store.RemoveServer(id)
+		}
+		u.Register(in.store, cmp.Or(u.state, "ready"))
+	}
+	in.registrations.Unlock()
+	in.writeConfig()
+	in.store.SetFaults(platformtest.StoreFaults{})
+}
+
+// restoreDowntime is how long the store is away before it comes back from a copy.
+const restoreDowntime = 100 * time.Millisecond
+
 func (in *installation) hold(p *proxy, lasts, delay time.Duration, toTarget, fromTarget bool) {
 	p.set(delay, toTarget, fromTarget)
 	time.Sleep(lasts)
@@ -146,14 +177,25 @@
 	u.Restart(fmt.Sprintf("%s-%d", old[:3], u.restarts))
 	u.proxy.reset()
 	time.Sleep(delay / 4)
+	in.registrations.Lock()
+	u.ended = append(u.ended, old)
+	in.registrations.Unlock()
 	in.store.RemoveServer(old)
-	u.Register(in.store, "ready")
+	in.register(u, "ready")
 }
 
 func (in *installation) drain(u *upstream, lasts time.Duration) {
-	u.Register(in.store, "draining")
+	in.register(u, "draining")
 	time.Sleep(lasts)
-	u.Register(in.store, "ready")
+	in.register(u, "ready")
+}
+
+// register writes the registration of an upstream.
+func (in *installation) register(u *upstream, state string) {
+	in.registrations.Lock()
+	defer in.registrations.Unlock()
+	u.state = state
+	u.Register(in.store, state)
 }
 
 // awaitReady waits until the load balancer regards every router as ready, at most
--- a/e2e/soak/installation_test.go
+++ b/e2e/soak/installation_test.go
@@ -58,6 +58,8 @@
 		// written is the time at which each version was written.
 		written map[int]time.Time
 	}
+	// registrations is held while an upstream is registered.
+	registrations sync.Mutex
 	// faultLocks holds a mutex for each subject of a fault.
 	faultLocks sync.Map
 	stop       chan struct{}
@@ -70,6 +72,10 @@
 	proxy *proxy
 	// restarts counts the restarts.
 	restarts int
+	// state is that of the registration, and ended holds the ids from before the
+	// restarts. Both are guarded by installation.registrations.
+	state string
+	ended []string
 
 	mu       sync.Mutex
 	behavior platformtest.Behavior
--- a/e2e/soak/plan_test.go
+++ b/e2e/soak/plan_test.go
@@ -17,6 +17,9 @@
 	storeDropsResponses        faultKind = "store loses answers"
 	storeReset                 faultKind = "store connections reset"
 	storeSlow                  faultKind = "store slow"
+	storeRestored              faultKind = "store restored from an older copy"
+	upstreamLeaves             faultKind = "upstream says that it leaves, then starts anew"
+	upstreamPauses             faultKind = "upstream asks for pauses"
 	upstreamReset              faultKind = "upstream connections reset"
 	upstreamSlow               faultKind = "upstream connections slow"
 	upstreamResponsesHeld      faultKind = "upstream's answers held"
@@ -41,7 +44,7 @@
 )
 
 var faultKinds = []faultKind{
-	storeDown, storeSilent, storeDropsResponses, storeReset, storeSlow,
+	storeDown, storeSilent, storeDropsResponses, storeReset, storeSlow, storeRestored, upstreamLeaves, upstreamPauses,
 	upstreamReset, upstreamSlow, upstreamResponsesHeld, upstreamRequestsHeld, upstreamErrors, upstreamDropsResponses, upstreamDeclines, upstreamTruncatesResponses, upstreamRestart, upstreamDrain,
 	ordersLate, routerTerm, routerKill, routerPause, routerReload, sidecarTerm, sidecarKill, sidecarPause, configSeries,
 	linkSilent, linkOneWay,
