--- a/e2e/hosted/servers_test.go
+++ b/e2e/hosted/servers_test.go
@@ -21,9 +21,11 @@
 		return upstreams[0].RequestCount() > 0
 	})
 	n := upstreams[0].RequestCount()
-	for i := range 40 {
-		if r := in.call(platformtest.Call{ID: fmt.Sprint("after-", i), Path: "/read/a"}); r.Status != http.StatusOK {
-			t.Errorf("request %d: %+v", i, r)
+	for range 5 {
+		for i, r := range in.callConcurrently(20, platformtest.Call{Path: "/read/a"}) {
+			if r.Status != http.StatusOK {
+				t.Errorf("request %d: %+v", i, r)
+			}
 		}
 	}
 	if got := upstreams[0].RequestCount(); got != n {
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -30,8 +30,9 @@
 )
 
 // packShare is the fraction of a VM's concurrency that requests for a model fill
-// before the next VM is used. Above it, the time to the first event at Muotiennuste
-// exceeds half of the objective.
+// before the next VM is used: the rest is room for the requests of other models and for
+// what other routers send before the next report. For other values see
+// docs/design/load.md.
 const packShare = 0.6
 
 // fallbackConcurrencyShare is the fraction of an engine's concurrency that is used
