--- a/e2e/hosted/servers_test.go
+++ b/e2e/hosted/servers_test.go
@@ -106,6 +106,17 @@
 	time.Sleep(700 * time.Millisecond)
 }
 
+// truncateFirst breaks streams off after three events, and lets resumed ones behave as
+// resumed returns.
+func truncateFirst(resumed func(*http.Request) platformtest.Behavior) func(int, *http.Request) platformtest.Behavior {
+	return func(_ int, r *http.Request) platformtest.Behavior {
+		if r.Header.Get("Last-Event-Id") == "" {
+			return platformtest.Behavior{TruncateAfter: 3}
+		}
+		return resumed(r)
+	}
+}
+
 // ranAt returns the indexes of the upstreams that ran a request, in no order of time.
 func ranAt(upstreams []*platformtest.Upstream, id string) (indexes []int) {
 	for i, u := range upstreams {
@@ -125,12 +136,7 @@
 	in, upstreams := newVersionedInstallation(t, "v1", "v2", "v2", "v1")
 	versions := []string{"v1", "v2", "v2", "v1"}
 	for _, u := range upstreams {
-		u.SetBehavior(func(n int, r *http.Request) platformtest.Behavior {
-			if r.Header.Get("Last-Event-Id") == "" {
-				return platformtest.Behavior{TruncateAfter: 3}
-			}
-			return platformtest.Behavior{}
-		})
+		u.SetBehavior(truncateFirst(func(*http.Request) platformtest.Behavior { return platformtest.Behavior{} }))
 	}
 	for i := range 20 {
 		id := fmt.Sprint("stream-", i)
@@ -167,12 +173,10 @@
 	in, upstreams := newVersionedInstallation(t, "v1", "v2", "v2", "v1")
 	versions := []string{"v1", "v2", "v2", "v1"}
 	for _, u := range upstreams {
-		u.SetBehavior(func(n int, r *http.Request) platformtest.Behavior {
-			if r.Header.Get("Last-Event-Id") == "" {
-				return platformtest.Behavior{TruncateAfter: 3}
-			}
+		// The first router finds nobody who goes on with its streams.
+		u.SetBehavior(truncateFirst(func(r *http.Request) platformtest.Behavior {
 			return platformtest.Behavior{Decline: strings.HasPrefix(r.Header.Get("X-Request-Id"), "first-")}
-		})
+		}))
 	}
 	const streams = 12
 	for i := range streams {
