--- a/ingress/request_count.go
+++ b/ingress/request_count.go
@@ -26,6 +26,13 @@
 	c.endedAt = time.Now()
 }
 
+// none reports whether no request is running.
+func (c *requestCount) none() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running == 0
+}
+
 // quietFor reports whether no request has run for a time.
 func (c *requestCount) quietFor(d time.Duration) bool {
 	c.mu.Lock()
--- a/ingress/shutdown.go
+++ b/ingress/shutdown.go
@@ -62,13 +62,19 @@
 	time.Sleep(s.o.ShutdownDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-exitSlack))
 	defer cancel()
-	for !s.requests.quietFor(shutdownQuiet) && wait.Sleep(ctx, shutdownPoll) == nil {
+	for !s.mayExit() && wait.Sleep(ctx, shutdownPoll) == nil {
 	}
 	if err := server.Shutdown(ctx); err != nil {
 		s.o.Logger.WithError(err).Warn("requests still running at the end of the shutdown")
 	}
 }
 
+// mayExit reports whether a stopping process can exit: callers no longer come, or all
+// running requests have been given up, since the process has to exit.
+func (s *Server) mayExit() bool {
+	return s.requests.quietFor(shutdownQuiet) || s.forceStop.Err() != nil && s.requests.none()
+}
+
 // refusedWhileStopping responds to a request that can't be answered before the process
 // exits, and reports whether it did. A caller on an older connection finds another router
 // at once. If the load balancer still sends new connections here, it has no other, and
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -14,6 +14,9 @@
 // Pool keeps one connection to each peer that was dialed with Get.
 type Pool struct {
 	o Options
+	// dials ends when the pool is closed.
+	dials       context.Context
+	cancelDials context.CancelFunc
 
 	mu      sync.Mutex
 	closed  bool
@@ -30,7 +33,9 @@
 
 // NewPool returns an empty pool.
 func NewPool(o Options) *Pool {
-	return &Pool{o: o.withDefaults(), entries: make(map[string]*poolEntry)}
+	p := &Pool{o: o.withDefaults(), entries: make(map[string]*poolEntry)}
+	p.dials, p.cancelDials = context.WithCancel(context.Background())
+	return p
 }
 
 // Get returns an open connection to the VM at address and dials if there is none.
@@ -52,8 +57,10 @@
 	return e.conn, nil
 }
 
-// Close closes all connections.
+// Close closes all connections and gives up dials, which may take seconds if a peer does
+// not respond.
 func (p *Pool) Close() {
+	p.cancelDials()
 	p.mu.Lock()
 	p.closed = true
 	entries := p.entries
@@ -121,7 +128,7 @@
 }
 
 func (p *Pool) connect(vm ident.VM, address string) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), p.o.HandshakeTimeout)
+	ctx, cancel := context.WithTimeout(p.dials, p.o.HandshakeTimeout)
 	defer cancel()
 	tc, err := p.o.Credentials.ClientConfig()
 	if err != nil {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"testing"
 	"time"
 
@@ -321,3 +322,29 @@
 		t.Errorf("ended after %v, want at most %v", took, most)
 	}
 }
+
+// A process exits while it dials a peer that does not respond: closing must not wait for
+// the handshake timeout, or the exit comes after the end of a graceful shutdown.
+func TestCloseDoesNotWaitForDials(t *testing.T) {
+	silent, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	dir := t.TempDir()
+	pool := transport.NewPool(options("router", credentials(t, authority(t, dir), dir, "router")))
+	dialed := make(chan error, 1)
+	go func() {
+		_, err := pool.Get(context.Background(), "agent", silent.LocalAddr().String())
+		dialed <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	begun := time.Now()
+	pool.Close()
+	if took := time.Since(begun); took > transport.DefaultHandshakeTimeout/4 {
+		t.Errorf("closed after %v", took)
+	}
+	if err := <-dialed; err == nil {
+		t.Error("the dial succeeded")
+	}
+}
