residency, ingress: a denied permit refuses at once, ready responses are written after a pause

Change: a denial refuses the requests that wait for the model; the router asks the next VM.

Change: a ready response gets a second from when it is ready.

--- a/e2e/soak/plan_test.go
+++ b/e2e/soak/plan_test.go
@@ -17,9 +17,6 @@
 	storeDropsResponses        faultKind = "store loses answers"
 	storeReset                 faultKind = "store connections reset"
 	storeSlow                  faultKind = "store slow"
-	storeRestored              faultKind = "store restored from an older copy"
-	upstreamLeaves             faultKind = "upstream says that it leaves, then starts anew"
-	upstreamPauses             faultKind = "upstream asks for pauses"
 	upstreamReset              faultKind = "upstream connections reset"
 	upstreamSlow               faultKind = "upstream connections slow"
 	upstreamResponsesHeld      faultKind = "upstream's answers held"
@@ -41,13 +38,16 @@
 	configSeries               faultKind = "configurations in series"
 	linkSilent                 faultKind = "connections to sidecar silent for good"
 	linkOneWay                 faultKind = "connections to sidecar cut one way"
+	storeRestored              faultKind = "store restored from an older copy"
+	upstreamLeaves             faultKind = "upstream says that it leaves, then starts anew"
+	upstreamPauses             faultKind = "upstream asks for pauses"
 )
 
 var faultKinds = []faultKind{
-	storeDown, storeSilent, storeDropsResponses, storeReset, storeSlow, storeRestored, upstreamLeaves, upstreamPauses,
+	storeDown, storeSilent, storeDropsResponses, storeReset, storeSlow,
 	upstreamReset, upstreamSlow, upstreamResponsesHeld, upstreamRequestsHeld, upstreamErrors, upstreamDropsResponses, upstreamDeclines, upstreamTruncatesResponses, upstreamRestart, upstreamDrain,
 	ordersLate, routerTerm, routerKill, routerPause, routerReload, sidecarTerm, sidecarKill, sidecarPause, configSeries,
-	linkSilent, linkOneWay,
+	linkSilent, linkOneWay, storeRestored, upstreamLeaves, upstreamPauses,
 }
 
 // fault is one injected fault.
--- a/ingress/final_response.go
+++ b/ingress/final_response.go
@@ -25,10 +25,17 @@
 		d.w.Header().Set("Retry-After", d.s.o.Protocol.RetryAfter(d.callerRetryAfter(retryAfter)))
 		d.s.metrics.countRequest("refused")
 	}
+	d.extendWrite()
 	d.w.Header().Set("Content-Length", "0")
 	d.w.WriteHeader(status)
 }
 
+// extendWrite allows writeSlack from now on for writing a response that is ready: a
+// process that was paused would otherwise close the connection without it.
+func (d *delivery) extendWrite() {
+	_ = http.NewResponseController(d.w).SetWriteDeadline(d.s.o.Now().Add(writeSlack))
+}
+
 // callerRetryAfter returns a retry delay that fits the caller's remaining time.
 func (d *delivery) callerRetryAfter(delay time.Duration) time.Duration {
 	if d.deadline.IsZero() {
--- a/ingress/relay_whole.go
+++ b/ingress/relay_whole.go
@@ -34,6 +34,7 @@
 }
 
 func (d *delivery) sendWhole(whole *wholeResponse) {
+	d.extendWrite()
 	copyHeader(d.w.Header(), whole.header)
 	length := strconv.Itoa(len(whole.body))
 	if d.r.Method == http.MethodHead {
--- a/residency/poll_delay_test.go
+++ b/residency/poll_delay_test.go
@@ -17,7 +17,7 @@
 	if request.Model != "a" {
 		t.Fatalf("permit requested for %q", request.Model)
 	}
-	h.apply(h.scheduler.PermitDecided(h.now, request.ID, "a", true))
+	h.apply(h.scheduler.PermitDecided(h.now, request.ID, "a", PermitGranted))
 	if len(h.orders) != 1 {
 		t.Fatalf("%d orders", len(h.orders))
 	}
--- a/residency/reason.go
+++ b/residency/reason.go
@@ -12,6 +12,9 @@
 	ReasonLoad Reason = "load takes too long"
 	// ReasonTimeout means that the request was not admitted within its MaxWait.
 	ReasonTimeout Reason = "waited too long"
+	// ReasonNoPermit means that the weights are only in the weight store and the permit to
+	// load them was denied.
+	ReasonNoPermit Reason = "no load permit"
 	// ReasonUnknownModel means that the model is not configured.
 	ReasonUnknownModel Reason = "unknown model"
 	// ReasonLeaving means that the engine is about to stop.
--- a/residency/scheduler.go
+++ b/residency/scheduler.go
@@ -177,20 +177,43 @@
 const orderPause = 50 * time.Millisecond
 
 // PermitDecided takes the decision on a PermitRequest: whether a permit is granted
-// and for which model. Decisions on any but the newest request are ignored.
-func (s *Scheduler) PermitDecided(now time.Time, id uint64, model ident.Model, granted bool) []Action {
+// and for which model. Decisions on any but the newest request are ignored. When a permit
+// is denied, the requests that wait for its model are refused at once: other VMs have the
+// weights, or load them already.
+func (s *Scheduler) PermitDecided(now time.Time, id uint64, model ident.Model, d PermitDecision) []Action {
 	if s.permit == nil || s.permit.ID != id {
 		return nil
 	}
-	if !granted || s.spec == nil || s.spec.Model(model) == nil {
+	if d != PermitGranted || s.spec == nil || s.spec.Model(model) == nil {
+		wanted := s.permit.Model
 		s.permit = nil
 		s.nextPermitRequest = now.Add(permitRetryDelay)
-		return nil
+		if d != PermitDenied || wanted == "" {
+			return nil
+		}
+		return append(s.refuseWaiting(now, wanted), s.Tick(now)...)
 	}
 	s.permit.Model, s.permit.granted, s.permit.grantedAt = model, true, now
 	return s.Tick(now)
 }
 
+// refuseWaiting refuses the requests that wait for a model, if its weights are only in the
+// weight store.
+func (s *Scheduler) refuseWaiting(now time.Time, name ident.Model) []Action {
+	if _, loaded := s.snap.Loaded[name]; loaded || s.tier(name) != engine.TierRemote {
+		return nil
+	}
+	var out []Action
+	s.requests = slices.DeleteFunc(s.requests, func(p *pending) bool {
+		if p.isGranted() || p.Model != name {
+			return false
+		}
+		out = append(out, &Refuse{ID: p.ID, RetryAfter: s.spec.Model(name).RemoteLoad, Reason: ReasonNoPermit})
+		return true
+	})
+	return out
+}
+
 // PermitRequestOpen reports whether a PermitRequest is undecided or its permit is
 // held.
 func (s *Scheduler) PermitRequestOpen(id uint64) bool { return s.permit != nil && s.permit.ID == id }
--- a/residency/scheduler_test.go
+++ b/residency/scheduler_test.go
@@ -185,7 +185,7 @@
 	if len(h.orders) > 0 || last.Model != "c" {
 		t.Fatalf("orders %v, permit requests %v", h.orders, h.permitRequests)
 	}
-	h.apply(h.scheduler.PermitDecided(h.now, last.ID, "c", true))
+	h.apply(h.scheduler.PermitDecided(h.now, last.ID, "c", PermitGranted))
 	h.advance(200 * time.Millisecond)
 	if !slices.Contains(h.granted, 1) {
 		t.Error("not granted after the load")
@@ -439,7 +439,7 @@
 	if len(h.permitRequests) == 0 || h.permitRequests[len(h.permitRequests)-1].Model != "c" {
 		t.Fatalf("permit requests %+v", h.permitRequests)
 	}
-	h.apply(h.scheduler.PermitDecided(h.now, h.permitRequests[len(h.permitRequests)-1].ID, "c", true))
+	h.apply(h.scheduler.PermitDecided(h.now, h.permitRequests[len(h.permitRequests)-1].ID, "c", PermitGranted))
 	h.advance(300 * time.Millisecond)
 	if _, ok := h.snap.Loaded["c"]; !ok {
 		t.Errorf("loaded %v", h.snap.Loaded)
@@ -460,7 +460,7 @@
 	}
 	h.reserve(Request{ID: 3, Model: "d", MaxWait: 5 * time.Second})
 	h.reserve(Request{ID: 4, Model: "c", MaxWait: 20 * time.Second})
-	h.apply(h.scheduler.PermitDecided(h.now, h.permitRequests[len(h.permitRequests)-1].ID, "c", true))
+	h.apply(h.scheduler.PermitDecided(h.now, h.permitRequests[len(h.permitRequests)-1].ID, "c", PermitGranted))
 	h.advance(time.Second)
 	i := slices.IndexFunc(h.orders, func(s *Submit) bool { return s.Kind == engine.OrderLoad })
 	if i < 0 || h.orders[i].Model != "c" {
@@ -480,10 +480,10 @@
 	if len(h.permitRequests) != 2 || h.permitRequests[1].Model != "c" {
 		t.Fatalf("permit requests %+v", h.permitRequests)
 	}
-	if actions := h.scheduler.PermitDecided(h.now, h.permitRequests[0].ID, "d", true); len(actions) > 0 || h.scheduler.PermitRequestOpen(h.permitRequests[0].ID) {
+	if actions := h.scheduler.PermitDecided(h.now, h.permitRequests[0].ID, "d", PermitGranted); len(actions) > 0 || h.scheduler.PermitRequestOpen(h.permitRequests[0].ID) {
 		t.Error("the decision on the earlier request was used")
 	}
-	h.apply(h.scheduler.PermitDecided(h.now, h.permitRequests[1].ID, "c", true))
+	h.apply(h.scheduler.PermitDecided(h.now, h.permitRequests[1].ID, "c", PermitGranted))
 	h.advance(300 * time.Millisecond)
 	if !slices.Contains(h.granted, 1) {
 		t.Error("not granted")
@@ -516,7 +516,7 @@
 	h.reserve(Request{ID: 2, Model: "d", MaxWait: time.Millisecond})
 	h.reserve(Request{ID: 3, Model: "c", MaxWait: time.Minute})
 	last := h.permitRequests[len(h.permitRequests)-1]
-	h.apply(h.scheduler.PermitDecided(h.now, last.ID, "c", true))
+	h.apply(h.scheduler.PermitDecided(h.now, last.ID, "c", PermitGranted))
 	e := testEngine()
 	e.Models = e.Models[:2]
 	e.Index()
@@ -538,3 +538,26 @@
 		t.Error("no request for a remaining model is granted")
 	}
 }
+
+// A request waits at a VM that would have to load its model from the weight store, while
+// another VM has the weights: when the router denies the permit, the request goes there at
+// once instead of waiting until its time is up.
+func TestRequestIsRefusedWhenItsPermitIsDenied(t *testing.T) {
+	for _, decision := range []PermitDecision{PermitDenied, PermitUndecided} {
+		h := newHarness(t, "a")
+		h.reserve(Request{ID: 1, Model: "c", MaxWait: time.Minute})
+		h.reserve(Request{ID: 2, Model: "d", MaxWait: time.Minute})
+		last := h.permitRequests[len(h.permitRequests)-1]
+		if last.Model != "c" {
+			t.Fatalf("permit requested for %q", last.Model)
+		}
+		h.apply(h.scheduler.PermitDecided(h.now, last.ID, "", decision))
+		r := h.refused[1]
+		if refused := r != nil && r.Reason == ReasonNoPermit; refused != (decision == PermitDenied) {
+			t.Errorf("%s: request for the model: %+v", decision, r)
+		}
+		if h.refused[2] != nil {
+			t.Errorf("%s: request for another model: %+v", decision, h.refused[2])
+		}
+	}
+}
--- a/sidecar/remote_load.go
+++ b/sidecar/remote_load.go
@@ -48,7 +48,11 @@
 	m, err := stream.Recv()
 	permit, ok := m.(*wire.LoadPermit)
 	if err != nil || !ok {
-		s.reportPermit(r.ID, "", false)
+		decision := residency.PermitUndecided
+		if _, denied := m.(*wire.Refusal); err == nil && denied {
+			decision = residency.PermitDenied
+		}
+		s.reportPermit(r.ID, "", decision)
 		return
 	}
 	s.parallelLoads.Store(int64(permit.ParallelLoads))
@@ -57,7 +61,7 @@
 		model = permit.Model
 	}
 	s.o.Logger.WithFields(log.Fields{"model": model, "router": conn.Peer().VM, "ahead": r.Model == ""}).Info("load permit granted")
-	s.reportPermit(r.ID, model, true)
+	s.reportPermit(r.ID, model, residency.PermitGranted)
 	s.holdPermit(conn, r.ID)
 }
 
@@ -82,13 +86,17 @@
 	if wait.Sleep(s.ctx, noRouterDelay) != nil {
 		return
 	}
-	s.reportPermit(r.ID, r.Model, r.Model != "")
+	decision := residency.PermitUndecided
+	if r.Model != "" {
+		decision = residency.PermitGranted
+	}
+	s.reportPermit(r.ID, r.Model, decision)
 }
 
-func (s *Sidecar) reportPermit(id uint64, model ident.Model, granted bool) {
+func (s *Sidecar) reportPermit(id uint64, model ident.Model, d residency.PermitDecision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.perform(s.scheduler.PermitDecided(s.o.Now(), id, model, granted))
+	s.perform(s.scheduler.PermitDecided(s.o.Now(), id, model, d))
 }
 
 // holdPermit returns when the scheduler no longer needs its permit or the connection to
