--- a/ingress/final_response.go
+++ b/ingress/final_response.go
@@ -30,9 +30,13 @@
 	d.w.WriteHeader(status)
 }
 
-// extendWrite allows writeSlack from now on for writing a response that is ready: a
-// process that was paused would otherwise close the connection without it.
+// extendWrite allows writeSlack from now on, at least, for writing a response that is
+// ready: a process that was paused past the deadline would otherwise close the connection
+// without it.
 func (d *delivery) extendWrite() {
+	if d.deadline.IsZero() || d.s.o.Now().Before(d.deadline.Add(responseSlack)) {
+		return
+	}
 	_ = http.NewResponseController(d.w).SetWriteDeadline(d.s.o.Now().Add(writeSlack))
 }
 
