--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -230,13 +230,14 @@
 // reservedVM returns the VM at which a sidecar made a reservation, given the id that
 // the sidecar reported. It handles engines that restart while requests wait: for some
 // seconds the list has both the old id and the new one at the same address. It
-// returns nil if the list does not contain the new one yet. A started other than zero
-// must be that of the listed server: its software version is known only then.
+// returns nil if the list does not contain the new one yet. Where both the sidecar and the
+// list state when the server started, the times must be the same: the server's software
+// version is known only then. Zero means that it is not stated or not to be compared.
 func (c *clusterState) reservedVM(chosen *fleet.VM, id ident.VM, started int64) *fleet.VM {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if id == "" || id == chosen.ID {
-		if started != 0 && started != chosen.Started {
+		if started != 0 && chosen.Started != 0 && started != chosen.Started {
 			return nil
 		}
 		return chosen
--- a/ingress/cluster_state_test.go
+++ b/ingress/cluster_state_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+// A server that restarted under its id may have another software version than the list has.
+// A list without start times does not tell.
+func TestReservationAtServerWithUnlistedStart(t *testing.T) {
+	state := testClusterState(t)
+	for _, tc := range []struct {
+		listed, started int64
+		usable          bool
+	}{{5, 5, true}, {5, 0, true}, {0, 7, true}, {5, 7, false}} {
+		chosen := fleet.VM{ID: "a", Address: "10.0.0.1:80", Service: "models", Started: tc.listed}
+		if got := state.reservedVM(&chosen, "a", tc.started) != nil; got != tc.usable {
+			t.Errorf("listed start %d, start %d: usable %v", tc.listed, tc.started, got)
+		}
+	}
+}
+
 // An upstream fails after a quiet time: every router of a small and of a large
 // deployment may find all of its saved retries unused, and uses them within one window.
 func TestRoutersShareTheRetryBudget(t *testing.T) {
