--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -22,6 +22,8 @@
 	// budgetShare is the fraction of the retry budget that is used, so that
 	// differences in counting between routers never exceed the whole budget.
 	budgetShare = 0.7
+	// outagePolls is the number of polling intervals without a list that make an outage.
+	outagePolls = 1.25
 	// refillShare is the fraction of the fixed part of the budget that is refilled
 	// within its window while no requests succeed; the rest of it is saved.
 	refillShare = 0.2
@@ -39,7 +41,9 @@
 	retryWindow time.Duration
 }
 
-func newClusterState(s config.IngressSettings) (*clusterState, error) {
+// newClusterState returns the state of a router that reads the list of VMs every
+// pollInterval.
+func newClusterState(s config.IngressSettings, pollInterval time.Duration) (*clusterState, error) {
 	balancer, err := placement.New(placement.Options{
 		Region: s.Region, Zone: s.Zone, ReportTimeout: reportTimeout,
 		RegistrationInterval: time.Duration(s.RegistrationInterval),
@@ -49,7 +53,7 @@
 		return nil, fmt.Errorf("balancer: %w", err)
 	}
 	return &clusterState{
-		tracker:  fleet.NewTracker(fleet.Options{}),
+		tracker:  fleet.NewTracker(fleet.Options{OutageAfter: outageAfter(pollInterval)}),
 		balancer: balancer,
 		budgets:  make(map[ident.Upstream]*retry.Budget),
 		opts: retry.BudgetOptions{
@@ -60,6 +64,13 @@
 	}, nil
 }
 
+// outageAfter returns the time without a list from which registrations may have expired.
+// It must be longer than the normal time between two lists: while it is exceeded, VMs that
+// are missing from the list are kept.
+func outageAfter(pollInterval time.Duration) time.Duration {
+	return max(fleet.DefaultOutageAfter, fraction(outagePolls, pollInterval))
+}
+
 // applyVMs applies a list of the VMs.
 func (c *clusterState) applyVMs(begun, now time.Time, l fleet.Listing) ([]fleet.Change, error) {
 	c.mu.Lock()
--- a/ingress/cluster_state_test.go
+++ b/ingress/cluster_state_test.go
@@ -13,7 +13,7 @@
 // testClusterState returns the state of a router without VMs.
 func testClusterState(t *testing.T) *clusterState {
 	t.Helper()
-	state, err := newClusterState(config.IngressSettings{Region: "r", Zone: "z", SidecarPort: 7000, RetryShare: 0.2, RetrySlack: 50})
+	state, err := newClusterState(config.IngressSettings{Region: "r", Zone: "z", SidecarPort: 7000, RetryShare: 0.2, RetrySlack: 50}, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,6 +44,28 @@
 	}
 }
 
+// Deployments that allow changes more time have longer polling intervals. The normal time
+// between two lists is no outage, during which missing VMs would be kept and get requests.
+func TestRemovedVMIsDroppedAtAnyPollingInterval(t *testing.T) {
+	for _, interval := range []time.Duration{time.Second, 2 * time.Second, 2500 * time.Millisecond, 6 * time.Second} {
+		state, err := newClusterState(config.IngressSettings{Region: "r", Zone: "z", SidecarPort: 7000, RetryShare: 0.2}, interval)
+		if err != nil {
+			t.Fatal(err)
+		}
+		vm := fleet.VM{ID: "a", Address: "10.0.0.1:80", Service: "portal", Region: "r", Zone: "z", Concurrency: 8}
+		now := time.Unix(1000, 0)
+		for _, listed := range [][]fleet.VM{{vm}, {vm}, nil} {
+			now = now.Add(interval + 100*time.Millisecond)
+			if _, err := state.applyVMs(now, now, fleet.Listing{VMs: listed}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if state.usable(now, &vm) {
+			t.Errorf("polled every %v: a VM that is gone from the list is still used", interval)
+		}
+	}
+}
+
 // A server that restarted under its id may have another software version than the list has.
 // A list without start times does not tell.
 func TestReservationAtServerWithUnlistedStart(t *testing.T) {
@@ -69,7 +91,7 @@
 	}{{4, 52}, {30, 100}, {68, 176}} {
 		state, err := newClusterState(config.IngressSettings{
 			Region: "r", Zone: "z", SidecarPort: 7000, RetryShare: 0.2, RetrySlack: d.slack, RetryWindow: config.Duration(window),
-		})
+		}, time.Second)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/ingress/options.go
+++ b/ingress/options.go
@@ -18,7 +18,7 @@
 	// pollShare is the polling interval as a fraction of the time within which a change
 	// has to take effect. If a read fails, or hangs for nine tenths of a second where that
 	// time is at least two, the next one is still in time.
-	pollShare = 0.5
+	pollShare = 0.4
 	// freshShare is the fraction of that time for which a read of the configuration
 	// proves that a route which it lacks does not exist, rather than being unknown to
 	// this process.
--- a/ingress/options_test.go
+++ b/ingress/options_test.go
@@ -16,6 +16,9 @@
 		{3 * time.Second, 3 * time.Second}, {4 * time.Second, 4 * time.Second}, {2500 * time.Millisecond, 2 * time.Second}, {time.Second, 5 * time.Second},
 	} {
 		o := Options{Settings: config.IngressSettings{MaxConfigDelay: config.Duration(tc.config), MaxLeaveDelay: config.Duration(tc.leaving)}}.withDefaults()
+		if two := 2 * o.PollInterval; two >= tc.config || two >= tc.leaving {
+			t.Errorf("%+v: polled every %v", tc, o.PollInterval)
+		}
 		var p poller
 		_ = p.pause(o.PollInterval, nil)
 		failed := o.PollInterval + p.pause(o.PollInterval, errors.New("refused"))
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -77,7 +77,7 @@
 // New returns a Server, which is inactive until Run is called.
 func New(o Options) (*Server, error) {
 	o = o.withDefaults()
-	state, err := newClusterState(o.Settings)
+	state, err := newClusterState(o.Settings, o.PollInterval)
 	if err != nil {
 		return nil, err
 	}
