ingress: requests are logged with a digest that their repeats share

The digest covers method, target, caller, model, prompt parts and body; the body is hashed as it is read.

--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -40,7 +40,9 @@
 	route *serving.Route
 	info  serving.RequestInfo
 	body  []byte
-	start time.Time
+	// digest is that of the request and its repeats, once the body has been read.
+	digest ident.RequestDigest
+	start  time.Time
 	// deadline is when a response is no longer useful.
 	deadline time.Time
 
--- a/ingress/final_response.go
+++ b/ingress/final_response.go
@@ -87,6 +87,9 @@
 	if len(d.parts) > 0 {
 		f["prompt_parts"] = ident.JoinParts(d.parts)
 	}
+	if d.digest != 0 {
+		f["digest"] = d.digest.String()
+	}
 	if d.choice.VM != nil {
 		f["vm"], f["readiness"], f["report_ms"] = d.choice.VM.ID, d.choice.Readiness, ms(d.choice.ReportAge)
 		f["expected_ms"], f["waited_ms"] = ms(d.choice.Wait), ms(d.waited)
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -73,8 +73,10 @@
 	if limits.BodyBytes > 0 {
 		body = http.MaxBytesReader(d.w, d.r.Body, limits.BodyBytes)
 	}
+	hash := newRequestHash(d.r, &d.info)
 	var err error
-	d.body, err = io.ReadAll(body)
+	d.body, err = io.ReadAll(io.TeeReader(body, hash))
+	d.digest = hash.digest()
 	var large *http.MaxBytesError
 	switch {
 	case err == nil:
--- /dev/null
+++ b/ingress/request_digest.go
@@ -0,0 +1,44 @@
+package ingress
+
+import (
+	"encoding/binary"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/serving"
+)
+
+// callerHeaders are the headers by which a server knows its caller.
+var callerHeaders = []string{"Authorization", "Cookie", "X-Api-Key"}
+
+// requestHash computes the digest of a request. Its body is written to it as it is read.
+type requestHash struct{ *xxhash.Digest }
+
+// newRequestHash returns the hash of a request whose body has not been read yet: of its
+// method, target, caller and prompt. Headers that differ between the repeats of a request,
+// such as its id and the remaining time, are left out.
+func newRequestHash(r *http.Request, info *serving.RequestInfo) requestHash {
+	h := requestHash{xxhash.New()}
+	h.text(r.Method, r.Host, r.RequestURI, string(info.Model), string(info.Adapter))
+	for _, name := range callerHeaders {
+		h.text(r.Header.Values(name)...)
+		h.text("")
+	}
+	for _, p := range info.Prefix {
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(p.ID)))
+	}
+	h.text("")
+	return h
+}
+
+// text adds strings, each with an end mark. Writes to the digest never fail.
+func (h requestHash) text(all ...string) {
+	for _, s := range all {
+		_, _ = h.WriteString(s)
+		_, _ = h.Write([]byte{0})
+	}
+}
+
+func (h requestHash) digest() ident.RequestDigest { return ident.RequestDigest(h.Sum64()) }
