--- a/e2e/soak/repeated_request_test.go
+++ b/e2e/soak/repeated_request_test.go
@@ -65,7 +65,7 @@
 // are killed and paused, sidecars are cut off, and at last all sidecars forget what they
 // know. From four seconds after the third crash under one of the requests on, hardly any retry of it reaches a server.
 func TestRepeatsOfRequestThatCrashesServersAreHeldBack(t *testing.T) {
-	rt := newRepeatTest(t, platformtest.CrashFault{Matches: crashesServers, Downtime: 2 * time.Second})
+	rt := newRepeatTest(t, repeatedWorker, platformtest.CrashFault{Matches: crashesServers, Downtime: 2 * time.Second})
 	defer rt.close()
 	rt.startSound(12)
 	time.Sleep(3 * time.Second)
@@ -100,8 +100,8 @@
 	rt.checkSound(begun, settled)
 }
 
-func newRepeatTest(t *testing.T, f platformtest.CrashFault) *repeatTest {
-	in := newIncident(t, repeatedWorker, size{routers: 10, engines: 4, plainUpstreams: 3, direct: true})
+func newRepeatTest(t *testing.T, worker int, f platformtest.CrashFault) *repeatTest {
+	in := newIncident(t, worker, size{routers: 10, engines: 4, plainUpstreams: 3, direct: true})
 	f.Restarted = func(r *platformtest.Upstream) { r.Register(in.store, "ready") }
 	for _, u := range in.upstreams {
 		u.SetCrash(f)
--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -326,6 +326,13 @@
 	return c.balancer.Versions(now, service)
 }
 
+// staying reports whether a VM is listed and has not announced that it stops.
+func (c *clusterState) staying(vm *fleet.VM) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.balancer.Staying(vm)
+}
+
 // usable reports whether a VM chosen earlier still accepts new requests.
 func (c *clusterState) usable(now time.Time, vm *fleet.VM) bool {
 	c.mu.Lock()
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -40,9 +40,7 @@
 	route *serving.Route
 	info  serving.RequestInfo
 	body  []byte
-	// digest is that of the request and its repeats, once the body has been read.
-	digest ident.RequestDigest
-	start  time.Time
+	start time.Time
 	// deadline is when a response is no longer useful.
 	deadline time.Time
 
@@ -54,9 +52,9 @@
 	// retryNotBefore, if set, is when a retry of a refused request can be served at the
 	// earliest, also if that is beyond the caller's remaining time.
 	retryNotBefore time.Duration
-	// parts are the parts of the prompt that other requests may share. soundObserved is
-	// set once the current attempt has shown them to be sound.
-	parts         []ident.PromptPart
+	// traits are those of the request, the last one being its own. soundObserved is set
+	// once the current attempt has shown them to be sound.
+	traits        []ident.Trait
 	soundObserved bool
 	// bypass is set while the current attempt was sent past a silent sidecar and has no
 	// answer yet.
@@ -84,23 +82,21 @@
 		return
 	}
 	for {
-		if d.refusedForPrompt() {
+		if d.refusedByQuarantine() {
 			return
 		}
 		rsv, ok := d.reservation(ctx)
 		if !ok {
 			return
 		}
-		// A part may have been quarantined while the request waited.
-		if d.refusedForPrompt() {
+		// The request may have been quarantined while the request waited.
+		if d.refusedByQuarantine() {
 			rsv.release(result{kind: outcomeNotSent})
 			return
 		}
 		res := d.attempt(ctx, rsv == nil)
 		rsv.release(res)
-		if rsv == nil {
-			d.observeLostConnection(d.choice.VM, res)
-		}
+		d.observeLostConnection(res, rsv != nil)
 		if res.kind == outcomeDelivered {
 			d.log(stepNone, http.StatusOK, log.Fields{"outcome": outcomeDelivered, "first_ms": ms(res.timeToFirstEvent), "took_ms": ms(res.took), "gap_ms": ms(res.longestEventGap)})
 			d.s.metrics.countRequest(string(outcomeDelivered))
@@ -129,9 +125,6 @@
 		d.requirements.Model, d.requirements.Adapter = "", ""
 	}
 	d.stream.lastID = d.info.LastEventID
-	if d.requirements.Model != "" {
-		d.parts = sharedParts(d.info.Prefix)
-	}
 }
 
 // afterFailure takes the next step after a failed attempt and reports whether the
--- a/ingress/final_response.go
+++ b/ingress/final_response.go
@@ -84,11 +84,8 @@
 	if d.requirements.Model != "" {
 		f["model"], f["adapter"] = d.requirements.Model, d.requirements.Adapter
 	}
-	if len(d.parts) > 0 {
-		f["prompt_parts"] = ident.JoinParts(d.parts)
-	}
-	if d.digest != 0 {
-		f["digest"] = d.digest.String()
+	if parts, requests := ident.SplitTraits(d.traits); len(requests) > 0 {
+		f["prompt_parts"], f["digest"] = ident.JoinTraits(parts), ident.JoinTraits(requests)
 	}
 	if d.choice.VM != nil {
 		f["vm"], f["readiness"], f["report_ms"] = d.choice.VM.ID, d.choice.Readiness, ms(d.choice.ReportAge)
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -76,7 +76,7 @@
 	hash := newRequestHash(d.r, &d.info)
 	var err error
 	d.body, err = io.ReadAll(io.TeeReader(body, hash))
-	d.digest = hash.digest()
+	d.traits = requestTraits(d.info.Prefix, hash.trait())
 	var large *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -32,7 +32,7 @@
 	// quarantines counts the prompt parts that were quarantined, quarantineRefusals the
 	// requests refused for one, newsNotTold the failures to tell a sidecar what other
 	// routers have to know.
-	quarantines, quarantineRefusals, newsNotTold tally.Counter
+	quarantines, quarantineRefusals, newsNotTold, serversCrashed tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -47,7 +47,8 @@
 
 		storeRestores:  scope.Counter("store_restores"),
 		resumesRefused: scope.Counter("resumes_refused"), originsNotRecorded: scope.Counter("stream_origins_not_recorded"),
-		quarantines: scope.Counter("quarantined_prompt_parts"), quarantineRefusals: scope.Counter("quarantine_refusals"), newsNotTold: scope.Counter("news_not_told"),
+		quarantines: scope.Counter("quarantines"), quarantineRefusals: scope.Counter("quarantine_refusals"), newsNotTold: scope.Counter("news_not_told"),
+		serversCrashed: scope.Counter("servers_crashed"),
 	}
 }
 
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
+	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/quarantine"
 	"github.com/laureltally/laureltally/quarantine/holdstore"
@@ -22,6 +24,14 @@
 	detector *quarantine.Detector
 }
 
+// suspected reports whether a request may have crashed a server before.
+func (s *Server) suspected(traits []ident.Trait) bool {
+	_, requests := ident.SplitTraits(traits)
+	s.quarantine.mu.Lock()
+	defer s.quarantine.mu.Unlock()
+	return slices.ContainsFunc(requests, s.quarantine.detector.Suspected)
+}
+
 // holds returns the quarantines in force.
 func (s *Server) holds(now time.Time) []quarantine.Hold {
 	s.quarantine.mu.Lock()
@@ -54,14 +64,14 @@
 		s.logHold(now, h, "other process")
 	}
 	for _, h := range decided {
-		s.logHold(now, h, "crashes of engines")
-		s.tellHomes(h.Part.String(), quarantineHomes, quarantine.News{Holds: []quarantine.Hold{h}})
+		s.logHold(now, h, "crashes of servers")
+		s.tellHomes(h.Trait.String(), quarantineHomes, quarantine.News{Holds: []quarantine.Hold{h}})
 	}
 }
 
 func (s *Server) logHold(now time.Time, h quarantine.Hold, source string) {
 	s.metrics.quarantines.Inc(1)
-	s.o.Logger.WithFields(log.Fields{"prompt_part": h.Part.String(), "remaining_ms": ms(h.Until.Sub(now)), "source": source}).Warn("prompt part quarantined")
+	s.o.Logger.WithFields(log.Fields{"trait": h.Trait.String(), "request": h.Trait.OfRequest(), "remaining_ms": ms(h.Until.Sub(now)), "source": source}).Warn("requests quarantined")
 }
 
 // loadHolds reads the stored quarantines until it succeeds.
--- a/ingress/quarantined_error.go
+++ b/ingress/quarantined_error.go
@@ -7,13 +7,17 @@
 	"github.com/laureltally/laureltally/ident"
 )
 
-// QuarantinedError reports a request with a quarantined prompt part.
+// QuarantinedError reports a request with a quarantined trait.
 type QuarantinedError struct {
-	Part      ident.PromptPart
+	Trait     ident.Trait
 	Remaining time.Duration
 }
 
 // Error implements error.
 func (e *QuarantinedError) Error() string {
-	return fmt.Sprintf("prompt part %s has crashed engines: quarantined for %v", e.Part, e.Remaining.Round(time.Second))
+	kind := "prompt part"
+	if e.Trait.OfRequest() {
+		kind = "request"
+	}
+	return fmt.Sprintf("%s %s has crashed servers: quarantined for %v", kind, e.Trait, e.Remaining.Round(time.Second))
 }
--- a/ingress/request_digest.go
+++ b/ingress/request_hash.go
@@ -13,7 +13,7 @@
 // callerHeaders are the headers by which a server knows its caller.
 var callerHeaders = []string{"Authorization", "Cookie", "X-Api-Key"}
 
-// requestHash computes the digest of a request. Its body is written to it as it is read.
+// requestHash computes a hash that a request shares with its repeats. The body is written to it as it is read.
 type requestHash struct{ *xxhash.Digest }
 
 // newRequestHash returns the hash of a request whose body has not been read yet: of its
@@ -33,7 +33,7 @@
 	return h
 }
 
-// text adds strings, each with an end mark. Writes to the digest never fail.
+// text adds strings, each with an end mark. Writes to the hash never fail.
 func (h requestHash) text(all ...string) {
 	for _, s := range all {
 		_, _ = h.WriteString(s)
@@ -41,4 +41,5 @@
 	}
 }
 
-func (h requestHash) digest() ident.RequestDigest { return ident.RequestDigest(h.Sum64()) }
+// trait returns the trait of the request, once its body has been written.
+func (h requestHash) trait() ident.Trait { return ident.TraitOfRequest(h.Sum64()) }
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -114,7 +114,7 @@
 		MaxWait:      min(maxWait(now, d.start, d.deadline, d.route, c.Readiness), d.s.shutdownMaxWait(now)),
 		Objective:    d.start.Add(d.route.Objective).Sub(now),
 		MaxEventGap:  d.route.MaxEventGap,
-		PromptParts:  d.parts,
+		Traits:       d.traits,
 	})
 	d.s.metrics.reserve.RecordDuration(time.Since(begun))
 	var refused *RefusedError
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -66,7 +66,8 @@
 	// server that the list does not have.
 	listOutdated chan struct{}
 
-	quarantine quarantineState
+	quarantine  quarantineState
+	crashChecks crashChecks
 
 	originsMu sync.Mutex
 	// origins holds the software versions of streams that this process began.
@@ -92,7 +93,7 @@
 
 		listOutdated: make(chan struct{}, 1),
 	}
-	s.quarantine.detector = quarantine.NewDetector(s.epoch, quarantine.Options{})
+	s.quarantine.detector = quarantine.NewDetector(s.epoch, quarantine.Options{Stagger: quarantine.StaggerOf(o.Settings.VM)})
 	s.forceStop, s.cancelForceStop = context.WithCancel(context.Background())
 	handler := transport.HandlerFunc(newPermitServer(s).handle)
 	s.nearPool = transport.NewPool(s.transportOptions(handler))
--- a/ingress/sidecar_link.go
+++ b/ingress/sidecar_link.go
@@ -102,7 +102,7 @@
 		now := l.s.o.Now()
 		var r *wire.Report
 		switch m := m.(type) {
-		case *wire.PromptFindings:
+		case *wire.CrashFindings:
 			l.s.observeNews(now, quarantine.Decode(now, m))
 			continue
 		case *wire.ServerLimits:
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -315,6 +315,12 @@
 	return m != nil && m.vm.SameInstance(vm) && m.usable(now)
 }
 
+// Staying reports whether a VM is listed and has not announced that it stops.
+func (b *Balancer) Staying(vm *fleet.VM) bool {
+	m := b.members[vm.ID]
+	return m != nil && m.vm.SameInstance(vm) && !m.leaving()
+}
+
 // RequestStarted counts a request that is sent to a VM.
 func (b *Balancer) RequestStarted(now time.Time, vm ident.VM, p ident.Priority) {
 	m := b.members[vm]
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -8,28 +8,28 @@
 	"github.com/laureltally/laureltally/ident"
 )
 
-// maxCrashParts bounds the parts of one Crash.
-const maxCrashParts = 64
+// maxCrashTraits bounds the traits of one Crash.
+const maxCrashTraits = 128
 
-// Crash is the unplanned end of an engine while requests were running there.
+// Crash is the unplanned end of a server while requests were running there.
 type Crash struct {
-	Engine fleet.ServerStart
+	Server fleet.ServerStart
 	At     time.Time
-	// Parts lists the parts of the requests that may have caused it, the newest request
+	// Traits lists those of the requests that may have caused it, the newest request
 	// first.
-	Parts []ident.PromptPart
+	Traits []ident.Trait
 }
 
-// merge adds parts that c lacks, up to maxCrashParts, and reports whether there were any. The
+// Merge adds traits that c lacks, up to maxCrashTraits, and reports whether there were any. The
 // list is copied, as others may hold it.
-func (c *Crash) merge(parts []ident.PromptPart) bool {
-	merged := slices.Clone(c.Parts)
-	for _, p := range parts {
-		if len(merged) < maxCrashParts && !slices.Contains(merged, p) {
-			merged = append(merged, p)
+func (c *Crash) Merge(traits []ident.Trait) bool {
+	merged := slices.Clone(c.Traits)
+	for _, t := range traits {
+		if len(merged) < maxCrashTraits && !slices.Contains(merged, t) {
+			merged = append(merged, t)
 		}
 	}
-	added := len(merged) > len(c.Parts)
-	c.Parts = merged
+	added := len(merged) > len(c.Traits)
+	c.Traits = merged
 	return added
 }
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -10,11 +10,11 @@
 const (
 	// maxCrashes bounds the crashes that a Detector remembers.
 	maxCrashes = 256
-	// maxHolds bounds the quarantined parts.
+	// maxHolds bounds the quarantined traits.
 	maxHolds = 256
 )
 
-// Detector decides at one router which parts are quarantined.
+// Detector decides at one router which traits are quarantined.
 type Detector struct {
 	opts Options
 	// since is when the Detector began to see answers. What was sound before is unknown,
@@ -22,29 +22,31 @@
 	since time.Time
 	// crashes is in order of time.
 	crashes []Crash
-	sound   soundRecords
-	// holds includes parts on probation.
-	holds map[ident.PromptPart]Hold
+	// soundParts and soundRequests hold the traits that were answered soundly. Requests
+	// are many more, and would drive out the parts.
+	soundParts, soundRequests soundRecords
+	// holds includes traits on probation.
+	holds map[ident.Trait]Hold
 }
 
 // NewDetector returns a Detector that has seen nothing before now.
 func NewDetector(now time.Time, o Options) *Detector {
-	return &Detector{opts: o.withDefaults(), since: now, holds: make(map[ident.PromptPart]Hold)}
+	return &Detector{opts: o.withDefaults(), since: now, holds: make(map[ident.Trait]Hold)}
 }
 
-// ObserveCrash takes a crash and returns the parts that are quarantined because of it. A
-// crash that is known adds only the parts that it did not have.
+// ObserveCrash takes a crash and returns the quarantines that follow from it. A crash that
+// is known adds only the traits that it did not have.
 func (d *Detector) ObserveCrash(now time.Time, c Crash) []Hold {
 	d.forget(now)
-	if c.At.Before(d.since) || now.Sub(c.At) > d.opts.Memory || len(c.Parts) == 0 {
+	if c.At.Before(d.since) || now.Sub(c.At) > d.opts.Memory || len(c.Traits) == 0 {
 		return nil
 	}
-	i := slices.IndexFunc(d.crashes, func(k Crash) bool { return k.Engine == c.Engine })
+	i := slices.IndexFunc(d.crashes, func(k Crash) bool { return k.Server == c.Server })
 	if i < 0 {
 		d.insert(c)
 		return d.evaluate(now)
 	}
-	if !d.crashes[i].merge(c.Parts) {
+	if !d.crashes[i].Merge(c.Traits) {
 		return nil
 	}
 	return d.evaluate(now)
@@ -58,40 +60,57 @@
 	d.crashes = slices.Insert(d.crashes, i, c)
 }
 
-// ObserveSound takes the proof that a part is sound. Earlier crashes do not speak against it
-// any more, and a quarantine that began before the answer did ends.
+// ObserveSound takes the proof that a trait is sound. Earlier crashes do not speak against
+// it any more, and a quarantine that began before the answer did ends.
 func (d *Detector) ObserveSound(s Sound) {
-	d.sound.put(s)
+	d.sound(s.Trait).put(s)
 	for i := range d.crashes {
-		if c := &d.crashes[i]; c.At.Before(s.BegunAt) && slices.Contains(c.Parts, s.Part) {
-			c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(p ident.PromptPart) bool { return p == s.Part })
+		if c := &d.crashes[i]; c.At.Before(s.BegunAt) && slices.Contains(c.Traits, s.Trait) {
+			c.Traits = slices.DeleteFunc(slices.Clone(c.Traits), func(t ident.Trait) bool { return t == s.Trait })
 		}
 	}
-	if h, ok := d.holds[s.Part]; ok && s.BegunAt.After(h.At) {
-		delete(d.holds, s.Part)
+	if h, ok := d.holds[s.Trait]; ok && s.BegunAt.After(h.At) {
+		delete(d.holds, s.Trait)
 	}
 }
 
+// sound returns the records that a trait belongs to.
+func (d *Detector) sound(t ident.Trait) *soundRecords {
+	if t.OfRequest() {
+		return &d.soundRequests
+	}
+	return &d.soundParts
+}
+
+// soundAt returns when the newest sound answer to a trait began, or the zero time.
+func (d *Detector) soundAt(t ident.Trait) time.Time { return d.sound(t).get(t) }
+
 // ObserveHold takes a quarantine that another process has decided, and reports whether it
 // is new.
 func (d *Detector) ObserveHold(now time.Time, h Hold) bool {
-	known, ok := d.holds[h.Part]
-	if ok && !h.Until.After(known.Until) || d.sound.get(h.Part).After(h.At) || now.After(h.Until) {
+	known, ok := d.holds[h.Trait]
+	soundAt := d.soundAt(h.Trait)
+	if ok && !h.Until.After(known.Until) || soundAt.After(h.At) || now.After(h.Until) {
+		return false
+	}
+	// The router that decided it may not know that the request is sound.
+	if h.Trait.OfRequest() && h.Tentative() && !soundAt.IsZero() {
 		return false
 	}
 	d.hold(now, h)
 	return !ok || now.After(known.Until)
 }
 
-// Held returns the quarantine of one of the parts of a prompt, and false if none is
-// quarantined.
-func (d *Detector) Held(now time.Time, parts []ident.PromptPart) (Hold, bool) {
-	for _, p := range parts {
-		if h, ok := d.holds[p]; ok && now.Before(h.Until) {
-			return h, true
+// Held returns the quarantine of one of the traits of a request and the time until this
+// router lets the request through, which is zero if none is quarantined.
+func (d *Detector) Held(now time.Time, traits []ident.Trait) (Hold, time.Duration) {
+	for _, t := range traits {
+		h, ok := d.holds[t]
+		if remaining := h.Until.Add(d.opts.Stagger).Sub(now); ok && remaining > 0 {
+			return h, remaining
 		}
 	}
-	return Hold{}, false
+	return Hold{}, 0
 }
 
 // Holds returns the quarantines in force.
@@ -107,13 +126,13 @@
 }
 
 // ObserveAnswer takes a sound answer that this router has relayed, and returns what other
-// routers have to know of it: that parts which they may suspect are sound.
-func (d *Detector) ObserveAnswer(now time.Time, parts []ident.PromptPart, begunAt time.Time) []Sound {
+// routers have to know of it: that traits which they may suspect are sound.
+func (d *Detector) ObserveAnswer(now time.Time, traits []ident.Trait, begunAt time.Time) []Sound {
 	d.forget(now)
 	var out []Sound
-	for _, p := range parts {
-		s := Sound{Part: p, BegunAt: begunAt}
-		if d.suspected(now, s) {
+	for _, t := range traits {
+		s := Sound{Trait: t, BegunAt: begunAt}
+		if d.contradicts(now, s) {
 			out = append(out, s)
 		}
 		d.ObserveSound(s)
@@ -121,27 +140,46 @@
 	return out
 }
 
-// suspected reports whether a sound answer contradicts something that speaks against its
-// part.
-func (d *Detector) suspected(now time.Time, s Sound) bool {
-	if h, ok := d.holds[s.Part]; ok && s.BegunAt.After(h.At) {
+// contradicts reports whether a sound answer contradicts something that speaks against its
+// trait.
+func (d *Detector) contradicts(now time.Time, s Sound) bool {
+	if h, ok := d.holds[s.Trait]; ok && s.BegunAt.After(h.At) {
 		return true
 	}
 	return slices.ContainsFunc(d.crashes, func(c Crash) bool {
-		return c.At.After(d.sound.get(s.Part)) && c.At.Before(s.BegunAt) && slices.Contains(c.Parts, s.Part) && !d.explained(now, &c)
+		return c.At.Before(s.BegunAt) && d.speaksAgainst(&c, s.Trait) && !d.explained(now, &c)
 	})
 }
 
-// evaluate quarantines the parts that explain enough crashes. A crash that a quarantined
-// part explains says nothing about the other parts that were there.
+// Suspected reports whether a request has crashed a server, as far as is known, and was not
+// answered soundly after that.
+func (d *Detector) Suspected(request ident.Trait) bool {
+	if _, ok := d.holds[request]; ok {
+		return true
+	}
+	return slices.ContainsFunc(d.crashes, func(c Crash) bool { return d.speaksAgainst(&c, request) })
+}
+
+// speaksAgainst reports whether a trait was there at a crash and was not answered soundly
+// after it.
+func (d *Detector) speaksAgainst(c *Crash, t ident.Trait) bool {
+	return slices.Contains(c.Traits, t) && c.At.After(d.soundAt(t))
+}
+
+// evaluate quarantines the traits that explain enough crashes. Requests come first: all
+// parts of the prompt of one that comes again go along with it, while a part that crashes
+// servers does so under different requests.
 func (d *Detector) evaluate(now time.Time) []Hold {
-	var out []Hold
+	out := d.crashingRequests(now)
+	for _, h := range out {
+		d.hold(now, h)
+	}
 	for {
-		p, ok := d.mostSuspect(now)
-		if !ok {
+		s := d.mostSuspectPart(now)
+		if s == nil {
 			return out
 		}
-		h := Hold{Part: p, At: now, Until: now.Add(d.opts.HoldTime)}
+		h := Hold{Trait: s.part, At: s.newestAt, Until: now.Add(d.opts.HoldTime)}
 		d.hold(now, h)
 		out = append(out, h)
 	}
@@ -150,107 +188,36 @@
 // hold sets a quarantine. If there are too many, the one that ends first is dropped.
 func (d *Detector) hold(now time.Time, h Hold) {
 	d.forget(now)
-	if _, ok := d.holds[h.Part]; !ok && len(d.holds) >= maxHolds {
+	if _, ok := d.holds[h.Trait]; !ok && len(d.holds) >= maxHolds {
 		var first Hold
 		for _, other := range d.holds {
 			if first.Until.IsZero() || other.Until.Before(first.Until) {
 				first = other
 			}
 		}
-		delete(d.holds, first.Part)
-	}
-	d.holds[h.Part] = h
-}
-
-// suspicion is how much speaks against a part.
-type suspicion struct {
-	part ident.PromptPart
-	// explained counts the crashes that it could explain, of those close together one;
-	// explainedAll counts them all, and seen all crashes at which it was there.
-	explained, explainedAll, seen int
-	lastAt                        time.Time
-	// position is its place in the newest crash.
-	position int
-}
-
-// worse reports whether more speaks against s. Of parts that explain as many crashes, the
-// rarer one is meant, which has fewer sound requests: parts later in a prompt go along
-// with earlier ones.
-func (s suspicion) worse(other suspicion) bool {
-	switch {
-	case s.explained != other.explained:
-		return s.explained > other.explained
-	case s.explainedAll != other.explainedAll:
-		return s.explainedAll > other.explainedAll
-	case s.seen != other.seen:
-		return s.seen < other.seen
+		delete(d.holds, first.Trait)
 	}
-	return s.position > other.position
-}
-
-// ties reports whether s explains as many crashes as another part does.
-func (s suspicion) ties(other suspicion) bool {
-	return s.explained == other.explained && s.explainedAll == other.explainedAll
+	d.holds[h.Trait] = h
 }
 
-// mostSuspect returns the part that explains most of the unexplained crashes, and false if
-// there is none that explains enough.
-func (d *Detector) mostSuspect(now time.Time) (ident.PromptPart, bool) {
-	all := make(map[ident.PromptPart]*suspicion)
-	for _, c := range d.crashes {
-		explained := d.explained(now, &c)
-		for i, p := range c.Parts {
-			s := all[p]
-			if s == nil {
-				s = &suspicion{part: p}
-				all[p] = s
-			}
-			s.seen++
-			s.position = i
-			if explained || !c.At.After(d.sound.get(p)) {
-				continue
-			}
-			s.explainedAll++
-			if c.At.Sub(s.lastAt) >= d.opts.Spacing {
-				s.explained++
-				s.lastAt = c.At
-			}
-		}
-	}
-	var worst *suspicion
-	tied := false
-	for _, s := range all {
-		if s.explained < d.needed(s.part) {
-			continue
-		}
-		if worst == nil || s.worse(*worst) {
-			tied = worst != nil && s.ties(*worst)
-			worst = s
-		} else {
-			tied = tied || s.ties(*worst)
-		}
-	}
-	// Another part may have been there by chance; further crashes will tell.
-	if worst == nil || tied && worst.explained < d.opts.MinCrashesOfSound {
-		return 0, false
-	}
-	return worst.part, true
+// explained reports whether a quarantined trait was there at a crash.
+func (d *Detector) explained(now time.Time, c *Crash) bool {
+	return slices.ContainsFunc(c.Traits, func(t ident.Trait) bool { return d.explains(now, c, t) })
 }
 
-// explained reports whether a quarantined part was there at a crash.
-func (d *Detector) explained(now time.Time, c *Crash) bool {
-	return slices.ContainsFunc(c.Parts, func(p ident.PromptPart) bool {
-		h, ok := d.holds[p]
-		return ok && (now.Before(h.Until) || c.At.Before(h.Until))
-	})
+// explains reports whether a trait that was there at a crash has been quarantined for it or
+// before it.
+func (d *Detector) explains(now time.Time, c *Crash, t ident.Trait) bool {
+	h, ok := d.holds[t]
+	return ok && (now.Before(h.Until) || c.At.Before(h.Until))
 }
 
-// needed returns how many crashes quarantine a part.
-func (d *Detector) needed(p ident.PromptPart) int {
-	if _, probation := d.holds[p]; probation {
+// needed returns how many crashes quarantine a trait.
+func (d *Detector) needed(t ident.Trait) int {
+	if _, probation := d.holds[t]; probation {
 		return 1
 	}
-	if !d.sound.get(p).IsZero() {
+	if !d.soundAt(t).IsZero() {
 		return d.opts.MinCrashesOfSound
 	}
 	return d.opts.MinCrashes
@@ -258,9 +225,9 @@
 
 // forget drops what is too old to count.
 func (d *Detector) forget(now time.Time) {
-	for p, h := range d.holds {
+	for t, h := range d.holds {
 		if now.Sub(h.Until) > d.opts.HoldTime {
-			delete(d.holds, p)
+			delete(d.holds, t)
 		}
 	}
 	d.crashes = slices.DeleteFunc(d.crashes, func(c Crash) bool { return now.Sub(c.At) > d.opts.Memory })
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -8,22 +8,22 @@
 	"github.com/laureltally/laureltally/ident"
 )
 
-func crash(ms int, engine string, p ...ident.PromptPart) Crash {
-	return Crash{Engine: fleet.ServerStart{Address: engine, Started: 1}, At: at(ms), Parts: p}
+func crash(ms int, engine string, p ...ident.Trait) Crash {
+	return Crash{Server: fleet.ServerStart{Address: engine, Started: 1}, At: at(ms), Traits: p}
 }
 
 // observe passes crashes to a detector and returns the parts that it quarantines.
-func observe(d *Detector, all ...Crash) []ident.PromptPart {
-	var held []ident.PromptPart
+func observe(d *Detector, all ...Crash) []ident.Trait {
+	var held []ident.Trait
 	for _, c := range all {
 		for _, h := range d.ObserveCrash(c.At.Add(settleTime), c) {
-			held = append(held, h.Part)
+			held = append(held, h.Trait)
 		}
 	}
 	return held
 }
 
-func expectHeld(t *testing.T, got []ident.PromptPart, want ...ident.PromptPart) {
+func expectHeld(t *testing.T, got []ident.Trait, want ...ident.Trait) {
 	t.Helper()
 	if len(got) != len(want) {
 		t.Fatalf("quarantined %v, want %v", got, want)
@@ -40,11 +40,11 @@
 	d := NewDetector(at(0), Options{})
 	expectHeld(t, observe(d,
 		crash(1000, "a", 1, 9), crash(2000, "b", 1, 5, 9, 2), crash(3000, "c", 2, 9)), 9)
-	h, held := d.Held(at(4000), parts(2, 9))
-	if !held || h.Part != 9 || h.Until.Sub(at(4000)) < DefaultHoldTime/2 {
-		t.Errorf("held %v %+v", held, h)
+	h, remaining := d.Held(at(4000), parts(2, 9))
+	if h.Trait != 9 || remaining < DefaultHoldTime/2 || remaining != h.Until.Sub(at(4000)) {
+		t.Errorf("held for %v %+v", remaining, h)
 	}
-	if _, held := d.Held(at(4000), parts(1, 5)); held {
+	if _, remaining := d.Held(at(4000), parts(1, 5)); remaining > 0 {
 		t.Error("a sound part is held")
 	}
 	// Further crashes that it explains say nothing about other parts.
@@ -67,7 +67,7 @@
 func TestSoundPartIsNotQuarantined(t *testing.T) {
 	d := NewDetector(at(0), Options{})
 	observe(d, crash(1000, "a", 1), crash(2000, "b", 1))
-	d.ObserveSound(Sound{Part: 1, BegunAt: at(2500)})
+	d.ObserveSound(Sound{Trait: 1, BegunAt: at(2500)})
 	expectHeld(t, observe(d, crash(3000, "c", 1), crash(4000, "d", 1), crash(5000, "e", 1), crash(6000, "f", 1)))
 	expectHeld(t, observe(d, crash(7000, "g", 1)), 1)
 }
@@ -76,10 +76,10 @@
 func TestAnswerFromBeforeTheCrashesProvesNothing(t *testing.T) {
 	d := NewDetector(at(0), Options{})
 	observe(d, crash(1000, "a", 1), crash(2000, "b", 1))
-	d.ObserveSound(Sound{Part: 1, BegunAt: at(500)})
+	d.ObserveSound(Sound{Trait: 1, BegunAt: at(500)})
 	expectHeld(t, observe(d, crash(3000, "c", 1), crash(4000, "d", 1), crash(5000, "e", 1)), 1)
-	d.ObserveSound(Sound{Part: 1, BegunAt: at(2900)})
-	if _, held := d.Held(at(6000), parts(1)); !held {
+	d.ObserveSound(Sound{Trait: 1, BegunAt: at(2900)})
+	if _, remaining := d.Held(at(6000), parts(1)); remaining == 0 {
 		t.Error("an answer from before the quarantine ended it")
 	}
 }
@@ -88,14 +88,14 @@
 func TestSoundAnswerEndsQuarantine(t *testing.T) {
 	d := NewDetector(at(0), Options{})
 	observe(d, crash(1000, "a", 1), crash(2000, "b", 1), crash(3000, "c", 1))
-	d.ObserveSound(Sound{Part: 1, BegunAt: at(3500)})
-	if _, held := d.Held(at(4000), parts(1)); held {
+	d.ObserveSound(Sound{Trait: 1, BegunAt: at(3500)})
+	if _, remaining := d.Held(at(4000), parts(1)); remaining > 0 {
 		t.Error("still held")
 	}
-	if d.ObserveHold(at(4000), Hold{Part: 1, At: at(3250), Until: at(100000)}) {
+	if d.ObserveHold(at(4000), Hold{Trait: 1, At: at(3250), Until: at(100000)}) {
 		t.Error("an older quarantine of another router is taken over")
 	}
-	if !d.ObserveHold(at(5000), Hold{Part: 1, At: at(4900), Until: at(100000)}) {
+	if !d.ObserveHold(at(5000), Hold{Trait: 1, At: at(4900), Until: at(100000)}) {
 		t.Error("a newer quarantine is not taken over")
 	}
 }
@@ -122,11 +122,11 @@
 func TestQuarantineEndsAndOneCrashRenewsIt(t *testing.T) {
 	d := NewDetector(at(0), Options{HoldTime: time.Minute})
 	observe(d, crash(1000, "a", 1), crash(2000, "b", 1), crash(3000, "c", 1))
-	if _, held := d.Held(at(64000), parts(1)); held {
+	if _, remaining := d.Held(at(64000), parts(1)); remaining > 0 {
 		t.Fatal("held after its time")
 	}
 	expectHeld(t, observe(d, crash(65000, "d", 2, 1)), 1)
-	if _, held := d.Held(at(66000), parts(1)); !held {
+	if _, remaining := d.Held(at(66000), parts(1)); remaining == 0 {
 		t.Error("not held again")
 	}
 	if len(d.Holds(at(66000))) != 1 || len(d.Holds(at(500000))) != 0 || len(d.holds) != 0 {
@@ -137,13 +137,13 @@
 func TestDetectorIsBounded(t *testing.T) {
 	d := NewDetector(at(0), Options{})
 	for i := range 3000 {
-		p := ident.PromptPart(i)
+		p := ident.Trait(i)
 		observe(d, crash(1000+i*20, string(rune(i)), p, p+1, p+2))
-		d.ObserveSound(Sound{Part: p, BegunAt: at(i)})
-		d.ObserveHold(at(1000+i*20), Hold{Part: p, At: at(1000 + i*20), Until: at(1e6 + i)})
+		d.ObserveSound(Sound{Trait: p, BegunAt: at(i)})
+		d.ObserveHold(at(1000+i*20), Hold{Trait: p, At: at(1000 + i*20), Until: at(1e6 + i)})
 	}
-	if len(d.crashes) > maxCrashes || len(d.holds) > maxHolds || len(d.sound.recent)+len(d.sound.previous) > 2*maxSoundRecords {
-		t.Errorf("%d crashes, %d holds, %d sound", len(d.crashes), len(d.holds), len(d.sound.recent))
+	if len(d.crashes) > maxCrashes || len(d.holds) > maxHolds || len(d.soundParts.recent)+len(d.soundParts.previous) > 2*maxSoundRecords {
+		t.Errorf("%d crashes, %d holds, %d sound", len(d.crashes), len(d.holds), len(d.soundParts.recent))
 	}
 	d.forget(at(1e7))
 	if len(d.crashes)+len(d.holds) != 0 {
@@ -162,6 +162,6 @@
 			break
 		}
 		expectHeld(t, held)
-		d.ObserveSound(Sound{Part: 1, BegunAt: at(i*4*minute + 1000)})
+		d.ObserveSound(Sound{Trait: 1, BegunAt: at(i*4*minute + 1000)})
 	}
 }
--- a/quarantine/findings.go
+++ b/quarantine/findings.go
@@ -8,10 +8,10 @@
 const (
 	// maxFindings bounds each kind of finding.
 	maxFindings = 256
-	// newsTTL is how long crashes and sound parts are passed on, to routers that connect
+	// newsTTL is how long crashes and sound traits are passed on, to routers that connect
 	// again too.
 	newsTTL = time.Minute
-	// soundInterval is the minimum time between two proofs of the same part that are
+	// soundInterval is the minimum time between two proofs of the same trait that are
 	// passed on.
 	soundInterval = time.Second
 )
@@ -34,13 +34,13 @@
 // Seq returns the number of the newest finding.
 func (f *Findings) Seq() uint64 { return f.seq }
 
-// AddCrash adds a crash. One that is known is added again only with further parts.
+// AddCrash adds a crash. One that is known is added again only with further traits.
 func (f *Findings) AddCrash(now time.Time, c Crash) bool {
 	f.forget(now)
-	i := slices.IndexFunc(f.crashes, func(k numbered[Crash]) bool { return k.value.Engine == c.Engine })
+	i := slices.IndexFunc(f.crashes, func(k numbered[Crash]) bool { return k.value.Server == c.Server })
 	if i >= 0 {
 		known := f.crashes[i].value
-		if !known.merge(c.Parts) {
+		if !known.Merge(c.Traits) {
 			return false
 		}
 		c = known
@@ -50,11 +50,11 @@
 	return true
 }
 
-// AddSound adds the proof that a part is sound, and drops its quarantine if that began
+// AddSound adds the proof that a trait is sound, and drops its quarantine if that began
 // before.
 func (f *Findings) AddSound(now time.Time, s Sound) bool {
 	f.forget(now)
-	i := slices.IndexFunc(f.sound, func(k numbered[Sound]) bool { return k.value.Part == s.Part })
+	i := slices.IndexFunc(f.sound, func(k numbered[Sound]) bool { return k.value.Trait == s.Trait })
 	if i >= 0 {
 		if s.BegunAt.Sub(f.sound[i].value.BegunAt) < soundInterval {
 			return false
@@ -62,7 +62,7 @@
 		f.sound = slices.Delete(f.sound, i, i+1)
 	}
 	f.sound = add(f, f.sound, s)
-	f.holds = slices.DeleteFunc(f.holds, func(k numbered[Hold]) bool { return k.value.Part == s.Part && s.BegunAt.After(k.value.At) })
+	f.holds = slices.DeleteFunc(f.holds, func(k numbered[Hold]) bool { return k.value.Trait == s.Trait && s.BegunAt.After(k.value.At) })
 	return true
 }
 
@@ -70,12 +70,12 @@
 // one.
 func (f *Findings) AddHold(now time.Time, h Hold) bool {
 	f.forget(now)
-	if slices.ContainsFunc(f.sound, func(k numbered[Sound]) bool { return k.value.Part == h.Part && k.value.BegunAt.After(h.At) }) {
+	if slices.ContainsFunc(f.sound, func(k numbered[Sound]) bool { return k.value.Trait == h.Trait && k.value.BegunAt.After(h.At) }) {
 		return false
 	}
-	i := slices.IndexFunc(f.holds, func(k numbered[Hold]) bool { return k.value.Part == h.Part })
+	i := slices.IndexFunc(f.holds, func(k numbered[Hold]) bool { return k.value.Trait == h.Trait })
 	if i >= 0 {
-		if h.Until.Sub(f.holds[i].value.Until) < DefaultHoldTime/2 {
+		if !h.Outlasts(f.holds[i].value) {
 			return false
 		}
 		f.holds = slices.Delete(f.holds, i, i+1)
--- a/quarantine/hold.go
+++ b/quarantine/hold.go
@@ -6,9 +6,19 @@
 	"github.com/laureltally/laureltally/ident"
 )
 
-// Hold is the quarantine of one part: requests with it are refused until it ends.
+// Hold is the quarantine of one trait: requests with it are refused until it ends.
 type Hold struct {
-	Part ident.PromptPart
-	// At is when the part was quarantined.
+	Trait ident.Trait
+	// At is the time of the newest crash that speaks against the trait.
 	At, Until time.Time
 }
+
+// Length returns how long the quarantine lasts.
+func (h Hold) Length() time.Duration { return h.Until.Sub(h.At) }
+
+// Tentative reports whether the quarantine rests on weaker evidence and ends soon.
+func (h Hold) Tentative() bool { return h.Length() < DefaultHoldTime/2 }
+
+// Outlasts reports whether the quarantine lasts so much longer than a known one of the same
+// trait that it is worth passing on.
+func (h Hold) Outlasts(known Hold) bool { return h.Until.Sub(known.Until) >= h.Length()/2 }
--- a/quarantine/holdstore/holdstore.go
+++ b/quarantine/holdstore/holdstore.go
@@ -1,4 +1,4 @@
-// Package holdstore keeps quarantines of prompt parts in the metadata store, for processes
+// Package holdstore keeps quarantines in the metadata store, for processes
 // that start when no other remembers them.
 package holdstore
 
@@ -16,13 +16,9 @@
 	"github.com/laureltally/laureltally/quarantine"
 )
 
-// prefix begins the keys of quarantines; the id of the part follows in hexadecimal.
+// prefix begins the keys of quarantines; the trait follows in hexadecimal.
 const prefix = "quarantine/"
 
-// renewShare is the fraction of a quarantine's length by which it must outlast the stored
-// one to be written again.
-const renewShare = 0.5
-
 // record is a stored quarantine. Times are in Unix milliseconds.
 type record struct {
 	AtMS    int64 `json:"at_ms"`
@@ -32,7 +28,7 @@
 // Save writes a quarantine, unless the store has about the same. A conflict with another
 // writer is no error: it writes the same quarantine.
 func Save(ctx context.Context, s metastore.Store, h quarantine.Hold) error {
-	key := prefix + h.Part.String()
+	key := prefix + h.Trait.String()
 	value, err := json.Marshal(record{AtMS: h.At.UnixMilli(), UntilMS: h.Until.UnixMilli()})
 	if err != nil {
 		return fmt.Errorf("encode quarantine: %w", err)
@@ -43,7 +39,7 @@
 	switch {
 	case err == nil:
 		known, err := decode(current)
-		if err == nil && h.Until.Sub(known.Until) < time.Duration(renewShare*float64(h.Until.Sub(h.At))) {
+		if err == nil && !h.Outlasts(known) {
 			return nil
 		}
 		version = current.Version
@@ -90,5 +86,5 @@
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		return quarantine.Hold{}, fmt.Errorf("decode quarantine %q: %w", o.Key, err)
 	}
-	return quarantine.Hold{Part: ident.PromptPart(id), At: time.UnixMilli(r.AtMS), Until: time.UnixMilli(r.UntilMS)}, nil
+	return quarantine.Hold{Trait: ident.Trait(id), At: time.UnixMilli(r.AtMS), Until: time.UnixMilli(r.UntilMS)}, nil
 }
--- a/quarantine/holdstore/holdstore_test.go
+++ b/quarantine/holdstore/holdstore_test.go
@@ -10,7 +10,7 @@
 
 func TestQuarantinesOutliveProcesses(t *testing.T) {
 	ctx, s, now := t.Context(), memstore.New(memstore.Options{}), time.Unix(1000, 0)
-	h := quarantine.Hold{Part: 0xbad0, At: now, Until: now.Add(quarantine.DefaultHoldTime)}
+	h := quarantine.Hold{Trait: 0xbad0, At: now, Until: now.Add(quarantine.DefaultHoldTime)}
 	for range 2 {
 		if err := Save(ctx, s, h); err != nil {
 			t.Fatal(err)
@@ -22,11 +22,11 @@
 		}
 	}
 	holds, skipped, err := Load(ctx, s, now.Add(time.Minute))
-	if err != nil || len(holds) != 1 || holds[0].Part != h.Part || !holds[0].Until.Equal(h.Until) || len(skipped) != 2 {
+	if err != nil || len(holds) != 1 || holds[0].Trait != h.Trait || !holds[0].Until.Equal(h.Until) || len(skipped) != 2 {
 		t.Errorf("holds %+v, skipped %v, error %v", holds, skipped, err)
 	}
 	// A part that is quarantined again lasts longer.
-	later := quarantine.Hold{Part: h.Part, At: h.Until, Until: h.Until.Add(quarantine.DefaultHoldTime)}
+	later := quarantine.Hold{Trait: h.Trait, At: h.Until, Until: h.Until.Add(quarantine.DefaultHoldTime)}
 	if err := Save(ctx, s, later); err != nil {
 		t.Fatal(err)
 	}
@@ -36,7 +36,7 @@
 	if holds, _, _ := Load(ctx, s, later.Until.Add(2*quarantine.DefaultHoldTime)); len(holds) != 0 {
 		t.Errorf("ended quarantines: %+v", holds)
 	}
-	if _, err := s.Get(ctx, prefix+h.Part.String()); err == nil {
+	if _, err := s.Get(ctx, prefix+h.Trait.String()); err == nil {
 		t.Error("the ended quarantine is kept")
 	}
 }
--- a/quarantine/observer.go
+++ b/quarantine/observer.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// SoundAfter is how long an answer must be written to prove that its prompt does not
-	// crash engines, unless it is complete before. A crash follows the first token within
+	// SoundAfter is how long an answer must be written to prove that its request does not
+	// crash servers, unless it is complete before. A crash follows the first token within
 	// a tenth of a second.
 	SoundAfter = 500 * time.Millisecond
 	// lostWindow is how long before a crash is noticed an answer may have broken off
@@ -41,7 +41,7 @@
 
 // run is one request that was sent to the engine.
 type run struct {
-	parts   []ident.PromptPart
+	traits  []ident.Trait
 	begunAt time.Time
 	endedAt time.Time
 }
@@ -55,7 +55,7 @@
 	Streamed time.Duration
 }
 
-// Sound reports whether the answer proves that its prompt does not crash engines.
+// Sound reports whether the answer proves that its request does not crash servers.
 func (e Ending) Sound() bool { return e.Complete || e.Streamed >= SoundAfter }
 
 // NewObserver returns an Observer of the engine at an address.
@@ -63,10 +63,10 @@
 	return &Observer{address: address, runs: make(map[uint64]run)}
 }
 
-// RequestStarted records that a request may be sent to the engine. Parts are those of its
-// prompt that other requests may share.
-func (o *Observer) RequestStarted(now time.Time, id uint64, parts []ident.PromptPart) {
-	o.runs[id] = run{parts: parts, begunAt: now}
+// RequestStarted records that a request may be sent to the engine. Traits are those that
+// it shares with others, and with its repeats.
+func (o *Observer) RequestStarted(now time.Time, id uint64, traits []ident.Trait) {
+	o.runs[id] = run{traits: traits, begunAt: now}
 }
 
 // RequestEnded records the end of a request. Unknown ids are ignored.
@@ -112,14 +112,14 @@
 	if o.crashedAt.IsZero() || now.Sub(o.crashedAt) < settleTime {
 		return nil
 	}
-	c := &Crash{Engine: o.crashed, At: o.crashedAt, Parts: o.suspects()}
+	c := &Crash{Server: o.crashed, At: o.crashedAt, Traits: o.suspects()}
 	o.crashedAt = time.Time{}
 	o.lost = nil
 	return c
 }
 
-// suspects returns the parts of the requests that may have caused the crash.
-func (o *Observer) suspects() []ident.PromptPart {
+// suspects returns the traits of the requests that may have caused the crash.
+func (o *Observer) suspects() []ident.Trait {
 	var all []run
 	for _, r := range o.lost {
 		if !r.begunAt.After(o.crashedAt) && o.crashedAt.Sub(r.endedAt) <= lostWindow {
@@ -132,13 +132,13 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b run) int { return b.begunAt.Compare(a.begunAt) })
-	var parts []ident.PromptPart
+	var traits []ident.Trait
 	for _, r := range all {
-		for _, p := range r.parts {
-			if len(parts) < maxCrashParts && !slices.Contains(parts, p) {
-				parts = append(parts, p)
+		for _, t := range r.traits {
+			if len(traits) < maxCrashTraits && !slices.Contains(traits, t) {
+				traits = append(traits, t)
 			}
 		}
 	}
-	return parts
+	return traits
 }
--- /dev/null
+++ b/quarantine/request_test.go
@@ -0,0 +1,149 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
+
+// request returns the trait of a request.
+func request(n uint64) ident.Trait { return ident.TraitOfRequest(n) }
+
+func expectHeldFor(t *testing.T, d *Detector, now time.Time, trait ident.Trait, least, most time.Duration) {
+	t.Helper()
+	if _, remaining := d.Held(now, parts(1, trait)); remaining < least || remaining > most {
+		t.Errorf("%v held for %v, want %v to %v", trait, remaining, least, most)
+	}
+}
+
+// The parts of its prompt go along with the request each time.
+func TestRequestThatComesAgainIsQuarantined(t *testing.T) {
+	d := NewDetector(at(0), Options{})
+	bad := request(9)
+	expectHeld(t, observe(d, crash(1000, "a", 1, 2, bad), crash(1600, "b", 1, 2, bad, request(3)), crash(2200, "c", 1, 2, bad)), bad)
+	expectHeldFor(t, d, at(3000), bad, DefaultHoldTime/2, DefaultHoldTime)
+	expectHeldFor(t, d, at(3000), request(3), 0, 0)
+	if _, remaining := d.Held(at(3000), parts(1, 2)); remaining > 0 {
+		t.Error("a part of its prompt is held")
+	}
+	// Crashes that it explains say nothing about its parts.
+	expectHeld(t, observe(d, crash(3000, "d", 1, 2, bad), crash(4000, "e", 1, 2, bad), crash(5000, "f", 1, 2, bad)))
+}
+
+// Servers crash within moments of each other, as after a loss of power; when they are back, the
+// request crashes one again.
+func TestRequestAtCrashesCloseTogetherIsHeldForAMoment(t *testing.T) {
+	d := NewDetector(at(0), Options{})
+	bad := request(9)
+	expectHeld(t, observe(d, crash(1000, "a", bad), crash(1050, "b", bad), crash(1100, "c", bad)), bad)
+	expectHeldFor(t, d, at(1500), bad, time.Second, DefaultTentativeTime)
+	expectHeldFor(t, d, at(6000), bad, 0, 0)
+	expectHeld(t, observe(d, crash(6000, "d", bad)), bad)
+	expectHeldFor(t, d, at(7000), bad, DefaultHoldTime/2, DefaultHoldTime)
+}
+
+// A popular request ran everywhere when all servers lost power.
+func TestSoundRequestIsNotHeldAfterALossOfPower(t *testing.T) {
+	popular := request(5)
+	all := []Crash{crash(1000, "a", popular), crash(1010, "b", popular), crash(1020, "c", popular), crash(1030, "d", popular)}
+	knows := NewDetector(at(0), Options{})
+	knows.ObserveSound(Sound{Trait: popular, BegunAt: at(500)})
+	expectHeld(t, observe(knows, all...))
+	started := NewDetector(at(900), Options{})
+	expectHeld(t, observe(started, all...), popular)
+	for _, h := range started.Holds(at(1300)) {
+		if knows.ObserveHold(at(1300), h) {
+			t.Error("a router that knows it as sound holds it")
+		}
+	}
+	// The first sound answer, by a router that lets it through, ends the other's quarantine.
+	news := knows.ObserveAnswer(at(1500), parts(popular), at(1400))
+	if len(news) != 1 {
+		t.Fatalf("told %v", news)
+	}
+	started.ObserveSound(news[0])
+	expectHeldFor(t, started, at(1500), popular, 0, 0)
+	expectHeld(t, observe(started, crash(2000, "e", popular)))
+}
+
+// Another request happened to run at all three servers.
+func TestBystanderIsHeldForAMomentOnly(t *testing.T) {
+	d := NewDetector(at(0), Options{})
+	bad, bystander := request(9), request(4)
+	held := observe(d, crash(1000, "a", bad, bystander), crash(2000, "b", bystander, bad), crash(3000, "c", bad, bystander))
+	if len(held) != 2 {
+		t.Fatalf("held %v", held)
+	}
+	expectHeldFor(t, d, at(3300), bystander, time.Second, DefaultTentativeTime)
+	expectHeld(t, observe(d, crash(7000, "d", bad)), bad)
+	expectHeldFor(t, d, at(7500), bad, DefaultHoldTime/2, DefaultHoldTime)
+	expectHeldFor(t, d, at(7500), bystander, 0, 0)
+}
+
+// Crashes for other reasons while a request is answered in between.
+func TestRequestAnsweredBetweenCrashesIsNotQuarantined(t *testing.T) {
+	d := NewDetector(at(0), Options{})
+	for i := range 20 {
+		expectHeld(t, observe(d, crash(1000+i*3000, string(rune('a'+i)), request(5))))
+		d.ObserveSound(Sound{Trait: request(5), BegunAt: at(2000 + i*3000)})
+	}
+}
+
+// Each request with part 9 comes twice.
+func TestPartUnderDifferentRequestsIsQuarantined(t *testing.T) {
+	d := NewDetector(at(0), Options{})
+	held := observe(d,
+		crash(1000, "a", 1, 9, request(1)), crash(2000, "b", 1, 9, request(1)), crash(3000, "c", 1, 9, request(1)),
+		crash(4000, "d", 2, 9, request(2)), crash(5000, "e", 2, 9, request(3)))
+	expectHeld(t, held, request(1), 9)
+}
+
+func TestRoutersLetHeldRequestsThroughOneAfterTheOther(t *testing.T) {
+	first, second := StaggerOf("router-1"), StaggerOf("router-2")
+	if first == second || first < 0 || max(first, second) >= maxStagger {
+		t.Fatalf("staggers %v and %v", first, second)
+	}
+	h := Hold{Trait: request(9), At: at(1000), Until: at(5000)}
+	for _, stagger := range []time.Duration{first, second} {
+		d := NewDetector(at(0), Options{Stagger: stagger})
+		d.ObserveHold(at(1000), h)
+		if _, remaining := d.Held(at(4000), parts(request(9))); remaining != time.Second+stagger {
+			t.Errorf("held for %v, want %v", remaining, time.Second+stagger)
+		}
+	}
+}
+
+func TestSuspicionEndsWithASoundAnswer(t *testing.T) {
+	d := NewDetector(at(0), Options{})
+	observe(d, crash(1000, "a", request(9), request(4)))
+	d.ObserveSound(Sound{Trait: request(4), BegunAt: at(1500)})
+	if !d.Suspected(request(9)) || d.Suspected(request(4)) || d.Suspected(request(1)) {
+		t.Error("suspicions are wrong")
+	}
+}
+
+// Each request is another one, as at a router that is busy.
+func TestRecordsOfRequestsAreBoundedAndDoNotDriveOutParts(t *testing.T) {
+	d := NewDetector(at(0), Options{})
+	d.ObserveAnswer(at(1), parts(1), at(0))
+	for i := range 5 * maxSoundRecords {
+		d.ObserveAnswer(at(2), parts(request(uint64(i))), at(1))
+	}
+	if n := len(d.soundRequests.recent) + len(d.soundRequests.previous); n > 2*maxSoundRecords {
+		t.Errorf("%d records", n)
+	}
+	if d.soundAt(1).IsZero() {
+		t.Error("the part is forgotten")
+	}
+	for i := range 2 * maxCrashes {
+		observe(d, crash(i, string(rune(i)), request(1), request(2)))
+	}
+	if len(d.crashes) > maxCrashes {
+		t.Errorf("%d crashes", len(d.crashes))
+	}
+	d.forget(at(1e7))
+	if len(d.crashes)+len(d.holds) != 0 {
+		t.Errorf("%d crashes, %d holds are never forgotten", len(d.crashes), len(d.holds))
+	}
+}
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -22,14 +22,14 @@
 	nextID    uint64
 	crashes   int
 	// held holds the parts that were ever quarantined.
-	held map[ident.PromptPart]bool
+	held map[ident.Trait]bool
 	news []delayedNews
 }
 
 type simulatedRun struct {
 	id        uint64
 	router    int
-	parts     []ident.PromptPart
+	parts     []ident.Trait
 	begunAt   time.Time
 	endsAt    time.Time
 	soundTold bool
@@ -48,7 +48,7 @@
 )
 
 func newSimulation(seed uint64, routers, engines int) *simulation {
-	f := &simulation{r: rand.New(rand.NewPCG(seed, 1)), running: make([][]simulatedRun, engines), downUntil: make([]time.Time, engines), starts: make([]int64, engines), held: make(map[ident.PromptPart]bool)}
+	f := &simulation{r: rand.New(rand.NewPCG(seed, 1)), running: make([][]simulatedRun, engines), downUntil: make([]time.Time, engines), starts: make([]int64, engines), held: make(map[ident.Trait]bool)}
 	for range routers {
 		f.routers = append(f.routers, NewDetector(start, Options{}))
 	}
@@ -62,9 +62,9 @@
 }
 
 // send sends a request to a random engine if the router does not hold it back.
-func (f *simulation) send(now time.Time, p []ident.PromptPart) (sent bool) {
+func (f *simulation) send(now time.Time, p []ident.Trait) (sent bool) {
 	router, e := f.r.IntN(len(f.routers)), f.r.IntN(len(f.engines))
-	if _, held := f.routers[router].Held(now, p); held || now.Before(f.downUntil[e]) {
+	if _, remaining := f.routers[router].Held(now, p); remaining > 0 || now.Before(f.downUntil[e]) {
 		return false
 	}
 	f.nextID++
@@ -135,7 +135,7 @@
 	}
 	for _, c := range n.Crashes {
 		for _, h := range d.ObserveCrash(now, c) {
-			f.held[h.Part] = true
+			f.held[h.Trait] = true
 			f.tell(now, News{Holds: []Hold{h}})
 		}
 	}
@@ -152,8 +152,8 @@
 }
 
 // request returns the parts of a sound request.
-func (f *simulation) request() []ident.PromptPart {
-	return parts(ident.PromptPart(f.r.IntN(firstParts)), ident.PromptPart(100+min(f.r.IntN(secondParts), f.r.IntN(secondParts))))
+func (f *simulation) request() []ident.Trait {
+	return parts(ident.Trait(f.r.IntN(firstParts)), ident.Trait(100+min(f.r.IntN(secondParts), f.r.IntN(secondParts))))
 }
 
 // run plays a minute and returns how many requests with the bad part were sent from four
@@ -163,16 +163,16 @@
 	for ms := 0; ms < 60000; ms += 100 {
 		now := at(ms)
 		f.step(now)
-		for range f.poisson(perSecond / 10) {
+		for range poisson(f.r, perSecond/10) {
 			f.send(now, f.request())
 		}
 		if ms >= 5000 {
-			for range f.poisson(badPerSecond / 10) {
-				if f.send(now, parts(ident.PromptPart(f.r.IntN(firstParts)), badPart)) && !counted.IsZero() && now.After(counted) {
+			for range poisson(f.r, badPerSecond/10) {
+				if f.send(now, parts(ident.Trait(f.r.IntN(firstParts)), badPart)) && !counted.IsZero() && now.After(counted) {
 					late++
 				}
 			}
-			for range f.poisson(otherCrashesPerSecond / 10) {
+			for range poisson(f.r, otherCrashesPerSecond/10) {
 				f.crash(now, f.r.IntN(len(f.engines)))
 			}
 		}
@@ -183,9 +183,9 @@
 	return late
 }
 
-func (f *simulation) poisson(mean float64) int {
+func poisson(r *rand.Rand, mean float64) int {
 	n := 0
-	for p := f.r.ExpFloat64(); p < mean; p += f.r.ExpFloat64() {
+	for p := r.ExpFloat64(); p < mean; p += r.ExpFloat64() {
 		n++
 	}
 	return n
--- a/quarantine/sound.go
+++ b/quarantine/sound.go
@@ -6,9 +6,9 @@
 	"github.com/laureltally/laureltally/ident"
 )
 
-// Sound is the proof that a part does not crash engines: an answer to a request with it
+// Sound is the proof that a trait does not crash servers: an answer to a request with it
 // that began at a time and went on for long, or was complete.
 type Sound struct {
-	Part    ident.PromptPart
+	Trait   ident.Trait
 	BegunAt time.Time
 }
--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -22,7 +22,7 @@
 func (s *Sidecar) observeRequest(id residency.RequestID, r *wire.Reserve) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.observer.RequestStarted(s.o.Now(), uint64(id), r.PromptParts)
+	s.observer.RequestStarted(s.o.Now(), uint64(id), r.Traits)
 }
 
 // observeEnding records how a request ended, as its router reports it. M is nil if the
@@ -38,7 +38,7 @@
 }
 
 // addFindings takes what a router has found.
-func (s *Sidecar) addFindings(m *wire.PromptFindings) {
+func (s *Sidecar) addFindings(m *wire.CrashFindings) {
 	now := s.o.Now()
 	n := quarantine.Decode(now, m)
 	s.mu.Lock()
@@ -50,12 +50,14 @@
 		s.findings.AddCrash(now, c)
 	}
 	for _, h := range n.Holds {
-		if s.findings.AddHold(now, h) {
-			s.o.Logger.WithFields(log.Fields{"prompt_part": h.Part.String(), "remaining_ms": h.Until.Sub(now).Milliseconds()}).Info("quarantine passed on")
-			// An older one has been stored.
-			if now.Sub(h.At) < holdStoreTimeout {
-				s.work.Go(func() { s.storeHold(h) })
-			}
+		if !s.findings.AddHold(now, h) {
+			continue
+		}
+		s.announceNews()
+		s.o.Logger.WithFields(log.Fields{"trait": h.Trait.String(), "request": h.Trait.OfRequest(), "remaining_ms": h.Until.Sub(now).Milliseconds()}).Info("quarantine passed on")
+		// An older one has been stored.
+		if !h.Tentative() && now.Sub(h.At) < holdStoreTimeout {
+			s.work.Go(func() { s.storeHold(h) })
 		}
 	}
 }
@@ -79,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, holdStoreTimeout)
 	defer cancel()
 	if err := retryStore(ctx, func() error { return holdstore.Save(ctx, s.o.Store, h) }); err != nil {
-		s.o.Logger.WithField("prompt_part", h.Part.String()).WithError(err).Warn("quarantine not stored")
+		s.o.Logger.WithField("trait", h.Trait.String()).WithError(err).Warn("quarantine not stored")
 	}
 }
 
@@ -92,7 +94,8 @@
 	}
 	s.findings.AddCrash(s.o.Now(), *c)
 	s.o.Metrics.Counter("engine_crashes").Inc(1)
+	parts, requests := ident.SplitTraits(c.Traits)
 	s.o.Logger.WithFields(log.Fields{
-		"started": c.Engine.Started, "prompt_parts": ident.JoinParts(c.Parts), "parts": len(c.Parts), "age_ms": s.o.Now().Sub(c.At).Milliseconds(),
+		"started": c.Server.Started, "prompt_parts": ident.JoinTraits(parts), "requests": ident.JoinTraits(requests), "age_ms": s.o.Now().Sub(c.At).Milliseconds(),
 	}).Warn("engine crashed")
 }
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -20,7 +20,7 @@
 		s.reserve(ctx, peer, m, stream)
 	case *wire.StreamBegun:
 		s.recordStream(m, stream)
-	case *wire.PromptFindings:
+	case *wire.CrashFindings:
 		s.addFindings(m)
 		_ = stream.CloseSend()
 	case *wire.ServerLimits:
--- a/upstreamhttp/client.go
+++ b/upstreamhttp/client.go
@@ -48,6 +48,17 @@
 	return x.run()
 }
 
+// Probe connects to an address and keeps the connection for reuse. It fails with a
+// *DialError.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	raw, err := c.dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return &DialError{Address: address, Err: err}
+	}
+	c.put(newConn(raw, address), c.opts.IdleTimeout)
+	return nil
+}
+
 // CloseIdle closes the idle connections to an address.
 func (c *Client) CloseIdle(address string) {
 	c.mu.Lock()
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -103,8 +103,8 @@
 		return new(StreamOriginQuery), nil
 	case KindStreamOrigin:
 		return new(StreamOrigin), nil
-	case KindPromptFindings:
-		return new(PromptFindings), nil
+	case KindCrashFindings:
+		return new(CrashFindings), nil
 	case KindServerLimits:
 		return new(ServerLimits), nil
 	case KindReserve:
--- a/wire/kind.go
+++ b/wire/kind.go
@@ -33,6 +33,6 @@
 	KindStreamBegun        Kind = 26
 	KindStreamOriginQuery  Kind = 27
 	KindStreamOrigin       Kind = 28
-	KindPromptFindings     Kind = 29
+	KindCrashFindings      Kind = 29
 	KindServerLimits       Kind = 30
 )
--- a/wire/reserve.go
+++ b/wire/reserve.go
@@ -27,9 +27,8 @@
 	Objective time.Duration `cbor:"7,keyasint,omitempty"`
 	// MaxEventGap is the maximum pause between events that the caller accepts.
 	MaxEventGap time.Duration `cbor:"8,keyasint,omitempty"`
-	// PromptParts holds the ids of the parts of the prompt that other requests may
-	// share.
-	PromptParts []ident.PromptPart `cbor:"10,keyasint,omitempty"`
+	// Traits holds those of the request, by which it may crash servers.
+	Traits []ident.Trait `cbor:"10,keyasint,omitempty"`
 }
 
 // Kind implements Message.
