--- a/e2e/soak/repeated_request_test.go
+++ b/e2e/soak/repeated_request_test.go
@@ -19,8 +19,8 @@
 	// maxLateRetries is the number of its retries that may reach servers stableTime
 	// after that.
 	maxLateRetries = 3
-	// repeatedWorker selects the addresses of the test.
-	repeatedWorker = 62
+	// repeatedWorker and loneWorker select the addresses of the tests.
+	repeatedWorker, loneWorker = 62, 64
 )
 
 // repeated is a request that crashes the servers that run it and comes again whole, under
@@ -100,8 +100,29 @@
 	rt.checkSound(begun, settled)
 }
 
+// No process but the routers and the store can tell routers of crashes. Some have just started.
+func TestRepeatsAreHeldBackWithoutSidecars(t *testing.T) {
+	rt := newRepeatTestOf(t, loneWorker, platformtest.CrashFault{Matches: crashesServers, Downtime: 2 * time.Second}, size{routers: 8, plainUpstreams: 3, direct: true})
+	defer rt.close()
+	rt.startRepeats(crashingRead, 2, 500*time.Millisecond)
+	rt.await("the second crash", func() bool { return len(rt.crashesUnder(crashingRead)) >= 2 })
+	go rt.routers[0].pause(3 * time.Second)
+	go rt.routers[1].kill(0)
+	rt.await("the third crash", func() bool { return len(rt.crashesUnder(crashingRead)) >= crashesOfRepeated })
+	time.Sleep(stableTime)
+	go rt.routers[2].kill(0)
+	time.Sleep(4 * stableTime)
+	rt.stop()
+	rt.checkRetries(crashingRead)
+	rt.checkRefusals(crashingRead, time.Now().Add(-stableTime))
+}
+
 func newRepeatTest(t *testing.T, worker int, f platformtest.CrashFault) *repeatTest {
-	in := newIncident(t, worker, size{routers: 10, engines: 4, plainUpstreams: 3, direct: true})
+	return newRepeatTestOf(t, worker, f, size{routers: 10, engines: 4, plainUpstreams: 3, direct: true})
+}
+
+func newRepeatTestOf(t *testing.T, worker int, f platformtest.CrashFault, n size) *repeatTest {
+	in := newIncident(t, worker, n)
 	f.Restarted = func(r *platformtest.Upstream) { r.Register(in.store, "ready") }
 	for _, u := range in.upstreams {
 		u.SetCrash(f)
