ingress, quarantine: routers share crashes through the store while no sidecar is in reach

Tentative quarantines end at one time for all routers, whenever they hear of the crashes, and a crash during one, at a router that had not heard, confirms it.

--- a/ingress/crash_checks.go
+++ b/ingress/crash_checks.go
@@ -86,6 +86,6 @@
 func (s *Server) serverCrashed(c quarantine.Crash) {
 	s.metrics.serversCrashed.Inc(1)
 	news := quarantine.News{Crashes: []quarantine.Crash{c}}
-	s.tellHomes(c.Server.Address, quarantineHomes, news)
+	s.tellOrShare(c.Server.Address, news)
 	s.observeNews(s.o.Now(), news)
 }
--- a/ingress/poll.go
+++ b/ingress/poll.go
@@ -154,6 +154,9 @@
 			"vm": c.VM.ID, "service": c.VM.Service, "address": c.VM.Address, "zone": c.VM.Zone,
 			"change": c.Kind, "age_ms": now.Sub(begun).Milliseconds(),
 		}).Info("vm changed")
+		if c.Kind != fleet.Leaving {
+			s.observeSignOfCrash()
+		}
 		if c.Kind == fleet.Removed || c.Kind == fleet.Restarted {
 			s.client.CloseIdle(c.VM.Address)
 		}
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -11,7 +11,7 @@
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/quarantine"
-	"github.com/laureltally/laureltally/quarantine/holdstore"
+	"github.com/laureltally/laureltally/quarantine/findingstore"
 )
 
 // quarantineHomes is the number of sidecars in the router's region that are told of a
@@ -65,7 +65,7 @@
 	}
 	for _, h := range decided {
 		s.logHold(now, h, "crashes of servers")
-		s.tellHomes(h.Trait.String(), quarantineHomes, quarantine.News{Holds: []quarantine.Hold{h}})
+		s.tellOrShare(h.Trait.String(), quarantine.News{Holds: []quarantine.Hold{h}})
 	}
 }
 
@@ -79,11 +79,9 @@
 	p := s.poller("quarantines")
 	for ctx.Err() == nil {
 		begun := s.o.Now()
-		holds, skipped, err := holdstore.Load(ctx, s.o.Store, begun)
+		holds, skipped, err := findingstore.LoadHolds(ctx, s.o.Store, begun)
 		p.Record(err, nil)
-		for _, e := range skipped {
-			s.o.Logger.WithError(e).Warn("stored quarantine skipped")
-		}
+		s.logSkipped(skipped)
 		if err == nil {
 			s.observeNews(begun, quarantine.News{Holds: holds})
 			return
@@ -91,3 +89,10 @@
 		_ = wait.Sleep(ctx, p.pause(s.o.PollInterval, err))
 	}
 }
+
+// logSkipped logs stored findings that could not be read, or not be deleted when they were old.
+func (s *Server) logSkipped(skipped []error) {
+	for _, e := range skipped {
+		s.o.Logger.WithError(e).Warn("stored finding skipped")
+	}
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -66,8 +66,9 @@
 	// server that the list does not have.
 	listOutdated chan struct{}
 
-	quarantine  quarantineState
-	crashChecks crashChecks
+	quarantine     quarantineState
+	crashChecks    crashChecks
+	sharedFindings sharedFindings
 
 	originsMu sync.Mutex
 	// origins holds the software versions of streams that this process began.
@@ -94,6 +95,7 @@
 		listOutdated: make(chan struct{}, 1),
 	}
 	s.quarantine.detector = quarantine.NewDetector(s.epoch, quarantine.Options{Stagger: quarantine.StaggerOf(o.Settings.VM)})
+	s.sharedFindings.queue = make(chan quarantine.News, maxQueuedFindings)
 	s.forceStop, s.cancelForceStop = context.WithCancel(context.Background())
 	handler := transport.HandlerFunc(newPermitServer(s).handle)
 	s.nearPool = transport.NewPool(s.transportOptions(handler))
@@ -133,6 +135,8 @@
 	g.Go(func() error { s.pollConfig(work); return nil })
 	g.Go(func() error { s.pollVMs(work); return nil })
 	g.Go(func() error { s.loadHolds(work); return nil })
+	g.Go(func() error { s.storeFindings(work); return nil })
+	g.Go(func() error { s.readFindings(work); return nil })
 	readiness := &http.Server{Handler: s.readinessHandler(), ReadHeaderTimeout: headerReadTimeout}
 	server := s.callerServer()
 	g.Go(func() error { return serveError(readiness.Serve(probes)) })
--- a/ingress/suspicion.go
+++ b/ingress/suspicion.go
@@ -46,6 +46,7 @@
 // have crashed. A sidecar notices that by itself if the request had a reservation; it
 // takes longer, so that suspected requests are looked into here too.
 func (d *delivery) observeLostConnection(res result, reserved bool) {
+	d.s.observeAttemptError(res.err)
 	var lost *upstreamhttp.ConnectionError
 	if d.soundObserved || d.s.forceStop.Err() != nil || res.kind != outcomeBroken || !errors.As(res.err, &lost) {
 		return
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -12,11 +12,22 @@
 	"github.com/laureltally/laureltally/wire"
 )
 
-// tellHomes tells the first homes of a key what this process has found.
-func (s *Server) tellHomes(key string, homes int, n quarantine.News) {
-	for _, c := range s.newsHomes(key, homes) {
+// tellHomes tells the first homes of a key what this process has found, and reports whether
+// there was one.
+func (s *Server) tellHomes(key string, homes int, n quarantine.News) bool {
+	conns := s.newsHomes(key, homes)
+	for _, c := range conns {
 		s.tell(c, n.Encode(s.o.Now()))
 	}
+	return len(conns) > 0
+}
+
+// tellOrShare tells the homes of a key what this process has found or, if there are none,
+// shares it through the store.
+func (s *Server) tellOrShare(key string, n quarantine.News) {
+	if !s.tellHomes(key, quarantineHomes, n) {
+		s.shareFindings(n)
+	}
 }
 
 // newsHomes returns the connections to the first homes of a key in this region or, if it has
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -206,9 +206,13 @@
 }
 
 // explains reports whether a trait that was there at a crash has been quarantined for it or
-// before it.
+// before it. A later crash under a request that is quarantined tentatively, at a router that
+// had not learned of it, is new evidence.
 func (d *Detector) explains(now time.Time, c *Crash, t ident.Trait) bool {
 	h, ok := d.holds[t]
+	if ok && h.Tentative() {
+		return c.At.Sub(h.At) < d.opts.Spacing
+	}
 	return ok && (now.Before(h.Until) || c.At.Before(h.Until))
 }
 
--- a/quarantine/holdstore/holdstore.go
+++ b/quarantine/findingstore/holds.go
@@ -1,6 +1,4 @@
-// Package holdstore keeps quarantines in the metadata store, for processes
-// that start when no other remembers them.
-package holdstore
+package findingstore
 
 import (
 	"context"
@@ -16,20 +14,20 @@
 	"github.com/laureltally/laureltally/quarantine"
 )
 
-// prefix begins the keys of quarantines; the trait follows in hexadecimal.
-const prefix = "quarantine/"
+// holdPrefix begins the keys of quarantines; the trait follows in hexadecimal.
+const holdPrefix = "quarantine/"
 
-// record is a stored quarantine. Times are in Unix milliseconds.
-type record struct {
+// holdRecord is a stored quarantine. Times are in Unix milliseconds.
+type holdRecord struct {
 	AtMS    int64 `json:"at_ms"`
 	UntilMS int64 `json:"until_ms"`
 }
 
-// Save writes a quarantine, unless the store has about the same. A conflict with another
+// SaveHold writes a quarantine, unless the store has about the same. A conflict with another
 // writer is no error: it writes the same quarantine.
-func Save(ctx context.Context, s metastore.Store, h quarantine.Hold) error {
-	key := prefix + h.Trait.String()
-	value, err := json.Marshal(record{AtMS: h.At.UnixMilli(), UntilMS: h.Until.UnixMilli()})
+func SaveHold(ctx context.Context, s metastore.Store, h quarantine.Hold) error {
+	key := holdPrefix + h.Trait.String()
+	value, err := json.Marshal(holdRecord{AtMS: h.At.UnixMilli(), UntilMS: h.Until.UnixMilli()})
 	if err != nil {
 		return fmt.Errorf("encode quarantine: %w", err)
 	}
@@ -38,7 +36,7 @@
 	var missing *metastore.NotFoundError
 	switch {
 	case err == nil:
-		known, err := decode(current)
+		known, err := decodeHold(current)
 		if err == nil && !h.Outlasts(known) {
 			return nil
 		}
@@ -54,15 +52,15 @@
 	return nil
 }
 
-// Load returns the stored quarantines in force, and deletes those that have ended long ago.
+// LoadHolds returns the stored quarantines in force, and deletes those that have ended long ago.
 // Skipped holds the errors of malformed records and failed deletions.
-func Load(ctx context.Context, s metastore.Store, now time.Time) (holds []quarantine.Hold, skipped []error, err error) {
-	objects, _, err := s.List(ctx, prefix)
+func LoadHolds(ctx context.Context, s metastore.Store, now time.Time) (holds []quarantine.Hold, skipped []error, err error) {
+	objects, _, err := s.List(ctx, holdPrefix)
 	if err != nil {
 		return nil, nil, fmt.Errorf("list quarantines: %w", err)
 	}
 	for _, o := range objects {
-		h, err := decode(o)
+		h, err := decodeHold(o)
 		switch {
 		case err != nil:
 			skipped = append(skipped, err)
@@ -77,12 +75,12 @@
 	return holds, skipped, nil
 }
 
-func decode(o metastore.Object) (quarantine.Hold, error) {
-	id, err := strconv.ParseUint(strings.TrimPrefix(o.Key, prefix), 16, 64)
+func decodeHold(o metastore.Object) (quarantine.Hold, error) {
+	id, err := strconv.ParseUint(strings.TrimPrefix(o.Key, holdPrefix), 16, 64)
 	if err != nil {
 		return quarantine.Hold{}, fmt.Errorf("key of quarantine %q: %w", o.Key, err)
 	}
-	var r record
+	var r holdRecord
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		return quarantine.Hold{}, fmt.Errorf("decode quarantine %q: %w", o.Key, err)
 	}
--- a/quarantine/request_suspicion.go
+++ b/quarantine/request_suspicion.go
@@ -43,9 +43,9 @@
 		if !spaced && (len(s.crashes) < needed || !d.soundAt(t).IsZero()) {
 			continue
 		}
-		h := Hold{Trait: t, At: s.newestAt, Until: now.Add(d.opts.TentativeTime)}
+		h := Hold{Trait: t, At: s.newestAt, Until: s.newestAt.Add(d.opts.TentativeTime)}
 		if spaced && d.alone(all, t, s) {
-			h.Until = now.Add(d.opts.HoldTime)
+			h.Until = s.newestAt.Add(d.opts.HoldTime)
 		}
 		out = append(out, h)
 	}
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -147,3 +147,26 @@
 		t.Errorf("%d crashes, %d holds are never forgotten", len(d.crashes), len(d.holds))
 	}
 }
+
+// A router that had just started did not know of the quarantine.
+func TestCrashDuringTentativeQuarantineConfirmsIt(t *testing.T) {
+	d := NewDetector(at(0), Options{})
+	bad := request(9)
+	observe(d, crash(1000, "a", bad), crash(1050, "b", bad), crash(1100, "c", bad))
+	// Of the same moment as the others.
+	expectHeld(t, observe(d, crash(1300, "d", bad)))
+	expectHeld(t, observe(d, crash(2000, "e", bad)), bad)
+	expectHeldFor(t, d, at(3000), bad, DefaultHoldTime/2, DefaultHoldTime)
+}
+
+// A router that was paused hears late of what the others have decided for a moment.
+func TestTentativeQuarantineEndsAtOneTimeForAll(t *testing.T) {
+	d := NewDetector(at(0), Options{})
+	bad := request(9)
+	for i, engine := range []string{"a", "b", "c"} {
+		d.ObserveCrash(at(9000), crash(1000+i*10, engine, bad))
+	}
+	expectHeldFor(t, d, at(9000), bad, 0, 0)
+	expectHeld(t, observe(d, crash(9500, "d", bad)), bad)
+	expectHeldFor(t, d, at(10000), bad, DefaultHoldTime/2, DefaultHoldTime)
+}
--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -10,7 +10,7 @@
 
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/quarantine"
-	"github.com/laureltally/laureltally/quarantine/holdstore"
+	"github.com/laureltally/laureltally/quarantine/findingstore"
 	"github.com/laureltally/laureltally/residency"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -80,7 +80,7 @@
 func (s *Sidecar) storeHold(h quarantine.Hold) {
 	ctx, cancel := context.WithTimeout(s.ctx, holdStoreTimeout)
 	defer cancel()
-	if err := retryStore(ctx, func() error { return holdstore.Save(ctx, s.o.Store, h) }); err != nil {
+	if err := retryStore(ctx, func() error { return findingstore.SaveHold(ctx, s.o.Store, h) }); err != nil {
 		s.o.Logger.WithField("trait", h.Trait.String()).WithError(err).Warn("quarantine not stored")
 	}
 }
