quarantine, sidecar, ingress: ended quarantines leave the store, one home in each region

A quarantine that a sound answer had ended stayed in the store, and a router that started later took it over. The sidecar that passes the answer on deletes it (TestQuarantineThatHasEndedIsDeleted).

Crashes and quarantines are told to one sidecar in each other region too: two stalled ones in the own region would have swallowed them.

--- a/ingress/request_hash_test.go
+++ b/ingress/request_hash_test.go
@@ -54,3 +54,14 @@
 		seen[d] = name
 	}
 }
+
+// Reading a body of a megabyte and hashing it as it comes.
+func BenchmarkHashOfALongBody(b *testing.B) {
+	body := strings.Repeat("x", 1<<20)
+	r := httptest.NewRequest(http.MethodPost, "http://orders.example/order/a", nil)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		h := newRequestHash(r, &serving.RequestInfo{})
+		_, _ = io.Copy(h, strings.NewReader(body))
+	}
+}
--- a/ingress/suspicion.go
+++ b/ingress/suspicion.go
@@ -38,7 +38,7 @@
 	news := q.detector.ObserveAnswer(d.s.o.Now(), d.traits, begun.Add(res.timeToFirstEvent))
 	q.mu.Unlock()
 	for _, sound := range news {
-		d.s.tellHomes(sound.Trait.String(), 1, quarantine.News{Sound: []quarantine.Sound{sound}})
+		d.s.tell(d.s.newsHomes(sound.Trait.String(), 1), quarantine.News{Sound: []quarantine.Sound{sound}})
 	}
 }
 
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -12,22 +12,27 @@
 	"github.com/laureltally/laureltally/wire"
 )
 
-// tellHomes tells the first homes of a key what this process has found, and reports whether
-// there was one.
-func (s *Server) tellHomes(key string, homes int, n quarantine.News) bool {
-	conns := s.newsHomes(key, homes)
-	for _, c := range conns {
-		s.tell(c, n.Encode(s.o.Now()))
+// tellOrShare tells the homes of a key what this process has found, also one in each other
+// region, as those of its own may be stalled. If there are none, it shares it through the store.
+func (s *Server) tellOrShare(key string, n quarantine.News) {
+	var conns []*transport.Conn
+	for region, homes := range s.homes(key, quarantineHomes) {
+		if region != s.o.Settings.Region {
+			homes = homes[:1]
+		}
+		conns = append(conns, homes...)
+	}
+	if !s.tell(conns, n) {
+		s.shareFindings(n)
 	}
-	return len(conns) > 0
 }
 
-// tellOrShare tells the homes of a key what this process has found or, if there are none,
-// shares it through the store.
-func (s *Server) tellOrShare(key string, n quarantine.News) {
-	if !s.tellHomes(key, quarantineHomes, n) {
-		s.shareFindings(n)
+// tell tells sidecars what this process has found, and reports whether there was one.
+func (s *Server) tell(conns []*transport.Conn, n quarantine.News) bool {
+	for _, c := range conns {
+		s.send(c, n.Encode(s.o.Now()))
 	}
+	return len(conns) > 0
 }
 
 // newsHomes returns the connections to the first homes of a key in this region or, if it has
@@ -40,9 +45,9 @@
 	return slices.Concat(slices.Collect(maps.Values(homes))...)
 }
 
-// tell sends what this process has learned to a sidecar, which passes it on. It does not
+// send sends what this process has learned to a sidecar, which passes it on. It does not
 // wait.
-func (s *Server) tell(c *transport.Conn, m wire.Message) {
+func (s *Server) send(c *transport.Conn, m wire.Message) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 		defer cancel()
@@ -61,7 +66,7 @@
 // this process knows.
 func (s *Server) tellKnown(conn *transport.Conn, now time.Time) {
 	if known := (quarantine.News{Holds: s.holds(now)}); !known.Empty() {
-		s.tell(conn, known.Encode(now))
+		s.send(conn, known.Encode(now))
 	}
 	s.tellLimitsTo(conn, s.clusterState.requestLimits(now))
 }
@@ -82,6 +87,6 @@
 
 func (s *Server) tellLimitsTo(c *transport.Conn, statements []requestlimit.Statement) {
 	if len(statements) > 0 {
-		s.tell(c, requestlimit.Encode(s.o.Now(), statements))
+		s.send(c, requestlimit.Encode(s.o.Now(), statements))
 	}
 }
--- a/quarantine/findings.go
+++ b/quarantine/findings.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/laureltally/laureltally/ident"
 )
 
 const (
@@ -66,6 +68,11 @@
 	return true
 }
 
+// Holds reports whether a trait is quarantined, as far as is known here.
+func (f *Findings) Holds(t ident.Trait) bool {
+	return slices.ContainsFunc(f.holds, func(k numbered[Hold]) bool { return k.value.Trait == t })
+}
+
 // AddHold adds a quarantine and reports whether it is new or lasts longer than the known
 // one.
 func (f *Findings) AddHold(now time.Time, h Hold) bool {
--- a/quarantine/findings_test.go
+++ b/quarantine/findings_test.go
@@ -40,7 +40,7 @@
 		t.Error("an older answer ended the quarantine")
 	}
 	f.AddSound(at(2000), Sound{Trait: 1, BegunAt: at(1500)})
-	if n := f.Since(at(2000), 0); len(n.Holds) != 0 || len(n.Sound) != 1 {
+	if n := f.Since(at(2000), 0); len(n.Holds) != 0 || len(n.Sound) != 1 || f.Holds(1) {
 		t.Errorf("news: %+v", n)
 	}
 	if f.AddHold(at(2100), Hold{Trait: 1, At: at(10), Until: at(60000)}) {
--- a/quarantine/findingstore/holds.go
+++ b/quarantine/findingstore/holds.go
@@ -52,6 +52,22 @@
 	return nil
 }
 
+// DeleteHold deletes the stored quarantine of a trait, if there is one.
+func DeleteHold(ctx context.Context, s metastore.Store, t ident.Trait) error {
+	o, err := s.Get(ctx, holdPrefix+t.String())
+	var missing *metastore.NotFoundError
+	if errors.As(err, &missing) {
+		return nil
+	}
+	if err == nil {
+		err = s.Delete(ctx, o.Key, o.Version)
+	}
+	if err != nil {
+		return fmt.Errorf("delete quarantine: %w", err)
+	}
+	return nil
+}
+
 // LoadHolds returns the stored quarantines in force, and deletes those that have ended long ago.
 // Skipped holds the errors of malformed records and failed deletions.
 func LoadHolds(ctx context.Context, s metastore.Store, now time.Time) (holds []quarantine.Hold, skipped []error, err error) {
--- a/quarantine/findingstore/holds_test.go
+++ b/quarantine/findingstore/holds_test.go
@@ -40,3 +40,20 @@
 		t.Error("the ended quarantine is kept")
 	}
 }
+
+// A process that starts later must not take over what a sound answer has ended.
+func TestQuarantineThatHasEndedIsDeleted(t *testing.T) {
+	ctx, s, now := t.Context(), memstore.New(memstore.Options{}), time.Unix(1000, 0)
+	h := quarantine.Hold{Trait: 0xbad0, At: now, Until: now.Add(quarantine.DefaultHoldTime)}
+	if err := SaveHold(ctx, s, h); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if err := DeleteHold(ctx, s, h.Trait); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if holds, _, err := LoadHolds(ctx, s, now); err != nil || len(holds) != 0 {
+		t.Errorf("holds %+v, error %v", holds, err)
+	}
+}
--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -44,7 +44,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range n.Sound {
+		held := s.findings.Holds(p.Trait)
 		s.findings.AddSound(now, p)
+		if held && !s.findings.Holds(p.Trait) {
+			s.o.Logger.WithFields(log.Fields{"trait": p.Trait.String(), "request": p.Trait.OfRequest()}).Info("quarantine ended by a sound answer")
+			s.work.Go(func() { s.deleteHold(p.Trait) })
+		}
 	}
 	for _, c := range n.Crashes {
 		s.findings.AddCrash(now, c)
@@ -85,6 +90,15 @@
 	}
 }
 
+// deleteHold deletes a stored quarantine that has ended early.
+func (s *Sidecar) deleteHold(t ident.Trait) {
+	ctx, cancel := context.WithTimeout(s.ctx, holdStoreTimeout)
+	defer cancel()
+	if err := retryStore(ctx, func() error { return findingstore.DeleteHold(ctx, s.o.Store, t) }); err != nil {
+		s.o.Logger.WithField("trait", t.String()).WithError(err).Warn("stored quarantine not deleted")
+	}
+}
+
 // observeCrash passes a crash of the engine on once it is known what was running there. The
 // caller holds mu.
 func (s *Sidecar) observeCrash() {
