--- a/ingress/request_hash.go
+++ b/ingress/request_hash.go
@@ -13,7 +13,8 @@
 // callerHeaders are the headers by which a server knows its caller.
 var callerHeaders = []string{"Authorization", "Cookie", "X-Api-Key"}
 
-// requestHash computes a hash that a request shares with its repeats. The body is written to it as it is read.
+// requestHash computes a hash that a request shares with its repeats. The body is written to
+// it as it is read.
 type requestHash struct{ *xxhash.Digest }
 
 // newRequestHash returns the hash of a request whose body has not been read yet: of its
--- a/ingress/shared_findings.go
+++ b/ingress/shared_findings.go
@@ -26,7 +26,7 @@
 	crashReadTime = 30 * time.Second
 )
 
-// sharedFindings is how routers tell one another of crashes through the metadata store
+// sharedFindings is the state by which routers tell one another of crashes through the metadata store
 // while no sidecar is in reach that would pass them on.
 type sharedFindings struct {
 	// queue holds what is to be stored.
@@ -35,8 +35,13 @@
 	readUntil atomic.Int64
 }
 
-// shareFindings stores findings, if no sidecar was told of them. It does not wait.
+// shareFindings stores findings of which no sidecar was told. It does not wait. Tentative
+// quarantines are left out: the others come to the same from the crashes, and they end soon.
 func (s *Server) shareFindings(n quarantine.News) {
+	n.Holds = slices.DeleteFunc(n.Holds, quarantine.Hold.Tentative)
+	if n.Empty() {
+		return
+	}
 	select {
 	case s.sharedFindings.queue <- n:
 	default:
@@ -83,15 +88,13 @@
 		failed = errors.Join(failed, findingstore.SaveCrash(ctx, s.o.Store, c))
 	}
 	for _, h := range n.Holds {
-		if !h.Tentative() {
-			failed = errors.Join(failed, findingstore.SaveHold(ctx, s.o.Store, h))
-		}
+		failed = errors.Join(failed, findingstore.SaveHold(ctx, s.o.Store, h))
 	}
 	return failed
 }
 
-// readFindings reads what other routers have stored while there are signs of
-// crashes and no sidecar is in reach, until ctx ends.
+// readFindings reads what other routers have stored while there are signs of crashes and no
+// sidecar is in reach, until ctx ends.
 func (s *Server) readFindings(ctx context.Context) {
 	p := s.poller("stored findings")
 	for wait.Sleep(ctx, s.o.PollInterval) == nil {
--- a/quarantine/request_suspicion.go
+++ b/quarantine/request_suspicion.go
@@ -52,8 +52,8 @@
 	return out
 }
 
-// alone reports whether no other request that crashed as many servers as are needed was there at all
-// crashes of a request.
+// alone reports whether no other request that might be quarantined was there at all crashes
+// of a request.
 func (d *Detector) alone(all map[ident.Trait]*requestSuspicion, t ident.Trait, s *requestSuspicion) bool {
 	for _, other := range d.crashes[s.crashes[0]].Traits {
 		if o := all[other]; o != nil && other != t && len(o.crashes) >= d.needed(other) && o.includes(s) {
