--- a/e2e/soak/bystander_test.go
+++ b/e2e/soak/bystander_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -134,7 +133,7 @@
 			hung++
 		}
 	}
-	rt.t.Log(fmt.Sprintf("%d answers before a crash, %d requests timed out", answered, hung))
+	rt.t.Logf("%d answers before a crash, %d requests timed out", answered, hung)
 	if answered < 3 || hung < 3 {
 		rt.t.Errorf("%d answers before a crash, %d requests timed out", answered, hung)
 	}
--- a/quarantine/request_suspicion.go
+++ b/quarantine/request_suspicion.go
@@ -32,8 +32,8 @@
 
 // crashingRequests returns the quarantines of requests that follow from the crashes. The
 // evidence against a request is weak if the crashes were close together, when servers may
-// have lost power while a popular request was running at all of them, and if another request was
-// there each time. Then it is quarantined for a moment only.
+// have lost power while a popular request was running at all of them, and if another request
+// was there each time. Then it is quarantined tentatively.
 func (d *Detector) crashingRequests(now time.Time) []Hold {
 	all := d.requestSuspicions(now)
 	var out []Hold
