--- a/serving/attempt_info.go
+++ b/serving/attempt_info.go
@@ -14,4 +14,8 @@
 	Remaining time.Duration
 	// LastEventID makes the VM continue a stream after that event.
 	LastEventID string
+	// Authenticated is set if the configuration has tenants: the caller's key is removed,
+	// and Tenant is the tenant that the upstream is told of, or empty for none.
+	Authenticated bool
+	Tenant        ident.Tenant
 }
--- a/serving/config.go
+++ b/serving/config.go
@@ -16,6 +16,9 @@
 	Routes   []Route
 	Services map[ident.Upstream]*Service
 	Limits   Limits
+	// Keys maps API keys to tenants. It is nil if the configuration has no tenants, which
+	// means that callers need no key.
+	Keys *KeyTable
 }
 
 // Supersedes reports whether c is newer than another configuration. A higher revision
--- a/serving/request_info.go
+++ b/serving/request_info.go
@@ -19,6 +19,8 @@
 	Adapter ident.Adapter
 	// PromptTokens and MaxOutputTokens are the size of a generation request.
 	PromptTokens, MaxOutputTokens int
+	// HasTokenCounts is set if the caller stated both.
+	HasTokenCounts bool
 	// LikelyOutputTokens is the caller's estimate of the output length, or zero.
 	LikelyOutputTokens int
 	// Prefix holds the parts of the prompt, in order; requests may share leading
@@ -29,4 +31,6 @@
 	// Resumes is the ID of the caller's attempt that brought the first event of the
 	// stream that it resumes, or empty.
 	Resumes string
+	// Key is the caller's API key, or empty. It is never logged or forwarded.
+	Key string
 }
--- a/serving/route.go
+++ b/serving/route.go
@@ -32,6 +32,8 @@
 	Priority     ident.Priority
 	// MaxAttempts is the maximum number of VMs that one request may be sent to.
 	MaxAttempts int
+	// Public routes need no API key.
+	Public bool
 }
 
 // Retryable reports whether a request may run more than once.
