--- a/wire/codec.go
+++ b/wire/codec.go
@@ -107,6 +107,10 @@
 		return new(CrashFindings), nil
 	case KindServerLimits:
 		return new(ServerLimits), nil
+	case KindAllotmentRequest:
+		return new(AllotmentRequest), nil
+	case KindAllotmentLoan:
+		return new(AllotmentLoan), nil
 	case KindReserve:
 		return new(Reserve), nil
 	case KindReserved:
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -56,7 +56,7 @@
 	if m, err := newMessage(retired); err == nil {
 		t.Errorf("retired kind decodes as %v", m)
 	}
-	for k := KindHello; k <= KindStreamOrigin; k++ {
+	for k := KindHello; k <= KindAllotmentLoan; k++ {
 		if k == retired {
 			continue
 		}
--- a/wire/kind.go
+++ b/wire/kind.go
@@ -35,4 +35,6 @@
 	KindStreamOrigin       Kind = 28
 	KindCrashFindings      Kind = 29
 	KindServerLimits       Kind = 30
+	KindAllotmentRequest   Kind = 31
+	KindAllotmentLoan      Kind = 32
 )
