--- a/config/ingress_settings.go
+++ b/config/ingress_settings.go
@@ -40,6 +40,11 @@
 	// same for the leaving state of a VM.
 	MaxConfigDelay Duration `json:"config_within"`
 	MaxLeaveDelay  Duration `json:"leaving_within"`
+	// RevokeStrict makes the ingress refuse requests with API keys while its newest
+	// successful read of the configuration is too old to prove that a key was not
+	// removed more than RevokeWithin ago.
+	RevokeStrict bool     `json:"revoke_strict"`
+	RevokeWithin Duration `json:"revoke_within"`
 	// ShutdownTimeout is the time limit of a graceful shutdown.
 	ShutdownTimeout Duration    `json:"shutdown_timeout"`
 	Log             LogSettings `json:"log"`
@@ -48,6 +53,7 @@
 func (s *IngressSettings) setDefaults() {
 	s.RetryWindow = cmp.Or(s.RetryWindow, defaultRetryWindow)
 	s.RegistrationInterval = cmp.Or(s.RegistrationInterval, defaultRegistrationInterval)
+	s.RevokeWithin = cmp.Or(s.RevokeWithin, defaultRevokeWithin)
 	s.Log.setDefaults()
 }
 
@@ -55,8 +61,13 @@
 const (
 	defaultRetryWindow          = Duration(10 * time.Second)
 	defaultRegistrationInterval = Duration(time.Second)
+	defaultRevokeWithin         = Duration(5 * time.Second)
 )
 
+// minRevokeWithin is the least valid RevokeWithin: the ingress subtracts a margin of 100 ms,
+// and has to read the configuration at least once within the rest.
+const minRevokeWithin = Duration(500 * time.Millisecond)
+
 func (s *IngressSettings) check(c *checker) {
 	c.name("vm", string(s.VM))
 	c.name("region", string(s.Region))
@@ -75,6 +86,7 @@
 	positive(c, "registration_interval", s.RegistrationInterval)
 	positive(c, "config_within", s.MaxConfigDelay)
 	positive(c, "leaving_within", s.MaxLeaveDelay)
+	atLeast(c, "revoke_within", s.RevokeWithin, minRevokeWithin)
 	positive(c, "shutdown_timeout", s.ShutdownTimeout)
 	s.Log.check(c)
 }
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -33,14 +33,20 @@
 
 // delivery handles one request of a caller up to its final response.
 type delivery struct {
-	s     *Server
-	w     http.ResponseWriter
-	r     *http.Request
-	snap  *serving.Snapshot
-	route *serving.Route
-	info  serving.RequestInfo
-	body  []byte
-	start time.Time
+	s    *Server
+	w    http.ResponseWriter
+	r    *http.Request
+	snap *serving.Snapshot
+	// config is the read of the configuration that the request is admitted on, or nil.
+	config *configRead
+	route  *serving.Route
+	info   serving.RequestInfo
+	body   []byte
+	start  time.Time
+	// authenticated is set if the configuration has tenants, and tenant is the request's
+	// tenant, or nil for none.
+	authenticated bool
+	tenant        *serving.Tenant
 	// deadline is when a response is no longer useful.
 	deadline time.Time
 
@@ -119,7 +125,7 @@
 	d.deadline = d.start.Add(limit)
 	d.requirements = placement.Requirements{
 		Service: d.route.Pick(d.info.ID), Model: d.info.Model, Adapter: d.info.Adapter,
-		Priority: d.route.Priority,
+		Priority: d.snap.Priorities.Of(d.tenant, d.route),
 	}
 	if s := d.snap.Config.Services[d.requirements.Service]; s == nil || s.Engine == nil {
 		d.requirements.Model, d.requirements.Adapter = "", ""
--- a/ingress/final_response.go
+++ b/ingress/final_response.go
@@ -81,6 +81,10 @@
 	if d.route != nil {
 		f["route"], f["service"] = d.route.Name, d.requirements.Service
 	}
+	if d.tenant != nil {
+		f["tenant"] = d.tenant.Name
+		d.s.metrics.countTenantRequest(d.tenant.Name, status)
+	}
 	if d.requirements.Model != "" {
 		f["model"], f["adapter"] = d.requirements.Model, d.requirements.Adapter
 	}
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -28,7 +28,9 @@
 	d := &delivery{
 		s: s, w: w, r: r, start: now,
 		info: s.o.Protocol.ReadRequest(r.Header),
-		snap: s.currentConfig.Get(),
+	}
+	if d.config = s.configRead.Load(); d.config != nil {
+		d.snap = d.config.snap
 	}
 	if !d.admit() {
 		return
@@ -49,6 +51,9 @@
 		d.noRoute()
 		return false
 	}
+	if !d.checkKey() {
+		return false
+	}
 	limits := d.snap.Config.Limits
 	if limits.HeaderBytes > 0 && headerBytes(d.r) > limits.HeaderBytes {
 		d.finish(stepRefuse, http.StatusRequestHeaderFieldsTooLarge, "header too large", 0)
@@ -61,7 +66,7 @@
 // process that has lost its connection to the store can't tell whether a route
 // exists.
 func (d *delivery) noRoute() {
-	if d.s.configAge(d.start) > d.s.o.ConfigFreshFor {
+	if d.s.sinceEpoch(d.start)-d.config.begun > d.s.o.ConfigFreshFor {
 		d.finish(stepRefuse, http.StatusServiceUnavailable, "route unknown and configuration stale", time.Second)
 		return
 	}
@@ -73,7 +78,7 @@
 	if limits.BodyBytes > 0 {
 		body = http.MaxBytesReader(d.w, d.r.Body, limits.BodyBytes)
 	}
-	hash := newRequestHash(d.r, &d.info)
+	hash := newRequestHash(d.r, &d.info, d.authenticated, d.tenantName())
 	var err error
 	d.body, err = io.ReadAll(io.TeeReader(body, hash))
 	d.traits = requestTraits(d.info.Prefix, hash.trait())
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -1,9 +1,12 @@
 package ingress
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/laureltally/laureltally/ident"
 )
 
 // latencyBuckets cover both timely responses and requests at their deadline.
@@ -33,6 +36,7 @@
 	// requests refused for one, newsNotTold the failures to tell a sidecar what other
 	// routers have to know.
 	quarantines, quarantineRefusals, newsNotTold, serversCrashed tally.Counter
+	tenants                                                      tenantLabels
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -61,3 +65,18 @@
 func (m *metrics) countRequest(outcome string) {
 	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
 }
+
+// countKeyRefusal counts a request that was refused for its key.
+func (m *metrics) countKeyRefusal(v authVerdict) {
+	m.scope.Tagged(map[string]string{"reason": string(v)}).Counter("key_refusals").Inc(1)
+}
+
+// countTenantRequest counts a finished request of a tenant by the class of its response's
+// status, "2xx" for example, or "none" if no response was sent.
+func (m *metrics) countTenantRequest(tenant ident.Tenant, status int) {
+	class := "none"
+	if status > 0 {
+		class = strconv.Itoa(status/100) + "xx"
+	}
+	m.scope.Tagged(map[string]string{"tenant": m.tenants.label(tenant), "status": class}).Counter("tenant_requests").Inc(1)
+}
--- a/ingress/options.go
+++ b/ingress/options.go
@@ -67,7 +67,12 @@
 func (o Options) withDefaults() Options {
 	configWithin := cmp.Or(time.Duration(o.Settings.MaxConfigDelay), defaultWithin)
 	leavingWithin := cmp.Or(time.Duration(o.Settings.MaxLeaveDelay), defaultWithin)
-	o.PollInterval = cmp.Or(o.PollInterval, fraction(pollShare, min(configWithin, leavingWithin)))
+	pollWithin := min(configWithin, leavingWithin)
+	if o.Settings.RevokeStrict {
+		o.Settings.RevokeWithin = cmp.Or(o.Settings.RevokeWithin, config.Duration(defaultWithin))
+		pollWithin = min(pollWithin, time.Duration(o.Settings.RevokeWithin)-revokeMargin)
+	}
+	o.PollInterval = cmp.Or(o.PollInterval, fraction(pollShare, pollWithin))
 	o.ConfigFreshFor = cmp.Or(o.ConfigFreshFor, fraction(freshShare, configWithin))
 	o.ShutdownDelay = cmp.Or(o.ShutdownDelay, DefaultShutdownDelay)
 	if o.Now == nil {
--- a/ingress/poll.go
+++ b/ingress/poll.go
@@ -33,6 +33,8 @@
 	failures int
 	// early asks for a read before the interval has passed. It may be nil.
 	early <-chan struct{}
+	// scheduled, if set, is called with the time of the next read.
+	scheduled func(time.Time)
 }
 
 // run calls read until ctx ends.
@@ -41,7 +43,11 @@
 		begun := now()
 		err := read(ctx, begun)
 		p.Record(err, log.Fields{"took_ms": now().Sub(begun).Milliseconds()})
-		p.sleep(ctx, p.pause(interval, err)-now().Sub(begun), earlyPollInterval-now().Sub(begun))
+		pause := p.pause(interval, err)
+		if p.scheduled != nil {
+			p.scheduled(begun.Add(pause))
+		}
+		p.sleep(ctx, pause-now().Sub(begun), earlyPollInterval-now().Sub(begun))
 	}
 }
 
@@ -82,7 +88,9 @@
 }
 
 func (s *Server) pollConfig(ctx context.Context) {
-	s.poller("configuration").run(ctx, s.o.PollInterval, s.o.Now, s.readConfig)
+	p := s.poller("configuration")
+	p.scheduled = func(at time.Time) { s.nextConfigRead.Store(int64(s.sinceEpoch(at))) }
+	p.run(ctx, s.o.PollInterval, s.o.Now, s.readConfig)
 }
 
 func (s *Server) readConfig(ctx context.Context, begun time.Time) error {
@@ -94,8 +102,9 @@
 	if err != nil {
 		return err
 	}
-	s.configAt.Store(int64(begun.Sub(s.epoch)))
-	if !s.currentConfig.Adopt(c) {
+	adopted := s.currentConfig.Adopt(c)
+	s.configRead.Store(newConfigRead(s.sinceEpoch(begun), c, s.currentConfig.Get()))
+	if !adopted {
 		return nil
 	}
 	s.clusterState.setServices(c.Services)
@@ -106,9 +115,16 @@
 	return nil
 }
 
+// sinceEpoch returns the time from the start of the server.
+func (s *Server) sinceEpoch(t time.Time) time.Duration { return t.Sub(s.epoch) }
+
 // configAge returns the time since the newest successful read was started.
 func (s *Server) configAge(now time.Time) time.Duration {
-	return now.Sub(s.epoch) - time.Duration(s.configAt.Load())
+	age := s.sinceEpoch(now)
+	if r := s.configRead.Load(); r != nil {
+		age -= r.begun
+	}
+	return age
 }
 
 func (s *Server) pollVMs(ctx context.Context) {
--- a/ingress/request_hash.go
+++ b/ingress/request_hash.go
@@ -10,8 +10,12 @@
 	"github.com/laureltally/laureltally/serving"
 )
 
+// headerAuthorization is the header that holds a caller's key, if the configuration has
+// tenants. It is not forwarded then.
+const headerAuthorization = "Authorization"
+
 // callerHeaders are the headers by which a server knows its caller.
-var callerHeaders = []string{"Authorization", "Cookie", "X-Api-Key"}
+var callerHeaders = []string{headerAuthorization, "Cookie", "X-Api-Key"}
 
 // requestHash computes a hash that a request shares with its repeats. The body is written to
 // it as it is read.
@@ -19,12 +23,17 @@
 
 // newRequestHash returns the hash of a request whose body has not been read yet: of its
 // method, target, caller and prompt. Headers that differ between the repeats of a request,
-// such as its id and the remaining time, are left out.
-func newRequestHash(r *http.Request, info *serving.RequestInfo) requestHash {
+// such as its id and the remaining time, are left out. If callers are authenticated, the
+// name of the tenant stands for their keys.
+func newRequestHash(r *http.Request, info *serving.RequestInfo, authenticated bool, tenant ident.Tenant) requestHash {
 	h := requestHash{xxhash.New()}
 	h.text(r.Method, r.Host, r.RequestURI, string(info.Model), string(info.Adapter))
 	for _, name := range callerHeaders {
-		h.text(r.Header.Values(name)...)
+		if name == headerAuthorization && authenticated {
+			h.text(string(tenant))
+		} else {
+			h.text(r.Header.Values(name)...)
+		}
 		h.text("")
 	}
 	for _, p := range info.Prefix {
--- a/ingress/request_hash_test.go
+++ b/ingress/request_hash_test.go
@@ -14,7 +14,7 @@
 func traitOf(method, target, body string, header http.Header, info serving.RequestInfo) ident.Trait {
 	r := httptest.NewRequest(method, target, nil)
 	r.Header = header
-	h := newRequestHash(r, &info)
+	h := newRequestHash(r, &info, false, "")
 	_, _ = io.Copy(h, strings.NewReader(body))
 	return h.trait()
 }
@@ -61,7 +61,7 @@
 	r := httptest.NewRequest(http.MethodPost, "http://orders.example/order/a", nil)
 	b.SetBytes(int64(len(body)))
 	for b.Loop() {
-		h := newRequestHash(r, &serving.RequestInfo{})
+		h := newRequestHash(r, &serving.RequestInfo{}, false, "")
 		_, _ = io.Copy(h, strings.NewReader(body))
 	}
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -45,10 +45,12 @@
 	nearPool, farPool *transport.Pool
 	metrics           *metrics
 	draining          atomic.Bool
-	// configAt is when the newest read of the configuration was started, in
-	// nanoseconds since epoch.
-	configAt atomic.Int64
-	epoch    time.Time
+	// configRead is the newest successful read of the configuration.
+	configRead atomic.Pointer[configRead]
+	// nextConfigRead is when the next read of the configuration begins, in nanoseconds
+	// since epoch.
+	nextConfigRead atomic.Int64
+	epoch          time.Time
 	// forceStop is cancelled when the attempts of all running requests are given up,
 	// since the process has to exit: requests without a response get one, and responses
 	// that have begun are broken off.
--- a/serving/current_config.go
+++ b/serving/current_config.go
@@ -12,7 +12,7 @@
 // Adopt replaces the current configuration if the given one is newer, and reports
 // whether it did. The result of a read that was overtaken by another is ignored.
 func (f *CurrentConfig) Adopt(c *Config) bool {
-	next := &Snapshot{Config: c, Table: NewTable(c.Routes)}
+	next := &Snapshot{Config: c, Table: NewTable(c.Routes), Priorities: NewPriorityTable(c)}
 	for {
 		old := f.current.Load()
 		if old != nil && !c.Supersedes(old.Config) {
--- a/serving/key_table.go
+++ b/serving/key_table.go
@@ -3,6 +3,10 @@
 import (
 	"crypto/rand"
 	"crypto/sha256"
+	"maps"
+	"slices"
+
+	"github.com/laureltally/laureltally/ident"
 )
 
 // KeyTable finds the tenant of an API key. It holds salted digests instead of keys: the
@@ -40,6 +44,15 @@
 // Len returns the number of keys.
 func (t *KeyTable) Len() int { return len(t.tenants) }
 
+// priorities returns the priorities of the tenants that have keys, ascending.
+func (t *KeyTable) priorities() []ident.Priority {
+	occurring := make(map[ident.Priority]bool)
+	for _, tenant := range t.tenants {
+		occurring[tenant.Priority] = true
+	}
+	return slices.Sorted(maps.Keys(occurring))
+}
+
 func (t *KeyTable) digest(key string) [sha256.Size]byte {
 	h := sha256.New()
 	_, _ = h.Write(t.salt[:])
