--- a/allotment/account.go
+++ b/allotment/account.go
@@ -171,6 +171,12 @@
 	return first, !first.IsZero()
 }
 
+// anyEmpty reports whether a bank is known to be empty.
+func (a *account) anyEmpty(now time.Time) bool {
+	_, any := a.emptyUntil(now)
+	return any
+}
+
 // view returns what is known of a bank.
 func (a *account) view(bank string) *bankView {
 	v := a.banks[bank]
--- a/allotment/bank.go
+++ b/allotment/bank.go
@@ -12,8 +12,10 @@
 	maxBuckets = 16_384
 	// bucketIdleTime is the time after which a full bucket is dropped.
 	bucketIdleTime = 10 * time.Minute
-	// sweepInterval is the time between two searches for idle entries.
-	sweepInterval = 10 * time.Second
+	// sweepInterval is the time between two searches for idle entries, and
+	// fullSweepInterval the same while there is no room for more.
+	sweepInterval     = 10 * time.Second
+	fullSweepInterval = time.Second
 )
 
 // Bank lends the share of one bank in the allotments of tenants. What it lends of one
@@ -42,7 +44,10 @@
 	case r.Terms.PerSecond <= 0:
 		return Loan{Refused: true, EmptyFor: maxWait, Wait: maxWait}
 	case k == nil && len(b.buckets) >= maxBuckets:
-		if b.sweep(now, 0); len(b.buckets) >= maxBuckets {
+		if now.Sub(b.sweptAt) > fullSweepInterval {
+			b.sweep(now, 0)
+		}
+		if len(b.buckets) >= maxBuckets {
 			return Loan{Refused: true, EmptyFor: maxWait, Wait: maxWait}
 		}
 		fallthrough
--- a/allotment/borrower.go
+++ b/allotment/borrower.go
@@ -12,8 +12,8 @@
 	// another one, whose round trip is up to 90 ms.
 	nearLimit = 150 * time.Millisecond
 	farLimit  = 300 * time.Millisecond
-	// maxQueueTime bounds the time that a request waits for its turn at a router. Urgent
-	// requests have 500 ms to their first event.
+	// maxQueueTime bounds the time that a request waits for its turn at a router while
+	// banks are short. Urgent requests have 500 ms to their first event.
 	maxQueueTime = 300 * time.Millisecond
 	// silentTime is how long a bank that has not answered is left out, so that its failure
 	// delays one request a second.
@@ -67,7 +67,7 @@
 // Take claims the cost of a request. One of the actions that it or a later call returns ends
 // the wait of the ticket.
 func (b *Borrower) Take(now time.Time, c Claim) (Ticket, []Action) {
-	if now.Sub(b.sweptAt) > sweepInterval || len(b.accounts) >= maxAccounts {
+	if passed := now.Sub(b.sweptAt); passed > sweepInterval || passed > fullSweepInterval && len(b.accounts) >= maxAccounts {
 		b.sweep(now)
 	}
 	a := b.accounts[c.Tenant]
@@ -116,7 +116,7 @@
 	a := o.account
 	delete(b.silent, o.bank)
 	if l.Amount > 0 {
-		a.add(l.Amount, o.sentAt.Add(TTL))
+		a.add(min(l.Amount, o.request.Amount+o.request.Ahead), o.sentAt.Add(TTL))
 	}
 	if l.EmptyFor > 0 {
 		a.shortFor(o.bank, o.sentAt)
@@ -198,7 +198,7 @@
 	head := &a.waiting[0]
 	var bank *BankLink
 	open := false
-	if now.Sub(head.since) < maxQueueTime {
+	if now.Sub(head.since) < maxQueueTime || len(head.short) == 0 && !a.anyEmpty(now) {
 		bank, open = a.next(now, head.short, b.silent, b.rand)
 	}
 	amount, piece := need-covered, a.claim.Terms.maxPiece()
@@ -266,7 +266,7 @@
 	case a.usable(now, nil, b.silent) == 0:
 		return &Unavailable{Ticket: w.ticket}
 	default:
-		// It costs more than all banks in reach can lend, or has waited too long.
+		// It costs more than all banks in reach can lend.
 		earliest, a.emptyAt = now.Add(maxWait/2), now
 	}
 	if !w.asked {
