--- a/e2e/hosted/installation_test.go
+++ b/e2e/hosted/installation_test.go
@@ -47,6 +47,8 @@
 	udp       int
 	// metrics holds the metrics of the routers.
 	metrics tally.TestScope
+	// routers is the number of routers started.
+	routers int
 }
 
 // logger returns a logger that writes to the test log with -v and discards its
@@ -90,7 +92,11 @@
 
 func (in *installation) runRouter() {
 	in.t.Helper()
-	credentials, err := keys.NewEphemeral("router", nil)
+	vm := ident.VM("router")
+	if in.routers++; in.routers > 1 {
+		vm = ident.VM(fmt.Sprintf("router-%d", in.routers))
+	}
+	credentials, err := keys.NewEphemeral(vm, nil)
 	if err != nil {
 		in.t.Fatal(err)
 	}
@@ -98,7 +104,7 @@
 	store := platform.NewStore(in.store.Address())
 	server, err := ingress.New(ingress.Options{
 		Settings: config.IngressSettings{
-			VM: "router", Region: region, Zone: zone, Listen: anyPort, ReadinessListen: anyPort, SidecarPort: in.udp, RetryShare: 0.2, RetrySlack: 50,
+			VM: vm, Region: region, Zone: zone, Listen: anyPort, ReadinessListen: anyPort, SidecarPort: in.udp, RetryShare: 0.2, RetrySlack: 50,
 			ShutdownTimeout: config.Duration(4 * time.Second),
 		},
 		Directory:     &platform.Directory{Store: store, Regions: platform.Regions{zone: region}},
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -70,6 +70,8 @@
 	// took.
 	choice placement.Choice
 	waited time.Duration
+	// charge is what the request took from its tenant's allotment.
+	charge charge
 }
 
 // run makes attempts until the request has its final response.
@@ -84,9 +86,10 @@
 	// gets a response if none has begun.
 	defer context.AfterFunc(d.s.forceStop, cancel)()
 	_ = http.NewResponseController(d.w).SetWriteDeadline(d.deadline.Add(responseSlack + writeSlack))
-	if !d.bindToSoftware(ctx) {
+	if !d.bindToSoftware(ctx) || !d.withinAllotment(ctx) {
 		return
 	}
+	defer d.returnCharge()
 	for {
 		if d.refusedByQuarantine() {
 			return
--- a/ingress/final_response.go
+++ b/ingress/final_response.go
@@ -23,9 +23,14 @@
 	if st == stepAbort {
 		panic(http.ErrAbortHandler)
 	}
-	if status == http.StatusServiceUnavailable {
+	switch status {
+	case http.StatusServiceUnavailable:
 		d.w.Header().Set("Retry-After", d.s.o.Protocol.RetryAfter(d.callerRetryAfter(retryAfter)))
 		d.s.metrics.countRequest("refused")
+	case http.StatusTooManyRequests:
+		// Not bounded by the caller's remaining time: its request fits no earlier.
+		d.w.Header().Set("Retry-After", d.s.o.Protocol.RetryAfter(retryAfter))
+		d.s.metrics.countRequest("over_allotment")
 	}
 	d.extendWrite()
 	d.w.Header().Set("Content-Length", "0")
@@ -85,6 +90,9 @@
 		f["tenant"] = d.tenant.Name
 		d.s.metrics.countTenantRequest(d.tenant.Name, status)
 	}
+	if d.charge.cost > 0 {
+		f["cost"], f["allotment_age_ms"] = int64(d.charge.cost), ms(d.charge.age)
+	}
 	if d.requirements.Model != "" {
 		f["model"], f["adapter"] = d.requirements.Model, d.requirements.Adapter
 	}
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -80,3 +80,30 @@
 	}
 	m.scope.Tagged(map[string]string{"tenant": m.tenants.label(tenant), "status": class}).Counter("tenant_requests").Inc(1)
 }
+
+// allotmentOutcome is what became of a request's cost. It is a metric tag.
+type allotmentOutcome string
+
+// The outcomes.
+const (
+	// allotmentGranted means that the cost was granted, and allotmentReturned that it was
+	// given back afterwards, since no upstream got the request.
+	allotmentGranted  allotmentOutcome = "granted"
+	allotmentReturned allotmentOutcome = "returned"
+	// allotmentRefused means that the tenant's banks had too little, and
+	// allotmentUnavailable that none could be asked.
+	allotmentRefused     allotmentOutcome = "refused"
+	allotmentUnavailable allotmentOutcome = "unavailable"
+)
+
+// countAllotment counts a request and its cost by what became of it.
+func (m *metrics) countAllotment(tenant ident.Tenant, o allotmentOutcome, cost float64) {
+	s := m.scope.Tagged(map[string]string{"tenant": m.tenants.label(tenant), "outcome": string(o)})
+	s.Counter("allotment_requests").Inc(1)
+	s.Counter("allotment_cost").Inc(int64(cost))
+}
+
+// countUnansweredBank counts a request that a bank did not answer.
+func (m *metrics) countUnansweredBank(tenant ident.Tenant) {
+	m.scope.Tagged(map[string]string{"tenant": m.tenants.label(tenant)}).Counter("allotment_banks_unanswered").Inc(1)
+}
--- a/ingress/poll.go
+++ b/ingress/poll.go
@@ -188,9 +188,10 @@
 	if snap == nil {
 		return
 	}
+	engines := s.clusterState.engines(snap.Config.Services)
+	s.allotments.setEngines(engines)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	engines := s.clusterState.engines(snap.Config.Services)
 	for address, l := range s.links {
 		if engines[address] == nil {
 			l.stop()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -70,6 +70,7 @@
 
 	quarantine     quarantineState
 	crashChecks    crashChecks
+	allotments     *allotments
 	sharedFindings sharedFindings
 
 	originsMu sync.Mutex
@@ -96,6 +97,7 @@
 
 		listOutdated: make(chan struct{}, 1),
 	}
+	s.allotments = newAllotments(s)
 	s.quarantine.detector = quarantine.NewDetector(s.epoch, quarantine.Options{Stagger: quarantine.StaggerOf(o.Settings.VM)})
 	s.sharedFindings.queue = make(chan quarantine.News, maxQueuedFindings)
 	s.forceStop, s.cancelForceStop = context.WithCancel(context.Background())
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -28,6 +28,8 @@
 		_ = stream.CloseSend()
 	case *wire.StreamOriginQuery:
 		s.answerOrigin(m, stream)
+	case *wire.AllotmentRequest:
+		s.lend(peer, m, stream)
 	default:
 		s.o.Logger.WithField("peer", peer.VM).WithError(&wire.KindError{Kind: first.Kind()}).Warn("stream refused")
 		stream.Reset()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -36,6 +36,8 @@
 	// streams holds the software versions that began streams, as told by routers.
 	streams resume.Records
 
+	allotments *allotments
+
 	mu        sync.Mutex
 	scheduler *residency.Scheduler
 	nextID    residency.RequestID
@@ -77,6 +79,7 @@
 		status:    status{changed: make(chan struct{})},
 		observer:  quarantine.NewObserver(o.Settings.EngineAddress),
 
+		allotments:  newAllotments(o.Now()),
 		newsChanged: newSignal(),
 	}
 }
