--- a/allotment/account.go
+++ b/allotment/account.go
@@ -35,10 +35,11 @@
 	ticket Ticket
 	cost   float64
 	since  time.Time
-	// asked is set once a bank was asked for its cost, and short lists the banks that had
-	// too little.
+	// asked is set once a bank was asked for its cost. Tried lists the banks that had too
+	// little or did not answer, and short is set if one had too little.
 	asked bool
-	short []string
+	tried []string
+	short bool
 }
 
 // bankView is what a router knows of a bank and one tenant.
@@ -111,16 +112,25 @@
 
 // next returns the bank to ask, or that all usable ones are being asked or there is none. The
 // nearest banks are asked first. One that was short is not asked again for the same request,
-// nor for others before it may have something, and one that has not answered is left out for
-// a time.
-func (a *account) next(now time.Time, short []string, silent map[string]time.Time, r *rand.Rand) (bank *BankLink, open bool) {
+// nor for others before it may have something. One that has not answered is left out for a
+// time, unless nothing is known of any other one.
+func (a *account) next(now time.Time, tried []string, silent map[string]time.Time, r *rand.Rand) (bank *BankLink, open bool) {
+	bank, open = a.nearest(now, tried, silent, r)
+	if bank == nil && !open && !a.anyEmpty(now) {
+		bank, open = a.nearest(now, tried, nil, r)
+	}
+	return bank, open
+}
+
+// nearest returns one of the nearest banks to ask, or that all of these are being asked.
+func (a *account) nearest(now time.Time, tried []string, silent map[string]time.Time, r *rand.Rand) (bank *BankLink, open bool) {
 	for _, near := range []bool{true, false} {
 		free := 0
 		for i := range a.claim.Banks {
 			l := &a.claim.Banks[i]
 			v := a.banks[l.Address]
 			switch {
-			case l.Near != near || !l.Connected || now.Before(silent[l.Address]) || slices.Contains(short, l.Address):
+			case l.Near != near || !l.Connected || now.Before(silent[l.Address]) || slices.Contains(tried, l.Address):
 			case v != nil && v.open:
 				open = true
 			case v == nil || !now.Before(v.emptyUntil):
@@ -137,21 +147,27 @@
 	return nil, false
 }
 
-// shortFor records that a bank had too little for the requests that waited when it was asked.
-func (a *account) shortFor(bank string, askedAt time.Time) {
+// tried records that a bank had too little for the requests that waited when it was asked, or
+// did not answer.
+func (a *account) tried(bank string, askedAt time.Time, short bool) {
 	for i := range a.waiting {
-		if w := &a.waiting[i]; !w.since.After(askedAt) && !slices.Contains(w.short, bank) {
-			w.short = append(w.short, bank)
+		w := &a.waiting[i]
+		if w.since.After(askedAt) {
+			continue
+		}
+		w.short = w.short || short
+		if !slices.Contains(w.tried, bank) {
+			w.tried = append(w.tried, bank)
 		}
 	}
 }
 
 // usable returns the number of banks that can be asked or are being asked.
-func (a *account) usable(now time.Time, short []string, silent map[string]time.Time) int {
+func (a *account) usable(now time.Time, tried []string, silent map[string]time.Time) int {
 	n := 0
 	for i := range a.claim.Banks {
 		l := &a.claim.Banks[i]
-		if v := a.banks[l.Address]; l.Connected && !now.Before(silent[l.Address]) && !slices.Contains(short, l.Address) && (v == nil || !now.Before(v.emptyUntil)) {
+		if v := a.banks[l.Address]; l.Connected && !now.Before(silent[l.Address]) && !slices.Contains(tried, l.Address) && (v == nil || !now.Before(v.emptyUntil)) {
 			n++
 		}
 	}
--- a/allotment/bank.go
+++ b/allotment/bank.go
@@ -41,7 +41,7 @@
 	}
 	k := b.buckets[r.Tenant]
 	switch {
-	case r.Terms.PerSecond <= 0:
+	case r.Terms.PerSecond <= 0 && !r.Closed:
 		return Loan{Refused: true, EmptyFor: maxWait, Wait: maxWait}
 	case k == nil && len(b.buckets) >= maxBuckets:
 		if now.Sub(b.sweptAt) > fullSweepInterval {
@@ -55,9 +55,12 @@
 		k = newBucket(now, b.began, r.Terms)
 		b.buckets[r.Tenant] = k
 	}
+	k.usedAt = now
+	if k.closed(now, &r) {
+		return Loan{Refused: true, EmptyFor: maxAskWait, Wait: maxAskWait}
+	}
 	k.advance(now)
 	k.learn(now, r.Terms)
-	k.usedAt = now
 	l := k.lend(now, &r)
 	if r.Refused > 0 {
 		k.promise(now, 0, r.Refused)
--- a/allotment/bank_test.go
+++ b/allotment/bank_test.go
@@ -191,3 +191,37 @@
 		t.Errorf("%+v, %d tenants", l, len(b.buckets))
 	}
 }
+
+// A bank that was replaced lends nothing to routers whose list is not newer, as they may be
+// cut off from the store, until a newer list makes it a bank again.
+func TestReplacedBankIsClosed(t *testing.T) {
+	b := NewBank(at(-60_000))
+	ask := func(ms, age int) Loan {
+		r := request(terms(1000, 1000, 1), 10)
+		r.ListAge = time.Duration(age) * time.Millisecond
+		return b.Lend(at(ms), r)
+	}
+	if l := ask(0, 1000); l.Refused {
+		t.Errorf("%+v", l)
+	}
+	if l := b.Lend(at(100), Request{Tenant: tenantName, Closed: true, ListAge: 50 * time.Millisecond}); l.Amount > 0 {
+		t.Errorf("%+v", l)
+	}
+	for _, tt := range []struct {
+		ms, age int
+		refused bool
+	}{{200, 1000, true}, {20_000, 20_000, true}, {20_000, 19_000, false}, {20_100, 20_100, true}} {
+		if l := ask(tt.ms, tt.age); l.Refused != tt.refused {
+			t.Errorf("at %d with a list of %d ms: %+v", tt.ms, tt.age, l)
+		}
+	}
+	// Also if it has lent nothing yet.
+	b = NewBank(at(-60_000))
+	b.Lend(at(0), Request{Tenant: tenantName, Closed: true})
+	if l := ask(100, 1000); !l.Refused {
+		t.Errorf("%+v", l)
+	}
+	if l := ask(200, 50); l.Refused {
+		t.Errorf("%+v for a newer list", l)
+	}
+}
--- a/allotment/borrower.go
+++ b/allotment/borrower.go
@@ -16,8 +16,8 @@
 	// banks are short. Urgent requests have 500 ms to their first event.
 	maxQueueTime = 300 * time.Millisecond
 	// silentTime is how long a bank that has not answered is left out, so that its failure
-	// delays one request a second.
-	silentTime = time.Second
+	// delays two requests a second.
+	silentTime = 500 * time.Millisecond
 	// aheadPause is the time after which tokens are requested in advance again if the bank
 	// lent none.
 	aheadPause = 300 * time.Millisecond
@@ -119,7 +119,7 @@
 		a.add(min(l.Amount, o.request.Amount+o.request.Ahead), o.sentAt.Add(TTL))
 	}
 	if l.EmptyFor > 0 {
-		a.shortFor(o.bank, o.sentAt)
+		a.tried(o.bank, o.sentAt, true)
 		a.view(o.bank).emptyUntil = now.Add(min(l.EmptyFor, maxWait))
 		a.emptyAt = now
 	}
@@ -140,6 +140,7 @@
 		return nil
 	}
 	b.silent[o.bank] = now.Add(silentTime)
+	o.account.tried(o.bank, o.sentAt, false)
 	return b.advance(now, o.account)
 }
 
@@ -198,11 +199,11 @@
 	head := &a.waiting[0]
 	var bank *BankLink
 	open := false
-	if now.Sub(head.since) < maxQueueTime || len(head.short) == 0 && !a.anyEmpty(now) {
-		bank, open = a.next(now, head.short, b.silent, b.rand)
+	if now.Sub(head.since) < maxQueueTime || !head.short && !a.anyEmpty(now) {
+		bank, open = a.next(now, head.tried, b.silent, b.rand)
 	}
 	amount, piece := need-covered, a.claim.Terms.maxPiece()
-	if least > piece && float64(a.usable(now, head.short, b.silent))*piece < least {
+	if least > piece && float64(a.usable(now, head.tried, b.silent))*piece < least {
 		// The parts that some banks lent would expire unused.
 		bank = nil
 	}
@@ -238,7 +239,7 @@
 
 // send opens a request to a bank.
 func (b *Borrower) send(now time.Time, a *account, bank *BankLink, r Request) *Ask {
-	r.Tenant, r.Terms = a.claim.Tenant, a.claim.Terms
+	r.Tenant, r.Terms, r.ListAge = a.claim.Tenant, a.claim.Terms, now.Sub(a.claim.ListedAt)
 	r.Refused, a.refused = a.refused, 0
 	for i := range a.waiting {
 		a.waiting[i].asked = true
@@ -260,10 +261,10 @@
 	earliest, ok := a.emptyUntil(now)
 	switch {
 	case ok:
-	case len(w.short) > 0:
+	case w.short:
 		// What the banks had was lent to others.
 		earliest = now
-	case a.usable(now, nil, b.silent) == 0:
+	case a.usable(now, w.tried, b.silent) == 0:
 		return &Unavailable{Ticket: w.ticket}
 	default:
 		// It costs more than all banks in reach can lend.
--- a/allotment/bucket.go
+++ b/allotment/bucket.go
@@ -33,6 +33,9 @@
 	// callers is the queue of callers that were refused, and routers that of routers which
 	// are told when to ask again.
 	callers, routers turns
+	// closedBy is when the newest list of VMs was read by which this is no longer a bank of
+	// the tenant, zero if there is none.
+	closedBy time.Time
 }
 
 // newBucket returns a bucket of a bank that began at a time.
@@ -60,6 +63,16 @@
 	k.balance = min(k.balance, k.terms.burst())
 }
 
+// closed reports whether the bank has been replaced, as far as a router that chose it by a
+// list of a given age can't know better. A newer list opens it again.
+func (k *bucket) closed(now time.Time, r *Request) bool {
+	listedAt := now.Add(-r.ListAge)
+	if r.Closed && listedAt.After(k.closedBy) {
+		k.closedBy = listedAt
+	}
+	return r.Closed || !listedAt.After(k.closedBy)
+}
+
 // lend returns a loan. It is granted while the balance is not negative, and may then make it
 // so by the first of the waiting requests: were the whole amount required, requests of the
 // usual size would rarely fit in the shares of a small allotment.
--- a/allotment/claim.go
+++ b/allotment/claim.go
@@ -1,14 +1,19 @@
 package allotment
 
-import "github.com/laureltally/laureltally/ident"
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
 
 // Claim asks for the cost of one request of a caller.
 type Claim struct {
 	Tenant ident.Tenant
 	Terms  Terms
 	Cost   float64
-	// Banks are the banks that may be asked.
-	Banks []BankLink
+	// Banks are the banks that may be asked, chosen by the list of VMs read at ListedAt.
+	Banks    []BankLink
+	ListedAt time.Time
 }
 
 // BankLink is a bank as a router sees it.
--- a/allotment/homes.go
+++ b/allotment/homes.go
@@ -56,8 +56,17 @@
 	until time.Time
 }
 
-// Update takes the engines of the newest list.
-func (h *Homes) Update(now time.Time, engines []Engine) {
+// Replaced is a bank that a new list replaces by another one although its engine is still
+// listed.
+type Replaced struct {
+	Tenant ident.Tenant
+	Engine Engine
+}
+
+// Update takes the engines of the newest list. It returns the replaced banks of the tenants
+// that Banks was called for: they have to be told, since routers that are cut off from the
+// store still ask them.
+func (h *Homes) Update(now time.Time, engines []Engine) []Replaced {
 	byRegion := make(map[ident.Region][]ranked)
 	for _, e := range engines {
 		byRegion[e.Region] = append(byRegion[e.Region], ranked{e, xxhash.Sum64String(e.Address)})
@@ -70,12 +79,39 @@
 	slices.SortFunc(l.regions, func(a, b []ranked) int { return cmp.Compare(a[0].Region, b[0].Region) })
 	if n := len(h.lists); n > 0 {
 		if l.equal(&h.lists[n-1]) {
-			return
+			return nil
 		}
 		h.lists[n-1].until = now
 	}
+	replaced := h.replaced(&l)
 	h.lists = append(slices.DeleteFunc(h.lists, func(l list) bool { return l.settled(now) }), l)
 	h.cache = nil
+	return replaced
+}
+
+// replaced returns the banks that a list newer than the current one replaces.
+func (h *Homes) replaced(newer *list) []Replaced {
+	var out []Replaced
+	for tenant := range h.cache {
+		seed := xxhash.Sum64String(string(tenant))
+		now := newer.banks(seed)
+		for _, e := range h.lists[len(h.lists)-1].banks(seed) {
+			if !slices.Contains(now, e) && newer.has(e) {
+				out = append(out, Replaced{tenant, e})
+			}
+		}
+	}
+	return out
+}
+
+// has reports whether an engine is listed.
+func (l *list) has(e Engine) bool {
+	for _, all := range l.regions {
+		if _, ok := slices.BinarySearchFunc(all, e, func(a ranked, b Engine) int { return cmp.Compare(a.Address, b.Address) }); ok && all[0].Region == e.Region {
+			return true
+		}
+	}
+	return false
 }
 
 // Any reports whether the list has an engine.
--- a/allotment/request.go
+++ b/allotment/request.go
@@ -1,6 +1,10 @@
 package allotment
 
-import "github.com/laureltally/laureltally/ident"
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
 
 // Request asks a bank for a loan.
 type Request struct {
@@ -14,4 +18,9 @@
 	// Refused is the cost of requests that were refused, without asking, since the last
 	// Request.
 	Refused float64
+	// ListAge is the age of the list of VMs by which the bank was chosen.
+	ListAge time.Duration
+	// Closed tells the bank that by this list it is no longer one of the tenant. Routers with
+	// older lists, which may be cut off from the store, get nothing from it either.
+	Closed bool
 }
--- a/allotment/wire.go
+++ b/allotment/wire.go
@@ -16,7 +16,7 @@
 	return &wire.AllotmentRequest{
 		Tenant: r.Tenant, PerSecond: t.PerSecond, Burst: t.Burst, Banks: t.Banks,
 		Revision: t.Version.Revision, Restores: t.Version.Restores, Number: t.Version.Number,
-		Amount: r.Amount, Least: r.Least, Ahead: r.Ahead, Refused: r.Refused,
+		Amount: r.Amount, Least: r.Least, Ahead: r.Ahead, Refused: r.Refused, ListAge: r.ListAge, Closed: r.Closed,
 	}
 }
 
@@ -30,6 +30,7 @@
 			Version: Version{Revision: m.Revision, Restores: m.Restores, Number: m.Number},
 		},
 		Amount: amount(m.Amount), Least: min(amount(m.Least), amount(m.Amount)), Ahead: amount(m.Ahead), Refused: amount(m.Refused),
+		ListAge: max(0, m.ListAge), Closed: m.Closed,
 	}
 }
 
--- a/ingress/poll.go
+++ b/ingress/poll.go
@@ -189,7 +189,7 @@
 		return
 	}
 	engines := s.clusterState.engines(snap.Config.Services)
-	s.allotments.setEngines(engines)
+	s.allotments.setEngines(s.clusterState.listedAt(), engines)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for address, l := range s.links {
--- a/wire/allotment_request.go
+++ b/wire/allotment_request.go
@@ -1,6 +1,10 @@
 package wire
 
-import "github.com/laureltally/laureltally/ident"
+import (
+	"time"
+
+	"github.com/laureltally/laureltally/ident"
+)
 
 // AllotmentRequest asks a sidecar that is one of a tenant's banks for a loan from the
 // tenant's allotment. The reply is an AllotmentLoan.
@@ -21,6 +25,11 @@
 	Least   float64 `cbor:"9,keyasint,omitempty"`
 	Ahead   float64 `cbor:"10,keyasint,omitempty"`
 	Refused float64 `cbor:"11,keyasint,omitempty"`
+	// ListAge is the time since the router began to read its list of VMs. Closed tells that
+	// by this list the sidecar is no longer a bank of the tenant; then nothing is lent, and
+	// routers with older lists get nothing either.
+	ListAge time.Duration `cbor:"12,keyasint,omitempty"`
+	Closed  bool          `cbor:"13,keyasint,omitempty"`
 }
 
 // Kind implements Message.
