--- a/e2e/hosted/installation_test.go
+++ b/e2e/hosted/installation_test.go
@@ -47,6 +47,8 @@
 	udp       int
 	// metrics holds the metrics of the routers.
 	metrics tally.TestScope
+	// adjust, if set, changes the options of routers that are started later.
+	adjust func(*ingress.Options)
 }
 
 // logger returns a logger that writes to the test log with -v and discards its
@@ -96,7 +98,7 @@
 	}
 	bound := make(chan [2]string, 1)
 	store := platform.NewStore(in.store.Address())
-	server, err := ingress.New(ingress.Options{
+	o := ingress.Options{
 		Settings: config.IngressSettings{
 			VM: "router", Region: region, Zone: zone, Listen: anyPort, ReadinessListen: anyPort, SidecarPort: in.udp, RetryShare: 0.2, RetrySlack: 50,
 			ShutdownTimeout: config.Duration(4 * time.Second),
@@ -110,7 +112,11 @@
 		ReadinessPath: platform.ReadinessPath,
 		OnListening:   func(callers, probes net.Addr) { bound <- [2]string{callers.String(), probes.String()} },
 		PollInterval:  200 * time.Millisecond, ShutdownDelay: 300 * time.Millisecond,
-	})
+	}
+	if in.adjust != nil {
+		in.adjust(&o)
+	}
+	server, err := ingress.New(o)
 	if err != nil {
 		in.t.Fatal(err)
 	}
