--- a/ingress/check_key_test.go
+++ b/ingress/check_key_test.go
@@ -190,6 +190,16 @@
 	if _, reason, _ := k.call("/closed/a", "new"); reason != "configuration too old for requests with keys" {
 		t.Errorf("key that the store has lost: %s", reason)
 	}
+	// A configuration with a number that was used before is not adopted, but removes keys.
+	low := keyConfig(1<<36+6, "new")
+	low.Restores, low.Number = 1, 4
+	k.directory.config = low
+	if err := k.read(0); err != nil {
+		t.Fatal(err)
+	}
+	if _, reason, _ := k.call("/closed/a", "stays"); reason != "configuration too old for requests with keys" {
+		t.Errorf("key removed after the restore: %s", reason)
+	}
 	mended := keyConfig(1<<36+9, "stays", "new")
 	mended.Restores, mended.Number = 1, 6
 	k.directory.config = mended
--- a/ingress/config_read.go
+++ b/ingress/config_read.go
@@ -17,7 +17,7 @@
 	snap *serving.Snapshot
 	// stored holds the keys in the store, if these are not the ones in force: a store that
 	// was restored from an older copy holds an older configuration, which is not adopted,
-	// but what is removed from it counts.
+	// but what is removed from it counts. It is nil as well if that one has no tenants.
 	stored *serving.KeyTable
 }
 
--- a/ingress/final_response.go
+++ b/ingress/final_response.go
@@ -68,7 +68,7 @@
 	l.Info(message)
 }
 
-// log writes the final log line of a request.
+// log writes the final log line of a request and counts it for its tenant.
 func (d *delivery) log(st step, status int, more log.Fields) {
 	now := d.s.o.Now()
 	f := log.Fields{
--- a/ingress/revocation_test.go
+++ b/ingress/revocation_test.go
@@ -78,9 +78,8 @@
 // the store held its key within the bound before the caller sent it, or later, and if the
 // newest version that the router has read holds it, also after a restore.
 //
-// Fails if the age is counted from the end of a read, if it is not checked, if the check is
-// made on what was read while the request waited, if a failed read counts, or if a read that
-// is not adopted after a restore is taken for the configuration in force.
+// Fails if the age of the read is not checked, if the keys of a restored store are ignored,
+// or if its older configuration is adopted.
 func TestRemovedKeysAreRefusedUnderRandomFaults(t *testing.T) {
 	for seed := range uint64(400) {
 		restored := seed%2 == 1
