--- a/allotment/bank_test.go
+++ b/allotment/bank_test.go
@@ -225,3 +225,14 @@
 		t.Errorf("%+v for a newer list", l)
 	}
 }
+
+func BenchmarkLend(b *testing.B) {
+	bank := NewBank(start)
+	names := tenants(10_000)
+	tm := terms(216_121, 216_121, 3)
+	for i := 0; b.Loop(); i++ {
+		r := request(tm, 1500)
+		r.Tenant = names[i%len(names)]
+		bank.Lend(start.Add(time.Duration(i)*time.Microsecond), r)
+	}
+}
--- a/allotment/borrower_test.go
+++ b/allotment/borrower_test.go
@@ -290,3 +290,19 @@
 		t.Errorf("%+v after a time", a)
 	}
 }
+
+func BenchmarkTakeAndAnswer(b *testing.B) {
+	borrower := NewBorrower(start, rand.New(rand.NewPCG(1, 1)))
+	names := tenants(10_000)
+	c := Claim{Terms: terms(216_121, 216_121, 3), Cost: 1500, Banks: []BankLink{near1, far1, far2}}
+	for i := 0; b.Loop(); i++ {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		c.Tenant = names[i%len(names)]
+		_, actions := borrower.Take(now, c)
+		for _, a := range actions {
+			if a, ok := a.(*Ask); ok {
+				borrower.Answered(now, a.ID, Loan{Amount: a.Request.Amount})
+			}
+		}
+	}
+}
--- a/allotment/flood_test.go
+++ b/allotment/flood_test.go
@@ -28,6 +28,9 @@
 				if most := 3 * 250 * int(length.Seconds()); s.messages > most {
 					t.Errorf("%d messages, %d allowed", s.messages, most)
 				}
+				if s.longest > 500*time.Millisecond {
+					t.Errorf("a request waited %v", s.longest)
+				}
 				if s.failed > 0 {
 					t.Errorf("%d refused since no bank could be asked", s.failed)
 				}
@@ -266,3 +269,34 @@
 		t.Errorf("%.0f served, %.0f expected", got, least)
 	}
 }
+
+// Banks that are restarted every second forget what they lent. It guards against banks that
+// start with their whole burst.
+func TestRestartedBanksHoldLittle(t *testing.T) {
+	s := newSimulation(6, 26, 9, 1, 216_121, 216_121)
+	s.flood(8, 20*time.Second, usualCost)
+	n := 0
+	var restart func()
+	restart = func() {
+		homes := s.homes()
+		b := s.banks[homes[n%len(homes)]]
+		n++
+		b.down = true
+		s.after(100*time.Millisecond, func() { b.down, b.bank = false, NewBank(s.now) })
+		s.after(400*time.Millisecond, restart)
+	}
+	s.after(3*time.Second, restart)
+	s.run(21 * time.Second)
+	s.checkBound(t)
+}
+
+// Hundreds of routers hold parts of what large requests would cost, and then get many small
+// requests. It guards against loans that don't expire.
+func TestUnspentLoansEnd(t *testing.T) {
+	s := newSimulation(7, 360, 26, 3, 2700, 2700)
+	s.flood(8, 120*time.Second, func(*rand.Rand) float64 { return 5000 })
+	s.run(120 * time.Second)
+	s.flood(200, 10*time.Second, func(*rand.Rand) float64 { return 500 })
+	s.run(11 * time.Second)
+	s.checkBound(t)
+}
