--- a/allotment/account.go
+++ b/allotment/account.go
@@ -35,13 +35,19 @@
 	ticket Ticket
 	cost   float64
 	since  time.Time
-	// asked is set once a bank was asked for its cost. Tried lists the banks that had too
-	// little or did not answer, and short is set if one had too little.
+	// asked is set once a bank was asked for its cost. Tried lists the banks that are not
+	// asked again, and short is set if one had too little.
 	asked bool
-	tried []string
+	tried []triedBank
 	short bool
 }
 
+// triedBank is a bank that had too little for a request, or did not answer.
+type triedBank struct {
+	address string
+	short   bool
+}
+
 // bankView is what a router knows of a bank and one tenant.
 type bankView struct {
 	// open is set while a Request awaits its answer, which covers amount.
@@ -114,7 +120,7 @@
 // nearest banks are asked first. One that was short is not asked again for the same request,
 // nor for others before it may have something. One that has not answered is left out for a
 // time, unless nothing is known of any other one.
-func (a *account) next(now time.Time, tried []string, silent map[string]time.Time, r *rand.Rand) (bank *BankLink, open bool) {
+func (a *account) next(now time.Time, tried []triedBank, silent map[string]time.Time, r *rand.Rand) (bank *BankLink, open bool) {
 	bank, open = a.nearest(now, tried, silent, r)
 	if bank == nil && !open && !a.anyEmpty(now) {
 		bank, open = a.nearest(now, tried, nil, r)
@@ -123,14 +129,14 @@
 }
 
 // nearest returns one of the nearest banks to ask, or that all of these are being asked.
-func (a *account) nearest(now time.Time, tried []string, silent map[string]time.Time, r *rand.Rand) (bank *BankLink, open bool) {
+func (a *account) nearest(now time.Time, tried []triedBank, silent map[string]time.Time, r *rand.Rand) (bank *BankLink, open bool) {
 	for _, near := range []bool{true, false} {
 		free := 0
 		for i := range a.claim.Banks {
 			l := &a.claim.Banks[i]
 			v := a.banks[l.Address]
 			switch {
-			case l.Near != near || !l.Connected || now.Before(silent[l.Address]) || slices.Contains(tried, l.Address):
+			case l.Near != near || !l.Connected || now.Before(silent[l.Address]) || wasTried(tried, l.Address):
 			case v != nil && v.open:
 				open = true
 			case v == nil || !now.Before(v.emptyUntil):
@@ -148,7 +154,7 @@
 }
 
 // tried records that a bank had too little for the requests that waited when it was asked, or
-// did not answer.
+// did not answer. In the latter case time has passed in which the others may have got more.
 func (a *account) tried(bank string, askedAt time.Time, short bool) {
 	for i := range a.waiting {
 		w := &a.waiting[i]
@@ -156,18 +162,25 @@
 			continue
 		}
 		w.short = w.short || short
-		if !slices.Contains(w.tried, bank) {
-			w.tried = append(w.tried, bank)
+		if !short {
+			w.tried = slices.DeleteFunc(w.tried, func(t triedBank) bool { return t.short })
+		}
+		if !wasTried(w.tried, bank) {
+			w.tried = append(w.tried, triedBank{bank, short})
 		}
 	}
 }
 
+func wasTried(tried []triedBank, bank string) bool {
+	return slices.ContainsFunc(tried, func(t triedBank) bool { return t.address == bank })
+}
+
 // usable returns the number of banks that can be asked or are being asked.
-func (a *account) usable(now time.Time, tried []string, silent map[string]time.Time) int {
+func (a *account) usable(now time.Time, tried []triedBank, silent map[string]time.Time) int {
 	n := 0
 	for i := range a.claim.Banks {
 		l := &a.claim.Banks[i]
-		if v := a.banks[l.Address]; l.Connected && !now.Before(silent[l.Address]) && !slices.Contains(tried, l.Address) && (v == nil || !now.Before(v.emptyUntil)) {
+		if v := a.banks[l.Address]; l.Connected && !now.Before(silent[l.Address]) && !wasTried(tried, l.Address) && (v == nil || !now.Before(v.emptyUntil)) {
 			n++
 		}
 	}
--- a/allotment/borrower.go
+++ b/allotment/borrower.go
@@ -273,6 +273,10 @@
 	if !w.asked {
 		a.refused += w.cost
 	}
+	// The time must not be rounded to zero.
+	if soonest := now.Add(minSpacing); earliest.Before(soonest) {
+		earliest = soonest
+	}
 	length := max(minSpacing, accrual(w.cost, a.claim.Terms.PerSecond))
 	return &Refused{Ticket: w.ticket, RetryAfter: a.turns.take(now, earliest, length, maxWait), Age: now.Sub(a.emptyAt)}
 }
--- a/allotment/borrower_test.go
+++ b/allotment/borrower_test.go
@@ -306,3 +306,35 @@
 		}
 	}
 }
+
+// While a bank does not answer, another one that was short may have got more. It guards
+// against refusals, and times to come back of zero, that only the wait explains.
+func TestShortBankIsAskedAgainAfterASilentOne(t *testing.T) {
+	d := newDesk(t, near1, far1)
+	a := d.asks(d.take(at(0), 100))
+	short := Loan{Refused: true, EmptyFor: minEmpty, Wait: minEmpty}
+	a = d.asks(d.Answered(at(1), a.ID, short))
+	a = d.asks(d.Unanswered(at(200), a.ID))
+	if a.Bank != "n1" {
+		t.Fatalf("%+v", a)
+	}
+	if r := d.refused(d.Answered(at(270), a.ID, short)); r.RetryAfter < minSpacing {
+		t.Errorf("told %v", r.RetryAfter)
+	}
+	// A request that has waited for long is refused at once.
+	a = d.asks(d.take(at(2000), 100))
+	a = d.asks(d.Answered(at(2001), a.ID, short))
+	if r := d.refused(d.Unanswered(at(2301), a.ID)); r.RetryAfter < minSpacing {
+		t.Errorf("told %v", r.RetryAfter)
+	}
+}
+
+// A caller that is refused just before a bank has something is not told to come back at once.
+func TestRefusedCallerIsNotToldZero(t *testing.T) {
+	d := newDesk(t, near1)
+	a := d.asks(d.take(at(0), 100))
+	d.granted(d.Answered(at(1), a.ID, Loan{Amount: 100, EmptyFor: minEmpty}), 1)
+	if r := d.refused(d.take(at(1).Add(minEmpty-1), 100)); r.RetryAfter < minSpacing {
+		t.Errorf("told %v", r.RetryAfter)
+	}
+}
