--- a/e2e/hosted/installation_test.go
+++ b/e2e/hosted/installation_test.go
@@ -47,6 +47,10 @@
 	udp       int
 	// metrics holds the metrics of the routers.
 	metrics tally.TestScope
+	// routers is the number of routers started.
+	routers int
+	// adjust, if set, changes the options of routers that are started later.
+	adjust func(*ingress.Options)
 }
 
 // logger returns a logger that writes to the test log with -v and discards its
@@ -90,15 +94,19 @@
 
 func (in *installation) runRouter() {
 	in.t.Helper()
-	credentials, err := keys.NewEphemeral("router", nil)
+	vm := ident.VM("router")
+	if in.routers++; in.routers > 1 {
+		vm = ident.VM(fmt.Sprintf("router-%d", in.routers))
+	}
+	credentials, err := keys.NewEphemeral(vm, nil)
 	if err != nil {
 		in.t.Fatal(err)
 	}
 	bound := make(chan [2]string, 1)
 	store := platform.NewStore(in.store.Address())
-	server, err := ingress.New(ingress.Options{
+	o := ingress.Options{
 		Settings: config.IngressSettings{
-			VM: "router", Region: region, Zone: zone, Listen: anyPort, ReadinessListen: anyPort, SidecarPort: in.udp, RetryShare: 0.2, RetrySlack: 50,
+			VM: vm, Region: region, Zone: zone, Listen: anyPort, ReadinessListen: anyPort, SidecarPort: in.udp, RetryShare: 0.2, RetrySlack: 50,
 			ShutdownTimeout: config.Duration(4 * time.Second),
 		},
 		Directory:     &platform.Directory{Store: store, Regions: platform.Regions{zone: region}},
@@ -110,7 +118,11 @@
 		ReadinessPath: platform.ReadinessPath,
 		OnListening:   func(callers, probes net.Addr) { bound <- [2]string{callers.String(), probes.String()} },
 		PollInterval:  200 * time.Millisecond, ShutdownDelay: 300 * time.Millisecond,
-	})
+	}
+	if in.adjust != nil {
+		in.adjust(&o)
+	}
+	server, err := ingress.New(o)
 	if err != nil {
 		in.t.Fatal(err)
 	}
--- a/ingress/final_response.go
+++ b/ingress/final_response.go
@@ -23,9 +23,14 @@
 	if st == stepAbort {
 		panic(http.ErrAbortHandler)
 	}
-	if status == http.StatusServiceUnavailable {
+	switch status {
+	case http.StatusServiceUnavailable:
 		d.w.Header().Set("Retry-After", d.s.o.Protocol.RetryAfter(d.callerRetryAfter(retryAfter)))
 		d.s.metrics.countRequest("refused")
+	case http.StatusTooManyRequests:
+		// Not bounded by the caller's remaining time: its request fits no earlier.
+		d.w.Header().Set("Retry-After", d.s.o.Protocol.RetryAfter(retryAfter))
+		d.s.metrics.countRequest("over_allotment")
 	}
 	d.extendWrite()
 	d.w.Header().Set("Content-Length", "0")
@@ -68,7 +73,7 @@
 	l.Info(message)
 }
 
-// log writes the final log line of a request.
+// log writes the final log line of a request and counts it for its tenant.
 func (d *delivery) log(st step, status int, more log.Fields) {
 	now := d.s.o.Now()
 	f := log.Fields{
@@ -81,6 +86,13 @@
 	if d.route != nil {
 		f["route"], f["service"] = d.route.Name, d.requirements.Service
 	}
+	if d.tenant != nil {
+		f["tenant"] = d.tenant.Name
+		d.s.metrics.countTenantRequest(d.tenant.Name, status)
+	}
+	if d.charge.cost > 0 {
+		f["cost"], f["allotment_age_ms"] = int64(d.charge.cost), ms(d.charge.age)
+	}
 	if d.requirements.Model != "" {
 		f["model"], f["adapter"] = d.requirements.Model, d.requirements.Adapter
 	}
