--- /dev/null
+++ b/heldbytes/budget.go
@@ -0,0 +1,153 @@
+package heldbytes
+
+import "time"
+
+// MinStall is how long a peer must have been stalled before it can be disconnected. It is
+// above the pauses that the loss of a packet or a busy client causes.
+const MinStall = time.Second
+
+// Budget is the number of bytes that may be held for all peers together.
+type Budget struct {
+	limit, held int64
+	// leaving is the part of held that belongs to peers being disconnected.
+	leaving int64
+	// stalled holds the peers that are stalled and not being disconnected, each at its
+	// Holder.index. It is scanned when the budget is used up.
+	stalled []*Holder
+}
+
+// NewBudget returns a Budget of a number of bytes.
+func NewBudget(limit int64) *Budget {
+	return &Budget{limit: limit}
+}
+
+// Limit returns the size of the budget.
+func (b *Budget) Limit() int64 { return b.limit }
+
+// Held returns the number of bytes held, including those of peers being disconnected.
+func (b *Budget) Held() int64 { return b.held }
+
+// Reserve takes n bytes for a peer if they fit. If they don't, but would once stalled
+// peers that are at most as urgent as h have been disconnected, it takes them as well and
+// returns these peers, which the caller must disconnect. Otherwise nobody is disconnected
+// and ok is false.
+//
+// It is for bytes that can be refused or left at the other end: large bodies, buffers for
+// peers that don't read.
+func (b *Budget) Reserve(now time.Time, h *Holder, n int64) (disconnect []*Holder, ok bool) {
+	excess := b.excess() + n
+	if excess > 0 {
+		var freed int64
+		disconnect, freed = b.choose(now, h, excess, &h.urgency)
+		if freed < excess {
+			return nil, false
+		}
+		b.leave(disconnect)
+	}
+	b.add(h, n)
+	return disconnect, true
+}
+
+// Hold takes n bytes for a peer, also beyond the limit, and returns the stalled peers that
+// the caller must disconnect for it. It is for bytes without which no request can be
+// served at all: connections, small bodies, events.
+func (b *Budget) Hold(now time.Time, h *Holder, n int64) (disconnect []*Holder) {
+	b.add(h, n)
+	if excess := b.excess(); excess > 0 {
+		disconnect, _ = b.choose(now, h, excess, nil)
+		b.leave(disconnect)
+	}
+	return disconnect
+}
+
+// Fits reports whether n bytes are free without disconnecting anybody.
+func (b *Budget) Fits(n int64) bool { return b.excess()+n <= 0 }
+
+// Release gives n bytes back.
+func (b *Budget) Release(h *Holder, n int64) { b.add(h, -n) }
+
+// Remove gives all bytes of a peer back.
+func (b *Budget) Remove(h *Holder) {
+	b.add(h, -h.bytes)
+	b.Progress(h)
+}
+
+// Stall records that a peer has not made progress since the given time.
+func (b *Budget) Stall(h *Holder, since time.Time) {
+	h.stalledSince = since
+	if !h.stalled && !h.leaving {
+		h.index = len(b.stalled)
+		b.stalled = append(b.stalled, h)
+	}
+	h.stalled = true
+}
+
+// Progress records that a peer reads, or has sent what it had to.
+func (b *Budget) Progress(h *Holder) {
+	if h.stalled && !h.leaving {
+		b.unlist(h)
+	}
+	h.stalled = false
+}
+
+// SetUrgency sets the urgency of the request that a peer's bytes are held for.
+func (b *Budget) SetUrgency(h *Holder, u Urgency) { h.urgency = u }
+
+// Stalled returns the number of stalled peers that are not being disconnected.
+func (b *Budget) Stalled() int { return len(b.stalled) }
+
+func (b *Budget) add(h *Holder, n int64) {
+	h.bytes += n
+	b.held += n
+	if h.leaving {
+		b.leaving += n
+	}
+}
+
+// excess returns by how much the budget is exceeded, not counting peers being
+// disconnected; negative if bytes are free.
+func (b *Budget) excess() int64 { return b.held - b.leaving - b.limit }
+
+// choose returns the peers to disconnect so that need bytes are given back, and how many
+// they give. It chooses neither for itself nor, if most is set, peers more urgent than
+// that.
+func (b *Budget) choose(now time.Time, self *Holder, need int64, most *Urgency) (chosen []*Holder, freed int64) {
+	for freed < need {
+		var first *Holder
+		for _, h := range b.stalled {
+			if h == self || h.chosen || now.Sub(h.stalledSince) < MinStall || most != nil && h.urgency.Compare(*most) < 0 {
+				continue
+			}
+			if first == nil || h.before(first) {
+				first = h
+			}
+		}
+		if first == nil {
+			break
+		}
+		first.chosen = true
+		chosen = append(chosen, first)
+		freed += first.bytes
+	}
+	for _, h := range chosen {
+		h.chosen = false
+	}
+	return chosen, freed
+}
+
+func (b *Budget) leave(holders []*Holder) {
+	for _, h := range holders {
+		b.unlist(h)
+		h.leaving = true
+		b.leaving += h.bytes
+	}
+}
+
+// unlist removes a listed peer from stalled.
+func (b *Budget) unlist(h *Holder) {
+	last := len(b.stalled) - 1
+	b.stalled[h.index] = b.stalled[last]
+	b.stalled[h.index].index = h.index
+	b.stalled[last] = nil
+	b.stalled = b.stalled[:last]
+}
