--- a/cmd/laureltally-ingress/main.go
+++ b/cmd/laureltally-ingress/main.go
@@ -29,6 +29,7 @@
 		return err
 	}
 	defer components.Close()
+	daemon.LimitMemory(s.MemoryMB)
 	store := platform.NewStore(s.MetadataStore)
 	daemon.WatchSettings(ctx, a.Settings, func(text []byte, signalled bool) {
 		next, err := config.ReadIngressSettings(text)
--- a/config/ingress_settings.go
+++ b/config/ingress_settings.go
@@ -41,8 +41,11 @@
 	MaxConfigDelay Duration `json:"config_within"`
 	MaxLeaveDelay  Duration `json:"leaving_within"`
 	// ShutdownTimeout is the time limit of a graceful shutdown.
-	ShutdownTimeout Duration    `json:"shutdown_timeout"`
-	Log             LogSettings `json:"log"`
+	ShutdownTimeout Duration `json:"shutdown_timeout"`
+	// MemoryMB is the memory of the VM in MB. A share of it may be buffered for callers.
+	// Zero means that nothing limits what is buffered.
+	MemoryMB float64     `json:"memory_mb"`
+	Log      LogSettings `json:"log"`
 }
 
 func (s *IngressSettings) setDefaults() {
@@ -76,9 +79,18 @@
 	positive(c, "config_within", s.MaxConfigDelay)
 	positive(c, "leaving_within", s.MaxLeaveDelay)
 	positive(c, "shutdown_timeout", s.ShutdownTimeout)
+	if s.MemoryMB != 0 {
+		within(c, "memory_mb", s.MemoryMB, minMemoryMB, maxMemoryMB)
+	}
 	s.Log.check(c)
 }
 
 // maxRetrySlack is the largest valid RetrySlack; it detects a value in the wrong
 // unit.
 const maxRetrySlack = 1e6
+
+// Bounds of MemoryMB; they detect a value in the wrong unit.
+const (
+	minMemoryMB = 16
+	maxMemoryMB = 16 << 20
+)
--- /dev/null
+++ b/ingress/caller_conn.go
@@ -0,0 +1,392 @@
+package ingress
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/laureltally/laureltally/heldbytes"
+	"github.com/laureltally/laureltally/ident"
+)
+
+const (
+	// idleConnectionBytes and activeRequestBytes are the allowances for a caller's
+	// connection and for a request on it: goroutines, buffers of net/http, the connection
+	// to the upstream. Measured by TestCostOfAConnection.
+	idleConnectionBytes = 24 << 10
+	activeRequestBytes  = 24 << 10
+	// freeHeaderBytes, freePendingBytes and freeEventBytes are part of these.
+	freeHeaderBytes  = 4 << 10
+	freePendingBytes = 4 << 10
+	freeEventBytes   = 4 << 10
+
+	// streamBufferBytes is how much of a stream is buffered for a caller that does not
+	// read. It holds most streams of tokens whole, so that the upstream can finish.
+	streamBufferBytes = 32 << 10
+	// wholeBufferBytes is the same for a response that was received to its end, with its
+	// header.
+	wholeBufferBytes = maxWholeBytes + 128<<10
+	// reserveStep is the step in which buffers are reserved as they grow.
+	reserveStep = 4 << 10
+
+	// callerSendBuffer is the kernel's send buffer for callers, streamSendBuffer the one
+	// for streams, which consist of small events.
+	callerSendBuffer = 32 << 10
+	streamSendBuffer = 16 << 10
+	// upstreamReceiveBuffer is the kernel's receive buffer for upstreams. It limits what
+	// piles up when a caller's stream is no longer read from the upstream.
+	upstreamReceiveBuffer = 32 << 10
+	// kernelOverhead is the kernel's memory for a socket buffer as a multiple of its size.
+	kernelOverhead = 2
+
+	// progressTimeout is how long a caller may leave a response unread before it is
+	// disconnected while the budget is not used up.
+	progressTimeout = time.Minute
+)
+
+// callerConn is the connection of a caller. While the caller reads in time, writes go to
+// the socket directly. If the socket is full, what remains is buffered up to a limit and
+// written by a goroutine that exists only until the buffer is empty; beyond the limit,
+// Write waits, and the upstream is not read meanwhile.
+//
+// The write deadline bounds the wait for room in the buffer. What has been buffered is
+// written however long that takes, as long as the caller reads some of it within each
+// progressTimeout, also after Close.
+//
+// The methods called by a delivery do nothing on a nil *callerConn, which stands for a
+// process without a budget.
+type callerConn struct {
+	net.Conn
+	tcp    *net.TCPConn
+	raw    syscall.RawConn
+	held   *heldBytes
+	finish func() error
+	// direct and drain write to the socket within raw.Write.
+	direct, drain func(fd uintptr) (done bool)
+
+	// holder is guarded by held.mu.
+	holder heldbytes.Holder
+	// requestBytes is what is held for the current request. It is used by the goroutine
+	// that serves the connection.
+	requestBytes int
+
+	mu   sync.Mutex
+	room sync.Cond
+	// request and tenant are those of the newest request, for the log.
+	request string
+	tenant  ident.Tenant
+	// active is set while a request is being served. header counts what has been received
+	// of the next one before, and headerReserved what was reserved for it.
+	active                 bool
+	header, headerReserved int
+	// pending is what the socket does not take; it begins at offset. It is limited to
+	// pendingLimit bytes, of which pendingReserved are reserved. Whole is set if it holds
+	// a response that was received to its end, which is buffered in any case.
+	pending                               []byte
+	offset, pendingLimit, pendingReserved int
+	whole                                 bool
+	// flushing is set while a goroutine writes pending. wakeAt is the number of pending
+	// bytes at which a waiting Write continues; -1 if none waits.
+	flushing bool
+	wakeAt   int
+	// backpressure is set once a Write of the current request has waited.
+	backpressure  bool
+	writeDeadline time.Time
+	closing       bool
+	err           error
+	// written and writeErr are the result of direct or drain, and toWrite the argument of
+	// direct.
+	toWrite  []byte
+	written  int
+	writeErr error
+}
+
+func newCallerConn(tcp *net.TCPConn, held *heldBytes) (*callerConn, error) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	if err := tcp.SetWriteBuffer(callerSendBuffer); err != nil {
+		return nil, err
+	}
+	c := &callerConn{Conn: tcp, tcp: tcp, raw: raw, held: held, pendingLimit: streamBufferBytes, wakeAt: -1}
+	c.room.L = &c.mu
+	c.direct, c.drain = c.writeDirect, c.writePending
+	c.finish = sync.OnceValue(func() error {
+		held.closed(c)
+		return tcp.Close()
+	})
+	held.opened(c)
+	return c, nil
+}
+
+// Write implements net.Conn. It is called by one goroutine at a time.
+func (c *callerConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	if c.err == nil && !c.flushing {
+		c.toWrite = p
+		err := c.raw.Write(c.direct)
+		c.toWrite = nil
+		if err == nil {
+			err = c.writeErr
+		}
+		if n = c.written; err != nil || n == len(p) {
+			return n, err
+		}
+		c.flushing = true
+		c.held.hold(c, kernelOverhead*streamSendBuffer)
+		c.held.stalled(c, c.held.now())
+		go c.flush()
+	}
+	for n < len(p) {
+		if c.err != nil {
+			return n, c.err
+		}
+		taken := c.buffer(p[n:])
+		if n += taken; taken == 0 && !c.waitForRoom() {
+			return n, os.ErrDeadlineExceeded
+		}
+	}
+	return n, nil
+}
+
+// writeDirect writes toWrite until all is written or the socket is full. It never waits.
+func (c *callerConn) writeDirect(fd uintptr) bool {
+	c.written, c.writeErr = 0, nil
+	for c.written < len(c.toWrite) {
+		n, err := syscall.Write(int(fd), c.toWrite[c.written:])
+		switch {
+		case n > 0:
+			c.written += n
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return true
+		default:
+			c.writeErr = os.NewSyscallError("write", err)
+			return true
+		}
+	}
+	return true
+}
+
+// buffer appends to pending as much as the limit and the budget allow. The caller holds
+// mu.
+func (c *callerConn) buffer(p []byte) int {
+	unread := len(c.pending) - c.offset
+	n := max(0, min(len(p), c.pendingLimit-unread))
+	for need := unread + n - freePendingBytes - c.pendingReserved; need > 0; {
+		step := (need + reserveStep - 1) / reserveStep * reserveStep
+		if c.whole {
+			c.held.hold(c, step)
+		} else if !c.held.reserve(c, step) {
+			n = max(0, n-need)
+			break
+		}
+		c.pendingReserved += step
+		need -= step
+	}
+	if n > 0 && c.offset > 0 {
+		c.pending = c.pending[:copy(c.pending, c.pending[c.offset:])]
+		c.offset = 0
+	}
+	c.pending = append(c.pending, p[:n]...)
+	return n
+}
+
+// waitForRoom waits until the caller has read half of pending, and reports whether that
+// was before the write deadline. The caller holds mu.
+func (c *callerConn) waitForRoom() bool {
+	if !c.backpressure {
+		c.backpressure = true
+		c.held.hold(c, kernelOverhead*upstreamReceiveBuffer)
+	}
+	c.wakeAt = (len(c.pending) - c.offset) / 2
+	defer func() { c.wakeAt = -1 }()
+	if d := c.writeDeadline; !d.IsZero() {
+		defer time.AfterFunc(d.Sub(c.held.now()), func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.room.Broadcast()
+		}).Stop()
+	}
+	for c.err == nil && c.flushing && len(c.pending)-c.offset > c.wakeAt {
+		if d := c.writeDeadline; !d.IsZero() && !c.held.now().Before(d) {
+			return false
+		}
+		c.room.Wait()
+	}
+	return true
+}
+
+// flush writes pending and then ends.
+func (c *callerConn) flush() {
+	for done := false; !done; {
+		_ = c.tcp.SetWriteDeadline(time.Now().Add(progressTimeout))
+		err := c.raw.Write(c.drain)
+		c.mu.Lock()
+		if err == nil {
+			err = c.writeErr
+		}
+		if done = err != nil || c.offset == len(c.pending); done {
+			c.flushed(err)
+		}
+		c.mu.Unlock()
+	}
+}
+
+// flushed ends the use of pending. The caller holds mu.
+func (c *callerConn) flushed(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.err == nil {
+		c.logDisconnected("caller disconnected, response not read", log.Fields{"bytes": len(c.pending) - c.offset, "stalled_ms": ms(progressTimeout)})
+		c.held.metrics.readersDisconnected.Inc(1)
+		_ = c.tcp.SetLinger(0)
+	}
+	if c.err == nil {
+		c.err = err
+	}
+	_ = c.tcp.SetWriteDeadline(time.Time{})
+	c.held.progressed(c)
+	c.held.release(c, kernelOverhead*streamSendBuffer+c.pendingReserved)
+	c.pending, c.offset, c.pendingReserved, c.flushing = nil, 0, 0, false
+	c.room.Broadcast()
+	if c.err != nil {
+		// The server's read fails, and it closes the connection.
+		_ = c.tcp.Close()
+	}
+	if c.closing {
+		_ = c.finish()
+	}
+}
+
+// writePending writes what the socket takes of pending, and reports false if it takes
+// nothing, which makes raw.Write wait.
+func (c *callerConn) writePending(fd uintptr) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeErr = nil
+	if c.err != nil {
+		c.writeErr = c.err
+		return true
+	}
+	if c.offset == len(c.pending) {
+		return true
+	}
+	n, err := syscall.Write(int(fd), c.pending[c.offset:])
+	switch {
+	case n > 0:
+		c.offset += n
+		c.held.stalled(c, c.held.now())
+		if len(c.pending)-c.offset <= c.wakeAt {
+			c.room.Broadcast()
+		}
+	case errors.Is(err, syscall.EAGAIN):
+		return false
+	case !errors.Is(err, syscall.EINTR):
+		c.writeErr = os.NewSyscallError("write", err)
+	}
+	return true
+}
+
+// Read implements net.Conn. Bytes outside of a request belong to the header of the next
+// one; beyond freeHeaderBytes they are reserved.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.tcp.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return 0, net.ErrClosed
+	}
+	if c.active || n <= 0 {
+		return n, err
+	}
+	if c.header += n; c.header <= freeHeaderBytes+c.headerReserved {
+		return n, err
+	}
+	if !c.held.reserve(c, reserveStep) {
+		c.logDisconnected("caller disconnected, no room for its header", log.Fields{"bytes": c.header})
+		return 0, &NoRoomError{Bytes: reserveStep}
+	}
+	c.headerReserved += reserveStep
+	if !c.flushing {
+		c.held.stalled(c, c.held.now())
+	}
+	return n, err
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *callerConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+	return nil
+}
+
+// SetReadDeadline implements net.Conn. A closing connection keeps the one in the past that
+// ends the server's read.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return nil
+	}
+	return c.tcp.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *callerConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// CloseWrite is called by net/http before it closes a connection whose request body it has
+// not read.
+func (c *callerConn) CloseWrite() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.flushing {
+		return nil
+	}
+	return c.tcp.CloseWrite()
+}
+
+// Close implements net.Conn. What is pending is written before the connection is closed.
+func (c *callerConn) Close() error {
+	c.mu.Lock()
+	if c.flushing && c.err == nil {
+		c.closing = true
+		_ = c.tcp.SetReadDeadline(time.Unix(1, 0))
+		c.mu.Unlock()
+		return nil
+	}
+	c.mu.Unlock()
+	return c.finish()
+}
+
+// disconnect ends the connection at once. The kernel discards what it has not sent, so
+// that its buffer is free as well.
+func (c *callerConn) disconnect(reason string, f log.Fields) {
+	c.mu.Lock()
+	if c.err == nil {
+		c.err = net.ErrClosed
+		c.logDisconnected(reason, f)
+	}
+	c.room.Broadcast()
+	c.mu.Unlock()
+	_ = c.tcp.SetLinger(0)
+	_ = c.tcp.Close()
+}
+
+// logDisconnected logs why a caller is disconnected. The caller holds mu.
+func (c *callerConn) logDisconnected(reason string, f log.Fields) {
+	l := c.held.logger.WithFields(f).WithField("request", c.request)
+	if c.tenant != "" {
+		l = l.WithField("tenant", c.tenant)
+	}
+	l.Info(reason)
+}
--- /dev/null
+++ b/ingress/caller_listener.go
@@ -0,0 +1,28 @@
+package ingress
+
+import "net"
+
+// callerListener accepts connections of callers whose bytes are counted.
+type callerListener struct {
+	net.Listener
+	held *heldBytes
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := accepted.(*net.TCPConn)
+		if !ok {
+			return accepted, nil
+		}
+		// It fails only if the caller has disconnected.
+		if c, err := newCallerConn(tcp, l.held); err == nil {
+			return c, nil
+		}
+		_ = tcp.Close()
+	}
+}
--- a/ingress/connected_at.go
+++ b/ingress/connected_at.go
@@ -11,8 +11,11 @@
 type connectedAtKey struct{}
 
 // connContext is the ConnContext hook of an http.Server that records when a connection
-// was accepted.
-func (s *Server) connContext(ctx context.Context, _ net.Conn) context.Context {
+// was accepted, and the connection itself if its bytes are counted.
+func (s *Server) connContext(ctx context.Context, c net.Conn) context.Context {
+	if counted, ok := c.(*callerConn); ok {
+		ctx = context.WithValue(ctx, callerConnKey{}, counted)
+	}
 	return context.WithValue(ctx, connectedAtKey{}, s.o.Now())
 }
 
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -39,6 +39,8 @@
 	snap  *serving.Snapshot
 	route *serving.Route
 	info  serving.RequestInfo
+	// conn is the caller's connection, or nil if there is no budget of buffered bytes.
+	conn  *callerConn
 	body  []byte
 	start time.Time
 	// deadline is when a response is no longer useful.
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -20,14 +20,19 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.requests.started()
 	defer s.requests.ended()
+	conn, info := callerConnOf(r.Context()), s.o.Protocol.ReadRequest(r.Header)
+	if !conn.begin(info.ID) {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.end()
 	now := s.o.Now()
 	_ = http.NewResponseController(w).SetWriteDeadline(now.Add(maxRequestTime))
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	d := &delivery{
-		s: s, w: w, r: r, start: now,
-		info: s.o.Protocol.ReadRequest(r.Header),
+		s: s, w: w, r: r, conn: conn, start: now,
+		info: info,
 		snap: s.currentConfig.Get(),
 	}
 	if !d.admit() {
@@ -73,16 +78,21 @@
 	if limits.BodyBytes > 0 {
 		body = http.MaxBytesReader(d.w, d.r.Body, limits.BodyBytes)
 	}
+	d.conn.setUrgency(d.urgency())
 	hash := newRequestHash(d.r, &d.info)
 	var err error
-	d.body, err = io.ReadAll(io.TeeReader(body, hash))
+	d.body, err = d.conn.readBody(io.TeeReader(body, hash), d.r.ContentLength, limits.BodyBytes)
 	d.traits = requestTraits(d.info.Prefix, hash.trait())
 	var large *http.MaxBytesError
+	var noRoom *NoRoomError
 	switch {
 	case err == nil:
 		return true
 	case errors.As(err, &large):
 		d.finish(stepRefuse, http.StatusRequestEntityTooLarge, "body too large", 0)
+	case errors.As(err, &noRoom):
+		d.s.metrics.bodiesRefused.Inc(1)
+		d.finish(stepRefuse, http.StatusServiceUnavailable, err.Error(), bodiesRetryAfter)
 	default:
 		d.log(stepNone, 0, log.Fields{"reason": "body not read", "error": err.Error()})
 		// The end of the request body is unknown, so the connection can't be reused.
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -33,6 +33,11 @@
 	// requests refused for one, newsNotTold the failures to tell a sidecar what other
 	// routers have to know.
 	quarantines, quarantineRefusals, newsNotTold, serversCrashed tally.Counter
+	// heldBytes is what is held for callers, heldBytesBudget its limit. readersDisconnected
+	// counts the stalled callers that were disconnected, bodiesRefused the request bodies
+	// that did not fit.
+	heldBytes, heldBytesBudget         tally.Gauge
+	readersDisconnected, bodiesRefused tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -49,6 +54,9 @@
 		resumesRefused: scope.Counter("resumes_refused"), originsNotRecorded: scope.Counter("stream_origins_not_recorded"),
 		quarantines: scope.Counter("quarantines"), quarantineRefusals: scope.Counter("quarantine_refusals"), newsNotTold: scope.Counter("news_not_told"),
 		serversCrashed: scope.Counter("servers_crashed"),
+
+		heldBytes: scope.Gauge("held_bytes"), heldBytesBudget: scope.Gauge("held_bytes_budget"),
+		readersDisconnected: scope.Counter("readers_disconnected"), bodiesRefused: scope.Counter("bodies_refused"),
 	}
 }
 
--- a/ingress/relay_stream.go
+++ b/ingress/relay_stream.go
@@ -19,6 +19,7 @@
 	events := newEventReader(response)
 	res := result{kind: outcomeDelivered}
 	last := begun
+	eventBytes := freeEventBytes
 	for {
 		e, err := events.next()
 		now := d.s.o.Now()
@@ -41,6 +42,10 @@
 		if d.stream.begun && !follows(e.id, d.stream.lastID) {
 			continue
 		}
+		if n := cap(events.buf); n > eventBytes {
+			d.conn.hold(n - eventBytes)
+			eventBytes = n
+		}
 		if err := d.relayEvent(response, e); err != nil {
 			return result{kind: outcomeCallerGone, err: err}.withTimes(res)
 		}
@@ -63,6 +68,7 @@
 		copyHeader(d.w.Header(), response.Header)
 		d.w.WriteHeader(response.Status)
 		d.stream.begun = true
+		d.conn.beginStream()
 		d.streamBegun()
 	}
 	if _, err := d.w.Write(e.text); err != nil {
--- a/ingress/relay_whole.go
+++ b/ingress/relay_whole.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,11 +13,20 @@
 )
 
 // relayWhole buffers a response to its end before any of it is sent to the caller, so
-// that a broken one can be replaced by another VM's.
+// that a broken one can be replaced by another VM's. If the budget has no room for it, it
+// is relayed as it arrives.
 func (d *delivery) relayWhole(ctx context.Context, response *upstreamhttp.Response, begun time.Time) result {
 	first := d.s.o.Now().Sub(begun)
 	var body bytes.Buffer
-	n, err := io.Copy(&body, io.LimitReader(response, maxWholeBytes))
+	in, ok := d.conn.reserveResponse(response, &body)
+	if !ok {
+		return d.relayLong(ctx, response, nil, begun)
+	}
+	n, err := io.Copy(&body, io.LimitReader(in, maxWholeBytes))
+	var noRoom *NoRoomError
+	if errors.As(err, &noRoom) {
+		return d.relayLong(ctx, response, body.Bytes(), begun)
+	}
 	if err != nil {
 		return d.failure(ctx, err)
 	}
@@ -34,6 +44,7 @@
 }
 
 func (d *delivery) sendWhole(whole *wholeResponse) {
+	d.conn.beginWhole()
 	d.extendWrite()
 	copyHeader(d.w.Header(), whole.header)
 	length := strconv.Itoa(len(whole.body))
@@ -55,6 +66,7 @@
 	}
 	d.w.WriteHeader(response.Status)
 	d.stream.begun = true
+	d.conn.hold(copyBufferBytes)
 	if _, err := d.w.Write(head); err != nil {
 		return result{kind: outcomeCallerGone, err: err}
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -44,7 +44,9 @@
 	// regions, which are probed less often: most of them are idle.
 	nearPool, farPool *transport.Pool
 	metrics           *metrics
-	draining          atomic.Bool
+	// heldBytes counts what is held for callers; nil if there is no budget.
+	heldBytes *heldBytes
+	draining  atomic.Bool
 	// configAt is when the newest read of the configuration was started, in
 	// nanoseconds since epoch.
 	configAt atomic.Int64
@@ -88,12 +90,13 @@
 	}
 	s := &Server{
 		o: o, clusterState: state, epoch: o.Now(),
-		client:  upstreamhttp.New(upstreamhttp.Options{Now: o.Now}),
+		client:  upstreamhttp.New(upstreamOptions(o)),
 		metrics: newMetrics(o.Metrics),
 		links:   make(map[string]*sidecarLink),
 
 		listOutdated: make(chan struct{}, 1),
 	}
+	s.heldBytes = newHeldBytes(o, s.metrics)
 	s.quarantine.detector = quarantine.NewDetector(s.epoch, quarantine.Options{Stagger: quarantine.StaggerOf(o.Settings.VM)})
 	s.sharedFindings.queue = make(chan quarantine.News, maxQueuedFindings)
 	s.forceStop, s.cancelForceStop = context.WithCancel(context.Background())
@@ -105,6 +108,15 @@
 	return s, nil
 }
 
+// upstreamOptions limits the kernel's receive buffers if the memory of the VM is limited.
+func upstreamOptions(o Options) upstreamhttp.Options {
+	u := upstreamhttp.Options{Now: o.Now}
+	if o.Settings.MemoryMB > 0 {
+		u.ReceiveBuffer = upstreamReceiveBuffer
+	}
+	return u
+}
+
 func (s *Server) transportOptions(h transport.Handler) transport.Options {
 	return transport.Options{
 		Hello:       wire.Hello{VM: s.o.Settings.VM, Role: metastore.RoleRouter, Region: s.o.Settings.Region, Zone: s.o.Settings.Zone},
@@ -129,6 +141,9 @@
 		s.o.OnListening(callers.Addr(), probes.Addr())
 	}
 	s.o.Logger.WithField("listen", s.o.Settings.Listen).Info("started")
+	if s.heldBytes != nil {
+		callers = callerListener{Listener: callers, held: s.heldBytes}
+	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, work := errgroup.WithContext(work)
--- a/ingress/shutdown.go
+++ b/ingress/shutdown.go
@@ -67,6 +67,8 @@
 	if err := server.Shutdown(ctx); err != nil {
 		s.o.Logger.WithError(err).Warn("requests still running at the end of the shutdown")
 	}
+	for s.heldBytes.unread() && wait.Sleep(ctx, shutdownPoll) == nil {
+	}
 }
 
 // mayExit reports whether a stopping process can exit: callers no longer come, or all
--- a/upstreamhttp/client.go
+++ b/upstreamhttp/client.go
@@ -29,7 +29,7 @@
 		dialer: net.Dialer{
 			Timeout:         o.DialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: o.UnackedTimeout, Interval: o.UnackedTimeout, Count: 2},
-			Control:         sockopt.UserTimeout(o.UnackedTimeout),
+			Control:         sockopt.All(sockopt.UserTimeout(o.UnackedTimeout), sockopt.ReceiveBuffer(o.ReceiveBuffer)),
 		},
 		idle: make(map[string][]*conn),
 	}
--- a/upstreamhttp/options.go
+++ b/upstreamhttp/options.go
@@ -26,6 +26,9 @@
 	UnackedTimeout time.Duration
 	IdleTimeout    time.Duration
 	MaxIdle        int
+	// ReceiveBuffer is the size of the kernel's receive buffers in bytes; zero leaves it
+	// to the kernel.
+	ReceiveBuffer int
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
