--- a/e2e/hosted/slow_readers_test.go
+++ b/e2e/hosted/slow_readers_test.go
@@ -408,3 +408,18 @@
 	}
 	in.t.Logf("held %.0f KB", in.gauge("held_bytes")/(1<<10))
 }
+
+// A response that is too long to be buffered ends with its caller's request if the caller
+// does not read it, and the upstream is not blamed. Fails without callerConn.stoppedReading.
+func TestLongAnswerOfStalledCallerIsNotUpstreamsFailure(t *testing.T) {
+	t.Parallel()
+	in, upstreams := newSmallInstallation(t, smallVMMB)
+	bigAnswers(upstreams, 0, 4<<20)
+	in.slowCaller("slow", "/read/a", callerBuffer)
+	in.eventually("the attempt has ended", func() bool { return in.attemptsEnded("caller_gone") == 1 })
+	for _, u := range upstreams {
+		if n := u.RequestCount(); n > 1 {
+			t.Errorf("%d requests", n)
+		}
+	}
+}
--- a/ingress/caller_conn.go
+++ b/ingress/caller_conn.go
@@ -72,9 +72,10 @@
 
 	// holder is guarded by held.mu.
 	holder heldbytes.Holder
-	// requestBytes is what is held for the current request. It is used by the goroutine
-	// that serves the connection.
-	requestBytes int
+	// requestBytes is what is held for the current request, and responseBytes the part of it
+	// that is reserved for a whole response. They are used by the goroutine that serves the
+	// connection.
+	requestBytes, responseBytes int
 
 	mu   sync.Mutex
 	room sync.Cond
@@ -211,9 +212,9 @@
 // adopt makes the rest of the response's body pending without a copy. What was reserved for
 // the body is now reserved for pending. The caller holds mu.
 func (c *callerConn) adopt(p []byte) {
-	n := min(c.requestBytes, cap(c.body))
-	c.requestBytes -= n
-	c.pendingReserved += n
+	c.pendingReserved += c.responseBytes
+	c.requestBytes -= c.responseBytes
+	c.responseBytes = 0
 	c.pending, c.offset, c.body = p[:len(p):len(p)], 0, nil
 }
 
@@ -323,15 +324,15 @@
 	if c.active || n <= 0 {
 		return n, err
 	}
-	if c.header += n; c.header <= freeHeaderBytes+c.headerReserved {
-		return n, err
-	}
-	if !c.held.reserve(c, reserveStep) {
-		c.logDisconnected("caller disconnected, no room for its header", log.Fields{"bytes": c.header})
-		return 0, &NoRoomError{Bytes: reserveStep}
+	c.header += n
+	for c.header > freeHeaderBytes+c.headerReserved {
+		if !c.held.reserve(c, reserveStep) {
+			c.logDisconnected("caller disconnected, no room for its header", log.Fields{"bytes": c.header})
+			return 0, &NoRoomError{Bytes: reserveStep}
+		}
+		c.headerReserved += reserveStep
 	}
-	c.headerReserved += reserveStep
-	if !c.flushing {
+	if c.headerReserved > 0 && !c.flushing {
 		c.held.stalled(c, c.held.now())
 	}
 	return n, err
@@ -386,14 +387,13 @@
 }
 
 // disconnect ends the connection at once. The kernel discards what it has not sent, so
-// that its buffer is free as well.
+// that its buffer is free as well. A waiting Write ends with flush.
 func (c *callerConn) disconnect(reason string, f log.Fields) {
 	c.mu.Lock()
 	if c.err == nil {
 		c.err = net.ErrClosed
 		c.logDisconnected(reason, f)
 	}
-	c.room.Broadcast()
 	c.mu.Unlock()
 	_ = c.tcp.SetLinger(0)
 	_ = c.tcp.Close()
--- a/ingress/caller_conn_test.go
+++ b/ingress/caller_conn_test.go
@@ -116,8 +116,57 @@
 	}
 }
 
+// Guards against a budget that shrinks with each stall of a connection that lives on. Fails
+// if flushed or end does not release.
+func TestEverythingIsGivenBackOnLivingConnection(t *testing.T) {
+	c, caller, held := callerPair(t)
+	count := func() int64 {
+		held.mu.Lock()
+		defer held.mu.Unlock()
+		return held.budget.Held()
+	}
+	before := count()
+	for range 3 {
+		if !c.begin("a") {
+			t.Fatal("the connection does not work")
+		}
+		c.hold(1000)
+		sent := fill(t, c)
+		c.end()
+		if _, err := io.ReadFull(caller, make([]byte, len(sent))); err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(5 * time.Second); count() != before && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		if n := count(); n != before {
+			t.Fatalf("%d bytes held, %d before", n, before)
+		}
+	}
+}
+
+// Guards against headers that stay reserved once they have been read. Fails if begin does
+// not release.
+func TestHeaderIsReservedUntilRequestBegins(t *testing.T) {
+	c, caller, held := callerPair(t)
+	const header = 20 << 10
+	if _, err := caller.Write(make([]byte, header)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, header)); err != nil {
+		t.Fatal(err)
+	}
+	if n := held.budget.Held(); n != idleConnectionBytes+header-freeHeaderBytes {
+		t.Errorf("%d bytes held for a header", n)
+	}
+	c.begin("a")
+	if n := held.budget.Held(); n != idleConnectionBytes+activeRequestBytes {
+		t.Errorf("%d bytes held for a request", n)
+	}
+}
+
 // Guards against a Write that hangs in a connection whose caller is being disconnected.
-// Fails if neither disconnect nor flushed wakes it.
+// Fails if flushed does not wake it.
 func TestDisconnectEndsWrite(t *testing.T) {
 	c, _, _ := callerPair(t)
 	fill(t, c)
--- a/ingress/caller_request.go
+++ b/ingress/caller_request.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 
 	"github.com/laureltally/laureltally/heldbytes"
 	"github.com/laureltally/laureltally/upstreamhttp"
@@ -70,7 +71,7 @@
 	if c.backpressure {
 		n += kernelOverhead * upstreamReceiveBuffer
 	}
-	c.requestBytes, c.active, c.backpressure, c.body = 0, false, false, nil
+	c.requestBytes, c.responseBytes, c.active, c.backpressure, c.body = 0, 0, false, false, nil
 	c.held.release(c, n)
 }
 
@@ -181,20 +182,44 @@
 // reserveResponse reserves room for a response that is buffered to its end and returns the
 // reader to read it from, or false if the budget has no room for it.
 func (c *callerConn) reserveResponse(r *upstreamhttp.Response, body *bytes.Buffer) (io.Reader, bool) {
-	switch {
-	case c == nil:
+	if c == nil {
 		return r, true
-	case r.Length < 0:
+	}
+	// An earlier attempt may have broken off its response.
+	c.held.release(c, c.responseBytes)
+	c.requestBytes -= c.responseBytes
+	c.responseBytes = 0
+	if r.Length < 0 {
 		return &reservingReader{in: r, conn: c}, true
 	}
-	size := int(min(r.Length, maxWholeBytes)) + bytes.MinRead
-	if !c.reserve(size - bytes.MinRead - firstBodyBytes) {
+	size := int(min(r.Length, maxWholeBytes))
+	if size > firstBodyBytes && !c.reserveForResponse(size) {
 		return nil, false
 	}
-	body.Grow(size)
+	body.Grow(size + bytes.MinRead)
 	return r, true
 }
 
+// reserveForResponse takes bytes for a whole response if they fit into the budget.
+func (c *callerConn) reserveForResponse(n int) bool {
+	if !c.reserve(n) {
+		return false
+	}
+	c.responseBytes += n
+	return true
+}
+
+// stoppedReading reports whether the relaying of a response has failed with err because of
+// the caller: it was disconnected, or has left the response unread up to the write deadline.
+func (c *callerConn) stoppedReading(err error) bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err != nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // reservingReader reserves what is read into a buffer that grows by doubling, in steps. It
 // fails with a *NoRoomError beside the last bytes once they don't fit.
 type reservingReader struct {
@@ -208,7 +233,7 @@
 	n, err := r.in.Read(p)
 	r.read += n
 	for err == nil && 2*r.read > firstBodyBytes+r.reserved {
-		if !r.conn.reserve(responseStep) {
+		if !r.conn.reserveForResponse(responseStep) {
 			return n, &NoRoomError{Bytes: responseStep}
 		}
 		r.reserved += responseStep
