--- a/e2e/hosted/slow_readers_test.go
+++ b/e2e/hosted/slow_readers_test.go
@@ -410,7 +410,8 @@
 }
 
 // A response that is too long to be buffered ends with its caller's request if the caller
-// does not read it, and the upstream is not blamed. Fails without callerConn.stoppedReading.
+// does not read it, and the upstream is not blamed. Fails if SetWriteDeadline of
+// callerConn does nothing.
 func TestLongAnswerOfStalledCallerIsNotUpstreamsFailure(t *testing.T) {
 	t.Parallel()
 	in, upstreams := newSmallInstallation(t, smallVMMB)
--- a/ingress/caller_request.go
+++ b/ingress/caller_request.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 
 	"github.com/laureltally/laureltally/heldbytes"
 	"github.com/laureltally/laureltally/upstreamhttp"
@@ -209,17 +208,6 @@
 	return true
 }
 
-// stoppedReading reports whether the relaying of a response has failed with err because of
-// the caller: it was disconnected, or has left the response unread up to the write deadline.
-func (c *callerConn) stoppedReading(err error) bool {
-	if c == nil {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.err != nil || errors.Is(err, os.ErrDeadlineExceeded)
-}
-
 // reservingReader reserves what is read into a buffer that grows by doubling, in steps. It
 // fails with a *NoRoomError beside the last bytes once they don't fit.
 type reservingReader struct {
--- a/ingress/relay_whole.go
+++ b/ingress/relay_whole.go
@@ -71,9 +71,6 @@
 		return result{kind: outcomeCallerGone, err: err}
 	}
 	if _, err := io.Copy(d.w, response); err != nil {
-		if d.conn.stoppedReading(err) {
-			return result{kind: outcomeCallerGone, err: err}
-		}
 		return d.failure(ctx, err)
 	}
 	return result{kind: outcomeDelivered, timeToFirstEvent: d.s.o.Now().Sub(begun), took: d.s.o.Now().Sub(begun)}
