--- a/e2e/hosted/installation_test.go
+++ b/e2e/hosted/installation_test.go
@@ -51,6 +51,8 @@
 	routers int
 	// adjust, if set, changes the options of routers that are started later.
 	adjust func(*ingress.Options)
+	// memoryMB is the memory of the routers' VMs; zero means no limit.
+	memoryMB float64
 }
 
 // logger returns a logger that writes to the test log with -v and discards its
@@ -107,7 +109,7 @@
 	o := ingress.Options{
 		Settings: config.IngressSettings{
 			VM: vm, Region: region, Zone: zone, Listen: anyPort, ReadinessListen: anyPort, SidecarPort: in.udp, RetryShare: 0.2, RetrySlack: 50,
-			ShutdownTimeout: config.Duration(4 * time.Second),
+			ShutdownTimeout: config.Duration(4 * time.Second), MemoryMB: in.memoryMB,
 		},
 		Directory:     &platform.Directory{Store: store, Regions: platform.Regions{zone: region}},
 		Store:         store,
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -41,8 +41,10 @@
 	config *configRead
 	route  *serving.Route
 	info   serving.RequestInfo
-	body   []byte
-	start  time.Time
+	// conn is the caller's connection, or nil if there is no budget of buffered bytes.
+	conn  *callerConn
+	body  []byte
+	start time.Time
 	// authenticated is set if the configuration has tenants, and tenant is the request's
 	// tenant, or nil for none.
 	authenticated bool
