--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -115,6 +115,7 @@
 		Objective:    d.start.Add(d.route.Objective).Sub(now),
 		MaxEventGap:  d.route.MaxEventGap,
 		Traits:       d.traits,
+		Deadline:     max(0, d.deadline.Sub(now)),
 	})
 	d.s.metrics.reserve.RecordDuration(time.Since(begun))
 	var refused *RefusedError
--- a/residency/request.go
+++ b/residency/request.go
@@ -15,6 +15,8 @@
 	Model    ident.Model
 	Adapter  ident.Adapter
 	Priority ident.Priority
+	// Tenant is that of the caller, or empty for none.
+	Tenant ident.Tenant
 	// CacheTokens is the number of cache tokens that the request may take, of which
 	// PromptTokens are prefilled before its first event.
 	CacheTokens  int
@@ -23,6 +25,8 @@
 	MaxWait time.Duration
 	// Objective is the target time from now to the beginning of the response.
 	Objective time.Duration
+	// Deadline is the time from now in which a response is useful, or zero if it is unknown.
+	Deadline time.Duration
 	// MaxEventGap is the longest pause between events that the caller accepts.
 	MaxEventGap time.Duration
 }
--- a/serving/attempt_info.go
+++ b/serving/attempt_info.go
@@ -18,4 +18,6 @@
 	// and Tenant is the tenant that the upstream is told of, or empty for none.
 	Authenticated bool
 	Tenant        ident.Tenant
+	// Urgency tells the upstream which requests to admit first.
+	Urgency Urgency
 }
--- a/wire/reserve.go
+++ b/wire/reserve.go
@@ -29,6 +29,10 @@
 	MaxEventGap time.Duration `cbor:"8,keyasint,omitempty"`
 	// Traits holds those of the request, by which it may crash servers.
 	Traits []ident.Trait `cbor:"10,keyasint,omitempty"`
+	// Tenant is that of the caller, or empty for none.
+	Tenant ident.Tenant `cbor:"11,keyasint,omitempty"`
+	// Deadline is the time left in which a response is useful, or zero if it is unknown.
+	Deadline time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // Kind implements Message.
