--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -136,7 +136,7 @@
 // VM.
 func (d *delivery) request(now time.Time) *upstreamhttp.Request {
 	h := forwardHeader(d.r.Header)
-	a := serving.AttemptInfo{VM: d.choice.VM.ID, Remaining: d.deadline.Sub(now), Authenticated: d.authenticated, Tenant: d.tenantName()}
+	a := serving.AttemptInfo{VM: d.choice.VM.ID, Remaining: d.deadline.Sub(now), Authenticated: d.authenticated, Tenant: d.tenantName(), Urgency: d.urgency()}
 	if d.stream.begun {
 		a.LastEventID = d.stream.lastID
 	}
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -107,16 +107,7 @@
 	}
 	now := d.s.o.Now()
 	begun := time.Now()
-	rsv, err := link.reserve(ctx, &wire.Reserve{
-		Request: d.info.ID, Model: d.requirements.Model, Adapter: d.requirements.Adapter, Priority: d.requirements.Priority,
-		CacheTokens:  d.info.PromptTokens + d.info.MaxOutputTokens,
-		PromptTokens: d.info.PromptTokens,
-		MaxWait:      min(maxWait(now, d.start, d.deadline, d.route, c.Readiness), d.s.shutdownMaxWait(now)),
-		Objective:    d.start.Add(d.route.Objective).Sub(now),
-		MaxEventGap:  d.route.MaxEventGap,
-		Traits:       d.traits,
-		Deadline:     max(0, d.deadline.Sub(now)),
-	})
+	rsv, err := link.reserve(ctx, d.reserveMessage(now, c.Readiness))
 	d.s.metrics.reserve.RecordDuration(time.Since(begun))
 	var refused *RefusedError
 	switch {
@@ -128,6 +119,21 @@
 	return rsv, err
 }
 
+// reserveMessage returns what the sidecar of a VM is asked for.
+func (d *delivery) reserveMessage(now time.Time, readiness placement.Readiness) *wire.Reserve {
+	return &wire.Reserve{
+		Request: d.info.ID, Model: d.requirements.Model, Adapter: d.requirements.Adapter, Priority: d.requirements.Priority,
+		CacheTokens:  d.info.PromptTokens + d.info.MaxOutputTokens,
+		PromptTokens: d.info.PromptTokens,
+		MaxWait:      min(maxWait(now, d.start, d.deadline, d.route, readiness), d.s.shutdownMaxWait(now)),
+		Objective:    d.start.Add(d.route.Objective).Sub(now),
+		MaxEventGap:  d.route.MaxEventGap,
+		Traits:       d.traits,
+		Tenant:       d.tenantName(),
+		Deadline:     max(0, d.deadline.Sub(now)),
+	}
+}
+
 // noVM ends a request that no VM accepts.
 func (d *delivery) noVM(err error) {
 	var none *placement.NoVMError
--- a/residency/pending.go
+++ b/residency/pending.go
@@ -17,7 +17,7 @@
 // due returns when the response should begin.
 func (p *pending) due() time.Time { return p.arrivedAt.Add(p.Objective) }
 
-func (p *pending) kind() requestKind { return requestKind{p.Priority, p.Objective} }
+func (p *pending) kind() requestKind { return kindOf(&p.Request) }
 
 // expires returns when the request stops waiting for admission.
 func (p *pending) expires() time.Time { return p.arrivedAt.Add(p.MaxWait) }
--- a/residency/queue_order.go
+++ b/residency/queue_order.go
@@ -100,8 +100,7 @@
 	q.headroom = s.headroom(q)
 	q.slack = p.due().Sub(now) - firstEvent
 	if p.Objective <= 0 || q.slack < 0 {
-		q.late = p.Objective > 0
-		q.slack = math.MaxInt64
+		q.late, q.slack = true, math.MaxInt64
 		if p.Deadline > 0 {
 			q.slack = p.arrivedAt.Add(p.Deadline).Sub(now) - firstEvent
 		}
--- a/residency/queue_place.go
+++ b/residency/queue_place.go
@@ -42,14 +42,12 @@
 }
 
 // lessUrgent reports whether a is refused before b when not both can be served: the
-// requests of tenants that have got more than their share, then the lowest priority, then
-// the longest objective.
+// requests of tenants that have got more than their share, then the less urgent kind.
 func (a queuePlace) lessUrgent(b queuePlace) bool {
-	return cmp.Or(
-		compareBool(a.over, b.over),
-		cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(a.Objective, b.Objective),
-	) > 0
+	if a.over != b.over {
+		return a.over
+	}
+	return b.kind().moreUrgent(a.kind())
 }
 
 // givesWayTo reports whether a waiting request may be refused for an arrived one: it is
--- a/residency/queue_sim_test.go
+++ b/residency/queue_sim_test.go
@@ -153,9 +153,14 @@
 	if _, ok := m.snap.Loaded[k.model]; ok {
 		maxWait = k.objective * 6 / 10
 	}
+	objective := k.objective
+	if k.tenant != "" {
+		// The time that the request took to reach the sidecar.
+		objective -= time.Duration(m.nextID%7) * time.Millisecond
+	}
 	m.apply(m.s.Reserve(m.now, Request{
 		ID: m.nextID, Model: k.model, Priority: k.priority, CacheTokens: 2 * k.prompt, PromptTokens: k.prompt,
-		MaxWait: maxWait, Objective: k.objective, MaxEventGap: 300 * time.Millisecond,
+		MaxWait: maxWait, Objective: objective, MaxEventGap: 300 * time.Millisecond,
 		Tenant: k.tenant, Deadline: k.deadline,
 	}))
 }
--- a/residency/served_share.go
+++ b/residency/served_share.go
@@ -20,8 +20,29 @@
 
 // requestKind is a kind of request, as far as its urgency is concerned.
 type requestKind struct {
-	priority  ident.Priority
-	objective time.Duration
+	priority ident.Priority
+	// objective is the class of the objective. Requests of one route differ by the time that
+	// they took to arrive.
+	objective int
+}
+
+// shortestObjective is the upper end of the first class of objectives. Each further class
+// reaches to twice that of the one before.
+const shortestObjective = 125 * time.Millisecond
+
+// noObjective is the class of requests that have missed their objective on arrival, at
+// another VM, or whose route has none.
+const noObjective = 99
+
+func kindOf(r *Request) requestKind {
+	if r.Objective <= 0 {
+		return requestKind{r.Priority, noObjective}
+	}
+	class := 0
+	for end := shortestObjective; end < r.Objective; end *= 2 {
+		class++
+	}
+	return requestKind{r.Priority, class}
 }
 
 // moreUrgent reports whether requests of kind k are refused after those of another kind.
