--- a/residency/queue_admission.go
+++ b/residency/queue_admission.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/laureltally/laureltally/ident"
 )
 
 // reserveOrdered queues or refuses an arriving request. It makes room for one that is more
@@ -93,36 +95,27 @@
 }
 
 // queueForLoad queues an arriving request that waits for a load. If the load makes others
-// too late, the less urgent ones of them are refused; if one of them is not less urgent,
-// the arriving request is.
+// too late, the less urgent ones of them are refused; if one of them does not give way, the
+// arriving request is.
 func (s *Scheduler) queueForLoad(now time.Time, p *pending) []Action {
-	type loadWait struct {
-		*pending
-		before time.Duration
-	}
-	var others []loadWait
-	for _, q := range s.requests {
-		if !q.isGranted() && !s.ready(q) && q.Model != p.Model {
-			wait, _ := s.estimate(now, q)
-			others = append(others, loadWait{q, wait})
-		}
-	}
+	before := s.loadWaits(now)
 	s.requests = append(s.requests, p)
+	after := s.loadWaits(now)
 	l := s.queueLimits(now)
 	place := s.place(now, l, p)
 	var displaced []*pending
-	for _, q := range others {
-		left := q.expires().Sub(now)
-		after, _ := s.estimate(now, q.pending)
-		if q.before > left || after <= left {
+	for _, q := range s.requests {
+		if q.isGranted() || q.Model == p.Model || after[q.Model] <= before[q.Model] {
 			continue
 		}
-		if !s.place(now, l, q.pending).givesWayTo(place) {
-			s.requests = slices.DeleteFunc(s.requests, func(r *pending) bool { return r == p })
-			wait, _ := s.estimate(now, p)
-			return []Action{s.refuseArrival(now, p, wait+s.swapTime(q.Model), ReasonLoad)}
+		if left := q.expires().Sub(now); before[q.Model] > left || after[q.Model] <= left {
+			continue
+		}
+		if !s.place(now, l, q).givesWayTo(place) {
+			s.requests = s.requests[:len(s.requests)-1]
+			return []Action{s.refuseArrival(now, p, after[q.Model], ReasonLoad)}
 		}
-		displaced = append(displaced, q.pending)
+		displaced = append(displaced, q)
 	}
 	var out []Action
 	for _, q := range displaced {
@@ -130,3 +123,17 @@
 	}
 	return append(out, s.Tick(now)...)
 }
+
+// loadWaits estimates the time until each model that waiting requests need is loaded.
+func (s *Scheduler) loadWaits(now time.Time) map[ident.Model]time.Duration {
+	waits := make(map[ident.Model]time.Duration)
+	wait := time.Duration(0)
+	if s.inFlight != nil {
+		wait = s.inFlight.remaining(now)
+	}
+	for _, name := range s.neededModels(now) {
+		wait += s.swapTime(name)
+		waits[name] = wait
+	}
+	return waits
+}
