--- a/residency/load_order_test.go
+++ b/residency/load_order_test.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -29,6 +30,39 @@
 	}
 }
 
+// Load pattern: a tenant's flood fills the engine and waits for more of it, so that its
+// models are always in use, while another tenant needs a model on disk. Fails without
+// floodedVictim, and if a flood's load may unload the other tenant's model.
+func TestFloodDoesNotKeepItsModels(t *testing.T) {
+	counts := simulatedCounts(t, func() []*simKind {
+		kinds := []*simKind{urgentKind("flood", 15), urgentKind("flood", 15), urgentKind("t1", 1)}
+		kinds[0].name, kinds[1].name, kinds[1].model = "flood", "flood", "b"
+		kinds[2].model, kinds[2].objective = "c", 3*time.Second
+		return kinds
+	})
+	if c := counts["urgent"]; c.share() < 0.8 {
+		t.Errorf("%.3f of the other tenant's requests served", c.share())
+	}
+}
+
+// Load pattern: an engine has lost the model of urgent requests, whose objective is shorter
+// than its load, while a request waits that is not late for seconds. The urgent ones' model
+// is loaded first. Fails if they count as late.
+func TestModelOfUrgentRequestsIsLoadedFirst(t *testing.T) {
+	h := newHarness(t, "a", "b")
+	h.scheduler.SetOrdered(true)
+	h.snap.Tiers["c"], h.snap.Tiers["d"] = engine.TierDisk, engine.TierDisk
+	h.snap.Busy = true
+	h.observe()
+	h.reserve(Request{ID: 1, Model: "c", Objective: 4 * time.Second})
+	h.reserve(Request{ID: 2, Model: "d", Objective: 600 * time.Millisecond})
+	h.snap.Busy = false
+	h.advance(time.Second)
+	if i := slices.IndexFunc(h.orders, func(o *Submit) bool { return o.Kind == engine.OrderLoad }); i < 0 || h.orders[i].Model != "d" {
+		t.Errorf("orders %+v", h.orders)
+	}
+}
+
 // Load pattern: a few requests that can wait, for a rare model, beside a stream of urgent
 // requests for a loaded model that is idle for moments. The unload would lose all urgent
 // requests until the model is loaded again; it happens once within displaceInterval, so that
--- a/residency/model_state.go
+++ b/residency/model_state.go
@@ -16,8 +16,9 @@
 	lastUsed    time.Time
 	// impatientRate counts those requests that can't wait for a load of the model.
 	impatientRate decay.Rate
-	// floodedAt is when a tenant beyond its share last requested the model.
-	floodedAt time.Time
+	// floodedAt is when a tenant beyond its share last requested the model, and neededAt
+	// when another one did, in an ordered queue.
+	floodedAt, neededAt time.Time
 	// loadedAt is when a load ordered by this process was seen to be complete.
 	loadedAt time.Time
 	// active counts admitted requests; adapters counts them by adapter.
--- a/residency/queue_order.go
+++ b/residency/queue_order.go
@@ -104,13 +104,18 @@
 	}
 	q.headroom = s.headroom(q)
 	q.slack = p.due().Sub(now) - firstEvent
-	if p.Objective <= 0 || q.slack < 0 {
+	switch {
+	case p.Objective > 0 && p.Objective < firstEvent && !s.ready(p):
+		// Its objective is shorter than the load. More such requests arrive until the model
+		// is loaded, so the load comes before those that can wait for it.
+		q.slack = 0
+	case p.Objective <= 0 || q.slack < 0:
 		q.late, q.slack = true, math.MaxInt64
 		if p.Deadline > 0 {
 			q.slack = p.arrivedAt.Add(p.Deadline).Sub(now) - firstEvent
 		}
 	}
-	q.slack = min(q.slack, p.expires().Sub(now))
+	q.slack = min(q.slack, p.expires().Sub(now)-s.prefillWaitBehind(now, p, 0))
 	return q
 }
 
