--- a/residency/queue_admission.go
+++ b/residency/queue_admission.go
@@ -10,13 +10,10 @@
 // reserveOrdered queues or refuses an arriving request. It makes room for one that is more
 // urgent than a waiting one, which is refused at once if not both can be served in time.
 func (s *Scheduler) reserveOrdered(now time.Time, p *pending) []Action {
-	wait, reason := s.estimate(now, p)
 	if !s.ready(p) {
-		if wait > p.MaxWait {
-			return []Action{s.refuseArrival(now, p, wait, reason)}
-		}
 		return s.queueForLoad(now, p)
 	}
+	wait, reason := s.estimate(now, p)
 	displaced, ok := s.findRoom(now, p)
 	if !ok {
 		return []Action{s.refuseArrival(now, p, max(wait, s.queueWait(now)), reason)}
@@ -100,6 +97,10 @@
 func (s *Scheduler) queueForLoad(now time.Time, p *pending) []Action {
 	before := s.loadWaits(now)
 	s.requests = append(s.requests, p)
+	if wait, reason := s.estimate(now, p); wait > p.MaxWait {
+		s.requests = s.requests[:len(s.requests)-1]
+		return []Action{s.refuseArrival(now, p, wait, reason)}
+	}
 	after := s.loadWaits(now)
 	l := s.queueLimits(now)
 	place := s.place(now, l, p)
