--- a/residency/plan.go
+++ b/residency/plan.go
@@ -227,7 +227,7 @@
 	)
 	for name := range s.snap.Loaded {
 		st := s.model(name)
-		if name == forModel || !allowed(st) || s.hasWaiting(name, "") || now.Sub(st.loadedAt) < s.opts.SettleTime || s.protected(now, name, forModel) {
+		if name == forModel || !allowed(st) || s.keepsModel(now, name) || now.Sub(st.loadedAt) < s.opts.SettleTime || s.protected(now, name, forModel) {
 			continue
 		}
 		score := s.unloadScore(now, st)
