--- a/residency/estimate.go
+++ b/residency/estimate.go
@@ -41,20 +41,20 @@
 // prefillWait estimates the time until the prompt of a request fits into the prefill
 // backlog, after the prompts of other requests.
 func (s *Scheduler) prefillWait(now time.Time, p *pending, ahead []*pending) time.Duration {
-	prompts := time.Duration(0)
+	var prompts promptSum
 	for _, q := range ahead {
-		prompts += s.prefill.duration(q.PromptTokens)
+		prompts = prompts.plus(s.promptOf(q))
 	}
 	return s.prefillWaitBehind(now, p, prompts)
 }
 
-// prefillWaitBehind is prefillWait after prompts that take a time to prefill.
-func (s *Scheduler) prefillWaitBehind(now time.Time, p *pending, prompts time.Duration) time.Duration {
+// prefillWaitBehind is prefillWait after the sum of other prompts.
+func (s *Scheduler) prefillWaitBehind(now time.Time, p *pending, prompts promptSum) time.Duration {
 	maximum := maxBacklog(p.MaxEventGap)
 	if maximum == 0 {
 		return 0
 	}
-	ahead := s.prefill.backlog(now) + prompts
+	ahead := s.prefill.backlog(now) + prompts.prefill
 	if ahead == 0 {
 		return 0
 	}
--- a/residency/queue_admission.go
+++ b/residency/queue_admission.go
@@ -51,9 +51,9 @@
 	return max(s.capacityWaitBehind(n), s.pace.Wait(now, n))
 }
 
-// waitBehind estimates the wait of a request whose model is loaded behind n others with
-// prompts that take a time to prefill.
-func (s *Scheduler) waitBehind(now time.Time, p *pending, n int, prompts time.Duration) time.Duration {
+// waitBehind estimates the wait of a request whose model is loaded behind n others with the
+// given prompts.
+func (s *Scheduler) waitBehind(now time.Time, p *pending, n int, prompts promptSum) time.Duration {
 	return max(s.capacityWaitBehind(n), s.prefillWaitBehind(now, p, prompts), s.pace.Wait(now, n))
 }
 
@@ -66,27 +66,28 @@
 	place := s.place(now, l, p)
 	queue := append(s.places(now, s.ready), place)
 	sortPlaces(queue)
-	arrived, prompts, own := false, time.Duration(0), s.prefill.duration(p.PromptTokens)
+	arrived, prompts := false, promptSum{}
 	for n, q := range queue {
 		left := q.expires().Sub(now)
 		missed := s.waitBehind(now, q.pending, n+q.headroom, prompts) > left
 		arrived = arrived || q.pending == p
 		if missed && arrived {
 			worst := leastUrgent(queue[:n+1], place)
-			without := prompts - own
+			without := p
 			if q.pending == p {
-				without = prompts - s.prefill.duration(worst.PromptTokens)
+				without = worst
 			}
-			inTime := s.waitBehind(now, q.pending, n-1+q.headroom, without) <= left
+			inTime := s.waitBehind(now, q.pending, n-1+q.headroom, prompts.minus(s.promptOf(without))) <= left
 			switch {
-			case worst == p || q.pending == p && !inTime:
+			case q.pending != p && !inTime:
+				// It would have been late without the arrival.
+			case worst == p || !inTime:
 				return nil, false
-			case inTime:
+			default:
 				return worst, true
 			}
-			// It would have been late without the arrival.
 		}
-		prompts += s.prefill.duration(q.PromptTokens)
+		prompts = prompts.plus(s.promptOf(q.pending))
 	}
 	return nil, true
 }
--- a/residency/queue_order.go
+++ b/residency/queue_order.go
@@ -115,7 +115,7 @@
 			q.slack = p.arrivedAt.Add(p.Deadline).Sub(now) - firstEvent
 		}
 	}
-	q.slack = min(q.slack, p.expires().Sub(now)-s.prefillWaitBehind(now, p, 0))
+	q.slack = min(q.slack, p.expires().Sub(now)-s.prefillWaitBehind(now, p, promptSum{}))
 	return q
 }
 
--- a/residency/queue_order_test.go
+++ b/residency/queue_order_test.go
@@ -183,6 +183,18 @@
 	}
 }
 
+// A request waits that will be late whatever arrives. It keeps nobody out who can be served.
+// Fails if the arrival is refused for it.
+func TestHopelessRequestKeepsNobodyOut(t *testing.T) {
+	h := orderedHarness(t)
+	h.reserve(Request{ID: 1, Model: "a", Objective: time.Millisecond, MaxWait: 1500 * time.Millisecond})
+	h.now = h.now.Add(900 * time.Millisecond)
+	h.reserve(Request{ID: 2, Model: "a", Objective: 3 * time.Second, MaxWait: 1400 * time.Millisecond})
+	if len(h.refused) > 0 {
+		t.Errorf("refused 1: %+v, 2: %+v", h.refused[1], h.refused[2])
+	}
+}
+
 // Under long overload by urgent requests, less urgent ones that are served less often by now
 // keep their place. Fails if displacement does not depend on what was served.
 func TestKindThatIsServedLessOftenIsNotDisplaced(t *testing.T) {
