--- a/residency/doc.go
+++ b/residency/doc.go
@@ -11,6 +11,8 @@
 //   - many rarely used models in turn: idle models are unloaded in ascending order of
 //     their request rate, and models are loaded first for the requests that are due
 //     first;
+//   - a burst of latency-tolerant requests beside urgent ones, and a flood of one tenant:
+//     where requests carry tenants, they are ordered by what they lose by waiting;
 //   - a model that the VM does not have: a permit to load it from the weight store
 //     is requested, and meanwhile the engine serves the loaded models.
 package residency
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -143,6 +143,9 @@
 	f["active"], f["limit"], f["report_ms"] = s.scheduler.Load(now)
 	_, backlog := s.scheduler.Prefill(now)
 	f["prefill_backlog_ms"] = backlog.Milliseconds()
+	if s.scheduler.Ordered(now) {
+		f["ordered"], f["tenant"], f["deadline_ms"] = true, r.Tenant, r.Deadline.Milliseconds()
+	}
 	s.mu.Unlock()
 	if refused, ok := a.(*residency.Refuse); ok {
 		f["reason"], f["retry_after_ms"] = refused.Reason, refused.RetryAfter.Milliseconds()
