--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -107,7 +107,7 @@
 	}
 	now := d.s.o.Now()
 	begun := time.Now()
-	rsv, err := link.reserve(ctx, d.reserveMessage(now, c.Readiness))
+	rsv, err := link.reserve(ctx, d.reserveMessage(now, c))
 	d.s.metrics.reserve.RecordDuration(time.Since(begun))
 	var refused *RefusedError
 	switch {
@@ -120,12 +120,12 @@
 }
 
 // reserveMessage returns what the sidecar of a VM is asked for.
-func (d *delivery) reserveMessage(now time.Time, readiness placement.Readiness) *wire.Reserve {
+func (d *delivery) reserveMessage(now time.Time, c placement.Choice) *wire.Reserve {
 	return &wire.Reserve{
 		Request: d.info.ID, Model: d.requirements.Model, Adapter: d.requirements.Adapter, Priority: d.requirements.Priority,
 		CacheTokens:  d.info.PromptTokens + d.info.MaxOutputTokens,
 		PromptTokens: d.info.PromptTokens,
-		MaxWait:      min(maxWait(now, d.start, d.deadline, d.route, readiness), d.s.shutdownMaxWait(now)),
+		MaxWait:      min(maxWait(now, d.start, d.deadline, d.route, c.Readiness), d.s.shutdownMaxWait(now)),
 		Objective:    d.start.Add(d.route.Objective).Sub(now),
 		MaxEventGap:  d.route.MaxEventGap,
 		Traits:       d.traits,
--- a/ingress/reserve_test.go
+++ b/ingress/reserve_test.go
@@ -13,11 +13,11 @@
 func TestReserveStatesTenantAndTimeLeft(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := &delivery{s: &Server{}, route: &serving.Route{Objective: time.Second}, start: now, deadline: now.Add(8 * time.Second)}
-	if m := d.reserveMessage(now.Add(time.Second), placement.Loaded); m.Tenant != "" || m.Deadline != 7*time.Second {
+	if m := d.reserveMessage(now.Add(time.Second), placement.Choice{Readiness: placement.Loaded}); m.Tenant != "" || m.Deadline != 7*time.Second {
 		t.Errorf("without a tenant: %+v", m)
 	}
 	d.tenant = &serving.Tenant{Name: "t1"}
-	if m := d.reserveMessage(now, placement.Loaded); m.Tenant != "t1" {
+	if m := d.reserveMessage(now, placement.Choice{Readiness: placement.Loaded}); m.Tenant != "t1" {
 		t.Errorf("tenant %q", m.Tenant)
 	}
 }
--- a/residency/estimate.go
+++ b/residency/estimate.go
@@ -43,7 +43,7 @@
 func (s *Scheduler) prefillWait(now time.Time, p *pending, ahead []*pending) time.Duration {
 	var prompts promptSum
 	for _, q := range ahead {
-		prompts = prompts.plus(s.promptOf(q))
+		prompts = prompts.plus(s.promptOf(now, q))
 	}
 	return s.prefillWaitBehind(now, p, prompts)
 }
--- a/residency/prompt_sum.go
+++ b/residency/prompt_sum.go
@@ -18,6 +18,6 @@
 }
 
 // promptOf returns the prompt of a request.
-func (s *Scheduler) promptOf(p *pending) promptSum {
+func (s *Scheduler) promptOf(_ time.Time, p *pending) promptSum {
 	return promptSum{p.PromptTokens, s.prefill.duration(p.PromptTokens)}
 }
--- a/residency/queue_admission.go
+++ b/residency/queue_admission.go
@@ -77,7 +77,7 @@
 			if q.pending == p {
 				without = worst
 			}
-			inTime := s.waitBehind(now, q.pending, n-1+q.headroom, prompts.minus(s.promptOf(without))) <= left
+			inTime := s.waitBehind(now, q.pending, n-1+q.headroom, prompts.minus(s.promptOf(now, without))) <= left
 			switch {
 			case q.pending != p && !inTime:
 				// It would have been late without the arrival.
@@ -87,7 +87,7 @@
 				return worst, true
 			}
 		}
-		prompts = prompts.plus(s.promptOf(q.pending))
+		prompts = prompts.plus(s.promptOf(now, q.pending))
 	}
 	return nil, true
 }
--- a/residency/queue_order.go
+++ b/residency/queue_order.go
@@ -95,7 +95,8 @@
 // place returns the place of a waiting request in the order.
 func (s *Scheduler) place(now time.Time, l queueLimits, p *pending) queuePlace {
 	q := queuePlace{pending: p, served: s.order.served.of(p.kind())}
-	firstEvent := s.prefill.backlog(now) + s.prefill.duration(p.PromptTokens) + firstEventMargin
+	_, backlog := s.Prefill(now)
+	firstEvent := backlog + s.promptOf(now, p).prefill + firstEventMargin
 	if s.ready(p) {
 		q.over = s.order.grants.amounts[p.Tenant] > l.grants
 	} else {
@@ -175,7 +176,7 @@
 		}
 		fits := s.prefillFits(now, q.pending)
 		switch {
-		case fits && s.prefill.duration(q.PromptTokens) <= room:
+		case fits && s.promptOf(now, q.pending).prefill <= room:
 			return q.pending, q.late
 		case turn && i == 0:
 			return nil, false
@@ -218,14 +219,13 @@
 // nextOrderedGrant returns when the prefill backlog or the request limit admits another
 // request. Those that fit already wait for one that precedes them.
 func (s *Scheduler) nextOrderedGrant(now time.Time) (time.Time, bool) {
-	backlog, pace := s.prefill.backlog(now), s.pace.Wait(now, 0)
+	pace := s.pace.Wait(now, 0)
 	wait, found := time.Duration(math.MaxInt64), false
 	for _, p := range s.requests {
 		if p.isGranted() || !s.ready(p) || !s.hasCapacity(p) || pace == 0 && s.prefillFits(now, p) {
 			continue
 		}
-		prefill := min(backlog, backlog+s.prefill.duration(p.PromptTokens)-maxBacklog(p.MaxEventGap))
-		wait, found = min(wait, max(0, prefill, pace)), true
+		wait, found = min(wait, max(s.prefillWaitBehind(now, p, promptSum{}), pace)), true
 	}
 	if !found {
 		return time.Time{}, false
--- a/residency/queue_sim_test.go
+++ b/residency/queue_sim_test.go
@@ -39,9 +39,9 @@
 	arrived, admitted, firstEvent, ended time.Time
 }
 
-// simulation drives a Scheduler with Poisson arrivals and an engine that prefills 22 tokens
+// queueSimulation drives a Scheduler with Poisson arrivals and an engine that prefills 22 tokens
 // a millisecond, on virtual time. Refused requests are not retried.
-type simulation struct {
+type queueSimulation struct {
 	s        *Scheduler
 	random   *rand.Rand
 	now      time.Time
@@ -63,8 +63,8 @@
 
 // simulated runs an engine, which has loaded some models and has all others on disk, with
 // arrivals for a time.
-func simulated(seed uint64, spec *serving.Engine, loaded []ident.Model, kinds []*simKind, lasting time.Duration) *simulation {
-	m := &simulation{s: New(Options{}), random: rand.New(rand.NewPCG(seed, 1)), now: start, requests: map[RequestID]*simRequest{}, counts: map[string]*simCount{}, refusal: map[Reason]int{}}
+func simulated(seed uint64, spec *serving.Engine, loaded []ident.Model, kinds []*simKind, lasting time.Duration) *queueSimulation {
+	m := &queueSimulation{s: New(Options{}), random: rand.New(rand.NewPCG(seed, 1)), now: start, requests: map[RequestID]*simRequest{}, counts: map[string]*simCount{}, refusal: map[Reason]int{}}
 	m.snap = Snapshot{Loaded: map[ident.Model][]ident.Adapter{}, Tiers: map[ident.Model]engine.Tier{}}
 	for i := range spec.Models {
 		m.snap.Tiers[spec.Models[i].Name] = engine.TierDisk
@@ -97,7 +97,7 @@
 	return m
 }
 
-func (m *simulation) observe() {
+func (m *queueSimulation) observe() {
 	snap := m.snap
 	snap.ReadAt, snap.Busy = m.now, m.order != nil
 	snap.Loaded = make(map[ident.Model][]ident.Adapter)
@@ -107,7 +107,7 @@
 	m.apply(m.s.Observe(m.now, snap))
 }
 
-func (m *simulation) finishOrder() {
+func (m *queueSimulation) finishOrder() {
 	if m.order.Kind == engine.OrderLoad {
 		m.snap.Loaded[m.order.Model] = nil
 		m.snap.Tiers[m.order.Model] = engine.TierMemory
@@ -119,7 +119,7 @@
 }
 
 // endRequests ends the requests whose run time is over, in order of their ids.
-func (m *simulation) endRequests() {
+func (m *queueSimulation) endRequests() {
 	var ended []RequestID
 	for id, r := range m.requests {
 		if !r.ended.IsZero() && !r.ended.After(m.now) {
@@ -141,7 +141,7 @@
 	}
 }
 
-func (m *simulation) arrive(k *simKind) {
+func (m *queueSimulation) arrive(k *simKind) {
 	m.nextID++
 	if m.counts[k.name] == nil {
 		m.counts[k.name] = &simCount{}
@@ -165,7 +165,7 @@
 	}))
 }
 
-func (m *simulation) apply(actions []Action) {
+func (m *queueSimulation) apply(actions []Action) {
 	for _, a := range actions {
 		m.record(a)
 		switch a := a.(type) {
@@ -195,7 +195,7 @@
 
 // orderTime returns how long the engine takes for an order. It finishes the requests of a
 // model before it unloads it.
-func (m *simulation) orderTime(o *Submit) time.Duration {
+func (m *queueSimulation) orderTime(o *Submit) time.Duration {
 	if o.Kind == engine.OrderLoad {
 		return m.s.spec.Model(o.Model).LoadTime(m.snap.Tiers[o.Model])
 	}
@@ -208,7 +208,7 @@
 	return took
 }
 
-func (m *simulation) record(a Action) {
+func (m *queueSimulation) record(a Action) {
 	h := fnv.New64a()
 	fmt.Fprintf(h, "%d %T %+v", m.digest, a, a)
 	m.digest = h.Sum64()
--- a/residency/scheduler.go
+++ b/residency/scheduler.go
@@ -409,9 +409,9 @@
 // to leave or ends; other engines accept them at once.
 const leavingRetryAfter = 200 * time.Millisecond
 
-// grantAll admits waiting requests, in order of arrival unless they are ordered. A request whose prompt does
-// not fit into the prefill backlog yet blocks later ones, so that long prompts are not
-// starved by short ones.
+// grantAll admits waiting requests, in order of arrival unless they are ordered. A request
+// whose prompt does not fit into the prefill backlog yet blocks later ones, so that long
+// prompts are not starved by short ones.
 func (s *Scheduler) grantAll(now time.Time) []Action {
 	if s.Ordered(now) {
 		return s.grantOrdered(now)
