--- a/residency/queue_order_test.go
+++ b/residency/queue_order_test.go
@@ -17,7 +17,7 @@
 	t.Helper()
 	sum := map[string]simCount{}
 	for seed := range uint64(simSeeds) {
-		m := simulated(seed+1, simEngine(), []ident.Model{"a", "b"}, kinds(), lasting)
+		m := simulated(seed+1, queueSimEngine(), []ident.Model{"a", "b"}, kinds(), lasting)
 		for name, c := range m.counts {
 			s := sum[name]
 			sum[name] = simCount{s.sent + c.sent, s.served + c.served, s.inTime + c.inTime}
@@ -43,7 +43,7 @@
 		{name: "rare", model: "d", priority: 1, objective: 3 * time.Second, deadline: 20 * time.Second, prompt: 800, run: time.Second, perSecond: constantly(0.4)},
 	}
 	const recorded = 0x7391f67b08329b70
-	if m := simulated(7, simEngine(), []ident.Model{"a", "b"}, kinds, 60*time.Second); m.digest != recorded {
+	if m := simulated(7, queueSimEngine(), []ident.Model{"a", "b"}, kinds, 60*time.Second); m.digest != recorded {
 		t.Errorf("digest %#x after %+v", m.digest, m.refusal)
 	}
 }
--- a/residency/queue_sim_test.go
+++ b/residency/queue_sim_test.go
@@ -214,8 +214,8 @@
 	m.digest = h.Sum64()
 }
 
-// simEngine describes testEngine's models on an engine of 16 requests with a large cache.
-func simEngine() *serving.Engine {
+// queueSimEngine describes testEngine's models on an engine of 16 requests with a large cache.
+func queueSimEngine() *serving.Engine {
 	e := testEngine()
 	e.CacheTokens = 200000
 	return e
