--- a/residency/queue_order.go
+++ b/residency/queue_order.go
@@ -47,7 +47,7 @@
 	loads      tenantShare
 	served     servedShare
 	// sinceLate counts the grants, and loadsSinceLate the loads, since the newest one for
-	// a late request, while late ones wait.
+	// a late request.
 	sinceLate, loadsSinceLate int
 	// displacedAt is when a protected model was last unloaded.
 	displacedAt time.Time
@@ -171,14 +171,15 @@
 	turn := s.order.sinceLate >= lateInterval && moveOldestLate(queue)
 	room := time.Duration(math.MaxInt64)
 	for i, q := range queue {
-		if !s.hasCapacity(q.pending) || q.headroom > 0 && float64(s.active+1+q.headroom) > s.concurrencyLimit.value {
+		first := turn && i == 0
+		if !s.hasCapacity(q.pending) || !first && q.headroom > 0 && float64(s.active+1+q.headroom) > s.concurrencyLimit.value {
 			continue
 		}
 		fits := s.prefillFits(now, q.pending)
 		switch {
 		case fits && s.promptOf(now, q.pending).prefill <= room:
 			return q.pending, q.late
-		case turn && i == 0:
+		case first:
 			return nil, false
 		case !fits:
 			room = min(room, max(0, q.slack))
--- a/residency/queue_order_test.go
+++ b/residency/queue_order_test.go
@@ -108,10 +108,15 @@
 }
 
 // Load pattern: urgent requests keep the engine full, and one that has missed its objective
-// waits. It must not starve until its deadline. Fails if late requests have no turn.
+// waits. It must not starve until its deadline. Fails if late requests have no turn, or leave
+// headroom in their turn.
 func TestLateRequestDoesNotStarve(t *testing.T) {
 	h := orderedHarness(t)
-	h.reserve(Request{ID: 1, Model: "a", Objective: time.Millisecond, MaxWait: 10 * time.Second, Deadline: 20 * time.Second})
+	// The late request is of a kind that leaves headroom.
+	for range 10 {
+		h.scheduler.order.served.add(h.now, kindOf(&Request{Objective: 30 * time.Second}), false)
+	}
+	h.reserve(Request{ID: 1, Model: "a", Objective: time.Millisecond, Priority: 1, MaxWait: 10 * time.Second, Deadline: 20 * time.Second})
 	running := RequestID(1001)
 	for id := range RequestID(20) {
 		h.reserve(Request{ID: 2 + id, Model: "a", Objective: 30 * time.Second, MaxWait: 10 * time.Second})
