--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -89,6 +89,7 @@
 	s.perform(s.scheduler.Reserve(s.o.Now(), residency.Request{
 		ID: id, Model: r.Model, Adapter: r.Adapter, Priority: r.Priority, CacheTokens: r.CacheTokens, PromptTokens: r.PromptTokens,
 		MaxWait: r.MaxWait, Objective: r.Objective, MaxEventGap: r.MaxEventGap,
+		Tenant: r.Tenant, Deadline: r.Deadline,
 	}))
 	return id, decision
 }
@@ -144,6 +145,9 @@
 	f["active"], f["limit"], f["report_ms"] = s.scheduler.Load(now)
 	_, backlog := s.scheduler.Prefill(now)
 	f["prefill_backlog_ms"] = backlog.Milliseconds()
+	if s.scheduler.Ordered(now) {
+		f["ordered"], f["tenant"], f["deadline_ms"] = true, r.Tenant, r.Deadline.Milliseconds()
+	}
 	s.mu.Unlock()
 	if refused, ok := a.(*residency.Refuse); ok {
 		f["reason"], f["retry_after_ms"] = refused.Reason, refused.RetryAfter.Milliseconds()
