--- a/e2e/soak/callers_test.go
+++ b/e2e/soak/callers_test.go
@@ -44,6 +44,9 @@
 				case <-time.After(time.Duration(r.ExpFloat64() * float64(thinkTime))):
 				}
 				kind, c := in.drawCall(r, fmt.Sprintf("s%d-%d-%d", in.worker, n, i))
+				if in.keys != nil {
+					c.Key = in.keys.draw(r)
+				}
 				in.send(ch, client, kind, c, n)
 			}
 		})
@@ -92,7 +95,7 @@
 	e.reply = c.Do(ctx, client, in.routerAddress(e.router))
 	e.to = time.Now()
 	ch.checkReply(e)
-	if e.reply.Status == http.StatusServiceUnavailable {
+	if e.reply.Status == http.StatusServiceUnavailable || e.reply.Status == http.StatusTooManyRequests {
 		time.Sleep(min(e.reply.RetryAfter, 300*time.Millisecond))
 	}
 }
--- a/e2e/soak/checker_test.go
+++ b/e2e/soak/checker_test.go
@@ -26,16 +26,19 @@
 
 	mu sync.Mutex
 	// refused and nonIdempotent hold requests by id.
-	refused       map[string]exchange
+	refused map[string]exchange
+	// sent holds all requests by id.
+	sent          map[string]exchange
 	nonIdempotent map[string]bool
 	// excused counts the requests that failed because their router was down.
-	total, answered, refusals, failed, excused int
+	// denied counts those that were refused for their keys.
+	total, answered, refusals, denied, failed, excused int
 	// violations counts the violations of each rule.
 	violations map[string]int
 }
 
 func newChecker(in *installation) *checker {
-	return &checker{in: in, refused: make(map[string]exchange), nonIdempotent: make(map[string]bool), violations: make(map[string]int)}
+	return &checker{in: in, refused: make(map[string]exchange), sent: make(map[string]exchange), nonIdempotent: make(map[string]bool), violations: make(map[string]int)}
 }
 
 // violation counts a violation of a rule and reports the first three of each rule.
@@ -55,15 +58,20 @@
 	router := ch.in.routers[e.router]
 	_, down := router.within(&router.down, e.from.Add(-downtimeSlack), e.to.Add(downtimeSlack))
 	paused, _ := router.within(&router.paused, e.from, e.to)
+	refused := !r.Sealed && (r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests)
 	ch.mu.Lock()
 	ch.total++
 	ch.nonIdempotent[r.ID] = e.kind == "order"
+	ch.sent[r.ID] = e
 	switch {
 	case r.Status == http.StatusOK && r.Complete:
 		ch.answered++
-	case r.Status == http.StatusServiceUnavailable && !r.Sealed:
+	case refused:
 		ch.refusals++
 		ch.refused[r.ID] = e
+	case r.Status == http.StatusUnauthorized && !r.Sealed:
+		ch.denied++
+		ch.refused[r.ID] = e
 	case r.Err != nil && down:
 		ch.excused++
 	default:
@@ -76,12 +84,13 @@
 	if r.Status == 0 && !down {
 		ch.violation("lost", "%s %s to router %d: %v", e.kind, r.ID, e.router, r.Err)
 	}
-	if r.Status == http.StatusServiceUnavailable && !r.Sealed && r.RetryAfter <= 0 {
+	if refused && r.RetryAfter <= 0 {
 		ch.violation("refusal", "%s %s has no time to retry after", e.kind, r.ID)
 	}
 	if r.Status == http.StatusNotFound {
 		ch.violation("route", "%s %s: not found, but the route is in use", e.kind, r.ID)
 	}
+	ch.checkKeyReply(e)
 	ch.checkBody(e)
 }
 
@@ -116,6 +125,9 @@
 	for i := range ch.in.size.routers {
 		for n, kind := range []string{"order", "read", "outlook", "outlook", "draft"} {
 			c := platformtest.Call{Host: host, Path: "/" + kind + "/a", Body: "x", Timeout: 4 * time.Second}
+			if ch.in.keys != nil {
+				c.Key = ch.in.keys.tenants()[0].Keys[0]
+			}
 			if n >= 2 {
 				c.Model = modelNames[n]
 			}
@@ -146,6 +158,7 @@
 			ch.violation("limit", "engine %d was ordered to load more than fits", i)
 		}
 	}
+	ch.checkTenants()
 	for id, n := range ran {
 		if ch.nonIdempotent[id] && n > 1 {
 			ch.violation("twice", "%s ran %d times", id, n)
@@ -208,5 +221,5 @@
 }
 
 func (ch *checker) summary() string {
-	return fmt.Sprintf("%d requests, %d answered, %d refused, %d failed, %d excused as their router was down; violations: %v", ch.total, ch.answered, ch.refusals, ch.failed, ch.excused, ch.violations)
+	return fmt.Sprintf("%d requests, %d answered, %d refused, %d denied, %d failed, %d excused as their router was down; violations: %v", ch.total, ch.answered, ch.refusals, ch.denied, ch.failed, ch.excused, ch.violations)
 }
--- a/e2e/soak/faults_test.go
+++ b/e2e/soak/faults_test.go
@@ -123,6 +123,8 @@
 		in.middleboxes[f.target%soakSize.engines].DropFlows()
 	case linkOneWay:
 		in.middleboxes[f.target%soakSize.engines].DropFlowsToAgent()
+	case keyReplaced:
+		in.replaceKey(f.target)
 	case configSeries:
 		for range 4 {
 			in.writeConfig()
--- a/e2e/soak/installation_test.go
+++ b/e2e/soak/installation_test.go
@@ -29,6 +29,8 @@
 	// direct makes upstreams listen at their addresses, without proxies, so that a
 	// connection to a crashed one is refused.
 	direct bool
+	// tenants makes callers need keys.
+	tenants bool
 }
 
 // soakSize is the size of the installations that the soak injects faults into.
@@ -58,6 +60,8 @@
 	routers    []*process
 	sidecars   []*process
 	upstreams  []*upstream
+	// keys holds the callers' API keys, or is nil if they need none.
+	keys *apiKeys
 	// middleboxes forward UDP datagrams to the sidecars.
 	middleboxes []*harness.Middlebox
 
@@ -105,6 +109,9 @@
 	}
 	in := &installation{size: n, t: t, worker: worker, dir: dir, store: platformtest.NewStore(), stop: make(chan struct{}), ready: make([]readyState, n.routers)}
 	in.config.written = make(map[int]time.Time)
+	if n.tenants {
+		in.keys = newAPIKeys()
+	}
 	if in.storeProxy, err = newProxy("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
@@ -178,10 +185,14 @@
 
 func (in *installation) routerSettings(i int) string {
 	ip := ipOf(in.worker, 1+i)
-	return fmt.Sprintf(`{"vm": "router-%d", "region": "r1", "zone": %q, "zones": [{"zone": %q, "region": "r1"}],
+	revocation := ""
+	if in.keys != nil {
+		revocation = fmt.Sprintf(`"revoke_strict": true, "revoke_within": %q,`, revokeWithin)
+	}
+	return fmt.Sprintf(`{%s "vm": "router-%d", "region": "r1", "zone": %q, "zones": [{"zone": %q, "region": "r1"}],
 		"listen": "%s:%d", "readiness_listen": "%s:%d", "admin_listen": "%s:%d", "sidecar_port": %d,
 		"metadata_store": %q, "retry_share": 0.2, "retry_slack": 50, "config_within": "3s", "leaving_within": "3s", "shutdown_timeout": "8s", "log": {"format": "json", "level": "info"}}`,
-		i, zone, zone, ip, callerPort, ip, probePort, ip, adminPort, sidecarPort, in.storeProxy.address())
+		revocation, i, zone, zone, ip, callerPort, ip, probePort, ip, adminPort, sidecarPort, in.storeProxy.address())
 }
 
 func (in *installation) sidecarSettings(i int) string {
@@ -214,6 +225,10 @@
 			{Name: "models", Models: modelNames, MemoryMB: 100, ModelMB: 45, AdapterSlots: 2, Slots: 12, LoadSeconds: 0.4, DiskSeconds: 0.1, LoadsPerSecond: 20},
 		},
 	}
+	if in.keys != nil {
+		c.Tenants = in.keys.tenants()
+		c.Routes[0].Public = true
+	}
 	for i := 2; i <= v; i++ {
 		c.Routes = append(c.Routes, route(fmt.Sprintf("/extra-%d/", i), "idempotent", "portal", 1500, 2, false))
 	}
--- a/e2e/soak/main_test.go
+++ b/e2e/soak/main_test.go
@@ -95,7 +95,9 @@
 // runSeed runs one seed: it starts an installation and its callers, injects the
 // faults, and then checks that everything is served again.
 func runSeed(t *testing.T, worker int, seed uint64, duration time.Duration, kinds []faultKind) {
-	in := newInstallation(t, worker, soakSize)
+	n := soakSize
+	n.tenants = seed%2 == 1
+	in := newInstallation(t, worker, n)
 	defer in.close()
 	check := newChecker(in)
 	stopCallers := in.startCallers(check, seed)
--- a/e2e/soak/plan_test.go
+++ b/e2e/soak/plan_test.go
@@ -44,6 +44,7 @@
 	upstreamCrash              faultKind = "upstream crashes"
 	upstreamLimit              faultKind = "upstream names a request limit"
 	upstreamEndless            faultKind = "upstream sends bytes without end"
+	keyReplaced                faultKind = "key removed and another one added"
 )
 
 var faultKinds = []faultKind{
@@ -52,6 +53,7 @@
 	ordersLate, routerTerm, routerKill, routerPause, routerReload, sidecarTerm, sidecarKill, sidecarPause, configSeries,
 	linkSilent, linkOneWay, storeRestored, upstreamLeaves, upstreamPauses,
 	upstreamCrash, upstreamLimit, upstreamEndless,
+	keyReplaced,
 }
 
 // fault is one injected fault.
