--- a/heldbytes/budget.go
+++ b/heldbytes/budget.go
@@ -12,6 +12,10 @@
 // stalled for so long.
 const hardShare = 0.25
 
+// drainingShare is the fraction of the budget that peers being disconnected may hold before
+// Draining. On a busy machine they held 40 MB beside a full budget of 64 MB.
+const drainingShare = 0.1
+
 // Budget is the number of bytes that may be held for all peers together.
 type Budget struct {
 	limit, held int64
@@ -66,6 +70,10 @@
 // exceeded: those that Hold found to be stalled for too short a time.
 func (b *Budget) Trim(now time.Time) (disconnect []*Holder) { return b.trim(now, nil) }
 
+// Draining reports whether peers being disconnected still hold a good part of the budget.
+// Nothing new should be begun until their connections have ended.
+func (b *Budget) Draining() bool { return float64(b.leaving) > drainingShare*float64(b.limit) }
+
 // Exceeded reports whether more is held than the limit, not counting peers being
 // disconnected.
 func (b *Budget) Exceeded() bool { return b.excess() > 0 }
--- a/heldbytes/budget_test.go
+++ b/heldbytes/budget_test.go
@@ -121,7 +121,13 @@
 	if got := b.Hold(now, other, 40); got != nil {
 		t.Errorf("disconnects %v, though 40 bytes are about to be free", got)
 	}
+	if !b.Draining() {
+		t.Error("half of the budget is held by a leaving peer, and that is not waited for")
+	}
 	b.Remove(first)
+	if b.Draining() {
+		t.Error("waits for a peer that has left")
+	}
 	if b.Held() != 200 || b.leaving != 0 || b.excess() != 0 {
 		t.Errorf("held %d, leaving %d", b.Held(), b.leaving)
 	}
--- a/ingress/caller_listener.go
+++ b/ingress/caller_listener.go
@@ -2,7 +2,8 @@
 
 import "net"
 
-// callerListener accepts connections of callers whose bytes are counted.
+// callerListener accepts connections of callers whose bytes are counted. In a burst of
+// callers that don't read, it accepts no faster than their connections can be ended.
 type callerListener struct {
 	net.Listener
 	held *heldBytes
@@ -15,6 +16,7 @@
 		if err != nil {
 			return nil, err
 		}
+		l.held.awaitDisconnected()
 		tcp, ok := accepted.(*net.TCPConn)
 		if !ok {
 			return accepted, nil
--- a/ingress/held_bytes.go
+++ b/ingress/held_bytes.go
@@ -16,6 +16,10 @@
 	// bodiesRetryAfter is when a refused body may be sent again. Stalled callers can be
 	// disconnected after heldbytes.MinStall.
 	bodiesRetryAfter = 4 * heldbytes.MinStall
+	// maxAcceptDelay bounds the time for which a new connection waits until the connections
+	// of disconnected callers have ended, and acceptPoll is the interval of the checks.
+	maxAcceptDelay = 100 * time.Millisecond
+	acceptPoll     = 2 * time.Millisecond
 )
 
 // heldBytes counts what the process holds for callers, against a budget. It is safe for
@@ -140,6 +144,18 @@
 	b.trim()
 }
 
+// awaitDisconnected waits until disconnected callers hold little, but for a bounded time.
+func (b *heldBytes) awaitDisconnected() {
+	draining := func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.budget.Draining()
+	}
+	for waited := time.Duration(0); waited < maxAcceptDelay && draining(); waited += acceptPoll {
+		time.Sleep(acceptPoll)
+	}
+}
+
 // unread reports whether connections are open, which after the end of the server are those
 // whose callers have not read their responses yet.
 func (b *heldBytes) unread() bool {
