--- a/allotment/borrower.go
+++ b/allotment/borrower.go
@@ -18,9 +18,11 @@
 	// their allotments were refused where most banks are in other regions.
 	maxQueueTime = 500 * time.Millisecond
 	maxShortTime = 400 * time.Millisecond
-	// silentTime is how long a bank that has not answered is left out, so that its failure
-	// delays two requests a second.
-	silentTime = 500 * time.Millisecond
+	// minSilentTime is how long a bank that has not answered is left out the first time,
+	// which may have been a moment's stall of either process. It doubles each time up to
+	// maxSilentTime, so that a bank that is gone delays one request a second.
+	minSilentTime = 100 * time.Millisecond
+	maxSilentTime = 800 * time.Millisecond
 	// aheadPause is the time after which tokens are requested in advance again if the bank
 	// lent none.
 	aheadPause = 300 * time.Millisecond
@@ -44,11 +46,13 @@
 type Borrower struct {
 	rand     *rand.Rand
 	accounts map[ident.Tenant]*account
-	// silent is when a bank that has not answered is asked again.
-	silent  map[string]time.Time
-	asks    map[AskID]openAsk
-	lastID  uint64
-	sweptAt time.Time
+	// silent is when a bank that has not answered is asked again, and silentFor for how long
+	// it was last left out.
+	silent    map[string]time.Time
+	silentFor map[string]time.Duration
+	asks      map[AskID]openAsk
+	lastID    uint64
+	sweptAt   time.Time
 }
 
 // openAsk is a request to a bank that has not been answered.
@@ -63,7 +67,7 @@
 func NewBorrower(now time.Time, r *rand.Rand) *Borrower {
 	return &Borrower{
 		rand: r, sweptAt: now,
-		accounts: make(map[ident.Tenant]*account), silent: make(map[string]time.Time), asks: make(map[AskID]openAsk),
+		accounts: make(map[ident.Tenant]*account), silent: make(map[string]time.Time), silentFor: make(map[string]time.Duration), asks: make(map[AskID]openAsk),
 	}
 }
 
@@ -118,6 +122,7 @@
 	}
 	a := o.account
 	delete(b.silent, o.bank)
+	delete(b.silentFor, o.bank)
 	if l.Amount > 0 {
 		a.add(min(l.Amount, o.request.Amount+o.request.Ahead), o.sentAt.Add(TTL))
 	}
@@ -142,7 +147,10 @@
 	if !ok {
 		return nil
 	}
-	b.silent[o.bank] = now.Add(silentTime)
+	if !now.Before(b.silent[o.bank]) {
+		b.silentFor[o.bank] = min(max(minSilentTime, 2*b.silentFor[o.bank]), maxSilentTime)
+		b.silent[o.bank] = now.Add(b.silentFor[o.bank])
+	}
 	o.account.tried(o.bank, o.sentAt, false)
 	return b.advance(now, o.account)
 }
@@ -299,6 +307,7 @@
 	for bank, until := range b.silent {
 		if now.After(until) {
 			delete(b.silent, bank)
+			delete(b.silentFor, bank)
 		}
 	}
 }
