--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -40,6 +40,8 @@
 	// retrySlack is the fixed part of the budget within retryWindow, over all routers.
 	retrySlack  float64
 	retryWindow time.Duration
+	// slownessStatedAt is when a server of each service last stated its slowness.
+	slownessStatedAt map[ident.Upstream]time.Time
 }
 
 // newClusterState returns the state of a router that reads the list of VMs every
@@ -54,9 +56,10 @@
 		return nil, fmt.Errorf("balancer: %w", err)
 	}
 	return &clusterState{
-		tracker:  fleet.NewTracker(fleet.Options{OutageAfter: outageAfter(pollInterval)}),
-		balancer: balancer,
-		budgets:  make(map[ident.Upstream]*retry.Budget),
+		tracker:          fleet.NewTracker(fleet.Options{OutageAfter: outageAfter(pollInterval)}),
+		balancer:         balancer,
+		budgets:          make(map[ident.Upstream]*retry.Budget),
+		slownessStatedAt: make(map[ident.Upstream]time.Time),
 		opts: retry.BudgetOptions{
 			Share:    max(0.01, s.RetryShare*budgetShare),
 			MaxSaved: 1,
@@ -265,6 +268,9 @@
 func (c *clusterState) observeResponse(now time.Time, vm *fleet.VM, r *serving.ResponseInfo) (leaving bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if r.Load.Slowness > 0 {
+		c.slownessStatedAt[vm.Service] = now
+	}
 	if r.HasLoad {
 		c.balancer.ReportLoad(now, vm.ID, r.Load)
 	}
@@ -306,6 +312,18 @@
 	return c.balancer.RequestLimits(now)
 }
 
+// slownessStatedTTL is how long after a statement the servers of a service are assumed to
+// run on shared machines.
+const slownessStatedTTL = 30 * time.Second
+
+// onSharedMachines reports whether servers of a service state how slow their machines are.
+func (c *clusterState) onSharedMachines(now time.Time, service ident.Upstream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.slownessStatedAt[service]
+	return ok && now.Sub(at) < slownessStatedTTL
+}
+
 // takeBypass reports whether a request may be sent to a VM whose sidecar has not replied.
 func (c *clusterState) takeBypass(now time.Time, vm ident.VM) bool {
 	c.mu.Lock()
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -107,7 +107,9 @@
 	}
 	now := d.s.o.Now()
 	begun := time.Now()
-	rsv, err := link.reserve(ctx, d.reserveMessage(now, c))
+	m := d.reserveMessage(now, c)
+	m.SharedMachine = d.s.clusterState.onSharedMachines(now, c.VM.Service)
+	rsv, err := link.reserve(ctx, m)
 	d.s.metrics.reserve.RecordDuration(time.Since(begun))
 	var refused *RefusedError
 	switch {
--- a/residency/load_order_test.go
+++ b/residency/load_order_test.go
@@ -93,7 +93,7 @@
 // is loaded first. Fails if they count as late.
 func TestModelOfUrgentRequestsIsLoadedFirst(t *testing.T) {
 	h := newHarness(t, "a", "b")
-	h.scheduler.SetOrdered(true)
+	h.scheduler.order.usedAt = h.now
 	h.snap.Tiers["c"], h.snap.Tiers["d"] = engine.TierDisk, engine.TierDisk
 	h.snap.Busy = true
 	h.observe()
@@ -112,7 +112,7 @@
 // the rare model is served in the end. Fails if no model is protected.
 func TestModelOfUrgentRequestsIsProtected(t *testing.T) {
 	h := newHarness(t, "a", "b")
-	h.scheduler.SetOrdered(true)
+	h.scheduler.order.usedAt = h.now
 	h.snap.Tiers["c"], h.snap.Tiers["d"] = engine.TierDisk, engine.TierDisk
 	id := RequestID(0)
 	urgent := func(n int) {
@@ -149,7 +149,7 @@
 // the first request decides.
 func TestPermitIsForTheLoadThatServesMostRequests(t *testing.T) {
 	h := newHarness(t, "a", "b")
-	h.scheduler.SetOrdered(true)
+	h.scheduler.order.usedAt = h.now
 	h.holdOrders = true
 	wait := 20 * time.Second
 	for id := range RequestID(10) {
@@ -177,7 +177,7 @@
 // permit is granted, although nobody waits. Fails if the gain counts waiting requests only.
 func TestLoadedModelsAreNotProtectedFromMovedDemand(t *testing.T) {
 	h := newHarness(t, "a", "b")
-	h.scheduler.SetOrdered(true)
+	h.scheduler.order.usedAt = h.now
 	h.reserve(Request{ID: 1, Model: "a"})
 	h.reserve(Request{ID: 2, Model: "b"})
 	for id := range RequestID(20) {
--- a/residency/queue_order.go
+++ b/residency/queue_order.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// orderedFor is how long after a request with a tenant the queue stays ordered.
+	// orderedFor is how long the queue stays ordered after the newest request that asks for it.
 	orderedFor = time.Minute
 	// firstEventMargin is added to the estimated prefill time of a request: an engine
 	// begins a prompt with its next step.
@@ -39,13 +39,12 @@
 // The order is used while requests carry tenants or the engine runs on a shared machine.
 // All others are served in order of arrival.
 type queueOrder struct {
-	// always is set if the engine runs on a shared machine.
-	always bool
-	// tenantSeen is when the newest request with a tenant arrived.
-	tenantSeen time.Time
-	grants     tenantShare
-	loads      tenantShare
-	served     servedShare
+	// usedAt is when the newest request arrived that has a tenant, or whose router knows that
+	// the engine runs on a shared machine.
+	usedAt time.Time
+	grants tenantShare
+	loads  tenantShare
+	served servedShare
 	// sinceLate counts the grants, and loadsSinceLate the loads, since the newest one for
 	// a late request.
 	sinceLate, loadsSinceLate int
@@ -57,20 +56,16 @@
 	return queueOrder{grants: tenantShare{halfLife: grantHalfLife, allowance: grantAllowance}, loads: tenantShare{halfLife: loadHalfLife, allowance: loadAllowance}}
 }
 
-// observe records whether requests carry tenants.
+// observe records whether requests are to be ordered.
 func (o *queueOrder) observe(now time.Time, r *Request) {
-	if r.Tenant != "" {
-		o.tenantSeen = now
+	if r.Tenant != "" || r.SharedMachine {
+		o.usedAt = now
 	}
 }
 
-// SetOrdered sets whether waiting requests are ordered although they have no tenant: the
-// engine's server states that it runs on a shared machine.
-func (s *Scheduler) SetOrdered(on bool) { s.order.always = on }
-
 // Ordered reports whether waiting requests are ordered by what they lose by waiting.
 func (s *Scheduler) Ordered(now time.Time) bool {
-	return s.order.always || !s.order.tenantSeen.IsZero() && now.Sub(s.order.tenantSeen) < orderedFor
+	return !s.order.usedAt.IsZero() && now.Sub(s.order.usedAt) < orderedFor
 }
 
 // queueLimits holds the amounts above which a tenant yields.
--- a/residency/queue_order_test.go
+++ b/residency/queue_order_test.go
@@ -100,7 +100,7 @@
 // orderedHarness is an engine with one free place for requests, which are ordered.
 func orderedHarness(t *testing.T) *harness {
 	h := newHarness(t, "a", "b")
-	h.scheduler.SetOrdered(true)
+	h.scheduler.order.usedAt = h.now
 	h.scheduler.concurrencyLimit.value = 2
 	h.reserve(Request{ID: 1000, Model: "b", Objective: time.Second})
 	h.reserve(Request{ID: 1001, Model: "b", Objective: time.Second})
@@ -133,7 +133,7 @@
 // may pass it without a bound.
 func TestLongPromptIsNotStarvedByUrgentOnes(t *testing.T) {
 	h := newHarness(t, "a", "b")
-	h.scheduler.SetOrdered(true)
+	h.scheduler.order.usedAt = h.now
 	h.scheduler.spec.CacheTokens = 1 << 20
 	const gap = 300 * time.Millisecond
 	long := Request{ID: 1000, Model: "a", Priority: 2, PromptTokens: 6000, MaxWait: 2400 * time.Millisecond, Objective: 4 * time.Second, MaxEventGap: gap}
@@ -214,3 +214,20 @@
 		t.Errorf("refused %+v", h.refused)
 	}
 }
+
+// Guards against an order that is used, or not, whatever a router states of the engine's
+// machine: of two requests for a busy engine, the later and more urgent one is admitted first
+// only if the engine runs on a shared machine.
+func TestOrderIsUsedOnSharedMachines(t *testing.T) {
+	for _, shared := range []bool{false, true} {
+		h := newHarness(t, "a")
+		h.scheduler.concurrencyLimit.value = 1
+		h.reserve(Request{ID: 1, Model: "a", Objective: 4 * time.Second, MaxWait: 4 * time.Second, SharedMachine: shared})
+		h.reserve(Request{ID: 2, Model: "a", Objective: 4 * time.Second, MaxWait: 4 * time.Second, SharedMachine: shared})
+		h.reserve(Request{ID: 3, Model: "a", Objective: 500 * time.Millisecond, MaxWait: 4 * time.Second, SharedMachine: shared})
+		h.apply(h.scheduler.Release(h.now, 1, Outcome{}))
+		if got := slices.Contains(h.granted, RequestID(3)); got != shared {
+			t.Errorf("shared machine %v: the urgent request is admitted first: %v", shared, got)
+		}
+	}
+}
--- a/residency/request.go
+++ b/residency/request.go
@@ -29,4 +29,7 @@
 	Deadline time.Duration
 	// MaxEventGap is the longest pause between events that the caller accepts.
 	MaxEventGap time.Duration
+	// SharedMachine is set if servers of the engine's service state how slow their machines
+	// are, which they share with others.
+	SharedMachine bool
 }
