--- a/ingress/caller_request.go
+++ b/ingress/caller_request.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/laureltally/laureltally/heldbytes"
+	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/upstreamhttp"
 )
 
@@ -94,11 +95,15 @@
 	return true
 }
 
-// setUrgency sets the urgency of the request.
-func (c *callerConn) setUrgency(u heldbytes.Urgency) {
-	if c != nil {
-		c.held.setUrgency(c, u)
+// admitted records whose request it is and how urgent.
+func (c *callerConn) admitted(tenant ident.Tenant, u heldbytes.Urgency) {
+	if c == nil {
+		return
 	}
+	c.mu.Lock()
+	c.tenant = tenant
+	c.mu.Unlock()
+	c.held.setUrgency(c, u)
 }
 
 // beginStream prepares the connection for a response that consists of small events.
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -82,7 +82,7 @@
 	if limits.BodyBytes > 0 {
 		body = http.MaxBytesReader(d.w, d.r.Body, limits.BodyBytes)
 	}
-	d.conn.setUrgency(d.heldUrgency())
+	d.conn.admitted(d.tenantName(), d.heldUrgency())
 	hash := newRequestHash(d.r, &d.info, d.authenticated, d.tenantName())
 	var err error
 	d.body, err = d.conn.readBody(io.TeeReader(body, hash), d.r.ContentLength, limits.BodyBytes)
