--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -132,6 +132,7 @@
 		MaxEventGap:  d.route.MaxEventGap,
 		Traits:       d.traits,
 		Tenant:       d.tenantName(),
+		Allotment:    d.tenant.Rate(),
 		Deadline:     max(0, d.deadline.Sub(now)),
 	}
 }
--- a/residency/load_order.go
+++ b/residency/load_order.go
@@ -37,7 +37,7 @@
 	if first < 0 {
 		return
 	}
-	s.order.loads.add(now, queue[first].Tenant, s.swapTime(o.Model).Seconds())
+	s.order.loads.add(now, queue[first].Tenant, queue[first].Allotment, s.swapTime(o.Model).Seconds())
 	if s.order.loadsSinceLate++; queue[first].late {
 		s.order.loadsSinceLate = 0
 	}
--- a/residency/load_order_test.go
+++ b/residency/load_order_test.go
@@ -51,7 +51,7 @@
 func TestFloodUnloadsNoModelOfOthers(t *testing.T) {
 	h := newHarness(t, "a", "b")
 	h.snap.Tiers["c"] = engine.TierDisk
-	h.scheduler.order.grants.add(h.now, "flood", 100)
+	h.scheduler.order.grants.add(h.now, "flood", 0, 100)
 	for id := range RequestID(20) {
 		h.reserve(Request{ID: id + 1, Tenant: "t1", Model: []ident.Model{"a", "b"}[id%2], Objective: 4 * time.Second})
 		h.apply(h.scheduler.Release(h.now, id+1, Outcome{}))
@@ -77,7 +77,7 @@
 	h.scheduler.concurrencyLimit.value = 3
 	h.snap.Tiers["c"] = engine.TierDisk
 	h.reserve(Request{ID: 1, Tenant: "t1", Model: "a", Objective: 4 * time.Second})
-	h.scheduler.order.grants.add(h.now, "flood", 100)
+	h.scheduler.order.grants.add(h.now, "flood", 0, 100)
 	for id := range RequestID(5) {
 		h.reserve(Request{ID: 10 + id, Tenant: "flood", Model: "b", Objective: 4 * time.Second})
 	}
--- a/residency/model_protection.go
+++ b/residency/model_protection.go
@@ -111,7 +111,7 @@
 
 // beyondShare reports whether a tenant has got more than its share of the grants or loads.
 func (s *Scheduler) beyondShare(l queueLimits, t ident.Tenant) bool {
-	return s.order.grants.amounts[t] > l.grants || s.order.loads.amounts[t] > l.loads
+	return s.order.grants.exceeds(t, l.grants) || s.order.loads.exceeds(t, l.loads)
 }
 
 // floodedVictim returns a model in use by a tenant beyond its share, to be unloaded for a
--- a/residency/queue_order.go
+++ b/residency/queue_order.go
@@ -68,20 +68,20 @@
 	return !s.order.usedAt.IsZero() && now.Sub(s.order.usedAt) < orderedFor
 }
 
-// queueLimits holds the amounts above which a tenant yields.
+// queueLimits holds the amounts for each unit of weight above which a tenant yields.
 type queueLimits struct{ grants, loads float64 }
 
 func (s *Scheduler) queueLimits(now time.Time) queueLimits {
-	tenants := make(map[ident.Tenant]bool)
+	tenants := make(map[ident.Tenant]float64)
 	for _, p := range s.requests {
 		if !p.isGranted() {
-			tenants[p.Tenant] = true
+			tenants[p.Tenant] = p.Allotment
 		}
 	}
 	l := queueLimits{grants: s.order.grants.limit(now, tenants)}
 	// Tenants whose models are loaded lose by the loads of others.
-	for name := range s.order.grants.amounts {
-		tenants[name] = true
+	for name, a := range s.order.grants.amounts {
+		tenants[name] = a.weight
 	}
 	l.loads = s.order.loads.limit(now, tenants)
 	return l
@@ -93,9 +93,9 @@
 	_, backlog := s.Prefill(now)
 	firstEvent := backlog + s.promptOf(now, p).prefill + firstEventMargin
 	if s.ready(p) {
-		q.over = s.order.grants.amounts[p.Tenant] > l.grants
+		q.over = s.order.grants.exceeds(p.Tenant, l.grants)
 	} else {
-		q.over = s.order.loads.amounts[p.Tenant] > l.loads
+		q.over = s.order.loads.exceeds(p.Tenant, l.loads)
 		firstEvent += s.swapTime(p.Model)
 	}
 	q.headroom = s.headroom(q)
@@ -149,7 +149,7 @@
 			break
 		}
 		s.countDecision(now, p, true)
-		s.order.grants.add(now, p.Tenant, 1)
+		s.order.grants.add(now, p.Tenant, p.Allotment, 1)
 		if s.order.sinceLate++; late {
 			s.order.sinceLate = 0
 		}
--- a/residency/request.go
+++ b/residency/request.go
@@ -17,6 +17,9 @@
 	Priority ident.Priority
 	// Tenant is that of the caller, or empty for none.
 	Tenant ident.Tenant
+	// Allotment is the rate of the tenant's allotment, or zero without one. It is compared with
+	// those of other tenants only.
+	Allotment float64
 	// CacheTokens is the number of cache tokens that the request may take, of which
 	// PromptTokens are prefilled before its first event.
 	CacheTokens  int
--- a/wire/reserve.go
+++ b/wire/reserve.go
@@ -33,6 +33,9 @@
 	Tenant ident.Tenant `cbor:"11,keyasint,omitempty"`
 	// Deadline is the time left in which a response is useful, or zero if it is unknown.
 	Deadline time.Duration `cbor:"12,keyasint,omitempty"`
+	// Allotment is the rate of the tenant's allotment, for comparison with other tenants', or
+	// zero without one.
+	Allotment float64 `cbor:"13,keyasint,omitempty"`
 	// SharedMachine is set if servers of the upstream's service state how slow their machines
 	// are at the moment.
 	SharedMachine bool `cbor:"15,keyasint,omitempty"`
