--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -17,6 +17,9 @@
 // longer ones are streamed.
 const maxWholeBytes = 256 << 10
 
+// maxLoggedValue bounds the bytes of a malformed slowness in the log.
+const maxLoggedValue = 64
+
 // attempt sends the request to the chosen VM and relays the response. Unreserved is set if
 // there is no reservation for it.
 func (d *delivery) attempt(ctx context.Context, unreserved bool) result {
@@ -24,11 +27,12 @@
 	vm, requirements := d.choice.VM.ID, d.requirements
 	d.s.clusterState.requestStarted(begun, vm, requirements)
 	d.s.metrics.attempts.Inc(1)
-	d.soundObserved = false
+	d.soundObserved, d.slowness = false, 0
 	if d.bypass = unreserved && requirements.Model != ""; d.bypass {
 		d.s.clusterState.bypassStarted(vm)
 	}
 	res := d.exchange(ctx, begun)
+	res.slowness = d.slowness
 	d.endBypass(vm, false)
 	d.observeAnswer(res, begun)
 	d.s.metrics.countAttempt(res.kind)
@@ -117,6 +121,11 @@
 	if info.MalformedRequestLimit != "" {
 		d.s.o.Logger.WithFields(f).WithField("value", info.MalformedRequestLimit).Warn("malformed request limit of an upstream, ignored")
 	}
+	if info.MalformedSlowness != "" && d.s.clusterState.malformedSlowness(d.choice.VM) {
+		value := info.MalformedSlowness[:min(maxLoggedValue, len(info.MalformedSlowness))]
+		d.s.o.Logger.WithFields(f).WithField("value", value).Warn("malformed slowness of an upstream, ignored")
+	}
+	d.slowness = info.Load.Slowness
 	if info.MalformedPause != "" {
 		d.s.o.Logger.WithFields(f).WithFields(log.Fields{"value": info.MalformedPause, "used_ms": ms(info.Pause)}).Warn("malformed or absurd pause of an upstream")
 	}
--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -274,6 +274,14 @@
 	return r.Leaving && c.balancer.ServerLeaving(now, vm)
 }
 
+// malformedSlowness records that a server has stated a slowness that can't be read, and
+// reports whether it is the first one.
+func (c *clusterState) malformedSlowness(vm *fleet.VM) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.balancer.MalformedSlowness(vm)
+}
+
 // requestLimitNamed takes the limit that a server named in its response to a request sent
 // at a time, and returns what other routers have to know.
 func (c *clusterState) requestLimitNamed(now, sentAt time.Time, vm *fleet.VM, l serving.RequestLimit) (requestlimit.Statement, bool) {
--- a/placement/instance.go
+++ b/placement/instance.go
@@ -23,6 +23,8 @@
 	pausedUntil time.Time
 	// share is this router's part in the limit on requests that the server names.
 	share requestlimit.Share
+	// malformedSlowness is set once the server has stated a slowness that can't be read.
+	malformedSlowness bool
 }
 
 // unremarkable reports whether nothing has to be remembered of the server. Its limit is
--- a/serving/response_info.go
+++ b/serving/response_info.go
@@ -37,4 +37,7 @@
 	// Load is the load that the upstream reports, if HasLoad is set.
 	Load    Load
 	HasLoad bool
+	// MalformedSlowness is the text of a slowness that can't be read or is implausible, or
+	// empty.
+	MalformedSlowness string
 }
