--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -274,6 +274,7 @@
 		return
 	}
 	b.publish(now, m, wire.Report{Running: l.Running, Waiting: l.Waiting, Concurrency: l.Concurrency})
+	b.table.ObserveSlowness(now, vm, l.Slowness)
 }
 
 // Block stops sending requests to a VM for some registration intervals, since its
--- a/placement/balancer_test.go
+++ b/placement/balancer_test.go
@@ -320,6 +320,31 @@
 	}
 }
 
+// Of servers with the same load the one that is not slow at the moment gets the requests,
+// until what it stated is too old; a malformed slowness is reported once a server.
+func TestPlainServiceUsesSlowness(t *testing.T) {
+	b := newBalancer(t, 2, "r0")
+	for id, slowness := range map[ident.VM]float64{"0": 2.5, "1": 1} {
+		b.ReportLoad(start, id, serving.Load{Running: 1, Concurrency: 16, Slowness: slowness})
+	}
+	for range 20 {
+		if c := choose(t, b, start, Requirements{}); c.VM.ID != "1" {
+			t.Fatalf("got %s", c.VM.ID)
+		}
+	}
+	later, chosen := start.Add(10*time.Second), map[ident.VM]int{}
+	for range 20 {
+		chosen[choose(t, b, later, Requirements{}).VM.ID]++
+	}
+	if chosen["0"] == 0 {
+		t.Error("a slowness of ten seconds ago still counts")
+	}
+	vm := b.members["0"].vm
+	if !b.MalformedSlowness(vm) || b.MalformedSlowness(vm) || !b.MalformedSlowness(b.members["1"].vm) {
+		t.Error("malformed slowness is not reported once a server")
+	}
+}
+
 // A busy model fills one VM to packShare before the next, so that the other VMs
 // become idle and have room for rare models.
 func TestBusyModelIsPackedOntoFewVMs(t *testing.T) {
--- a/routing/member.go
+++ b/routing/member.go
@@ -9,6 +9,8 @@
 	// measured their number.
 	serviceTime time.Duration
 	measured    int
+	// steady is the average time where the VM states its slowness.
+	steady steadyTime
 	// adapters holds the hashes of the loaded adapters.
 	adapters hashSet
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -107,6 +107,7 @@
 	}
 	if m := t.find(target, s); m != nil {
 		m.measure(duration)
+		m.measureSteady(now, duration)
 	}
 }
 
@@ -116,10 +117,11 @@
 	members := t.members[l.Target]
 	t.scratch = slices.Grow(t.scratch[:0], len(members))[:len(members)]
 	adapter := hashAdapter(l.Adapter)
-	assumed := assumedServiceTime(members)
+	assumed, utilization := assumedServiceTime(members), meanUtilization(members)
 	for i := range members {
 		t.fill(now, &l, adapter, &members[i], &t.scratch[i])
 		t.scratch[i].ServiceTime = members[i].runTime(assumed)
+		members[i].fillSpeed(now, assumed, utilization, &t.scratch[i])
 	}
 	ch, err := t.chooser.Choose(l.Request, t.scratch)
 	if err != nil {
--- a/routing/vm_state.go
+++ b/routing/vm_state.go
@@ -23,6 +23,7 @@
 	hasWaitingByLevel bool
 	draining          bool
 	runTime           time.Duration
+	slowness          slowness
 
 	zone        ident.Zone
 	prefixes    hashSet
