--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -40,6 +40,8 @@
 	// retrySlack is the fixed part of the budget within retryWindow, over all routers.
 	retrySlack  float64
 	retryWindow time.Duration
+	// slownessStatedAt is when a VM of a service last stated its slowness.
+	slownessStatedAt map[ident.Upstream]time.Time
 }
 
 // newClusterState returns the state of a router that reads the list of VMs every
@@ -62,6 +64,7 @@
 			MaxSaved: 1,
 		},
 		retrySlack: s.RetrySlack, retryWindow: time.Duration(s.RetryWindow),
+		slownessStatedAt: make(map[ident.Upstream]time.Time),
 	}, nil
 }
 
@@ -265,6 +268,9 @@
 func (c *clusterState) observeResponse(now time.Time, vm *fleet.VM, r *serving.ResponseInfo) (leaving bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if r.Load.Slowness > 0 {
+		c.slownessStatedAt[vm.Service] = now
+	}
 	if r.HasLoad {
 		c.balancer.ReportLoad(now, vm.ID, r.Load)
 	}
@@ -274,6 +280,18 @@
 	return r.Leaving && c.balancer.ServerLeaving(now, vm)
 }
 
+// slownessStatedTTL is how long after a statement the servers of a service are assumed to
+// state their slowness.
+const slownessStatedTTL = 30 * time.Second
+
+// slownessStated reports whether servers of a service state their slowness.
+func (c *clusterState) slownessStated(now time.Time, service ident.Upstream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.slownessStatedAt[service]
+	return ok && now.Sub(at) < slownessStatedTTL
+}
+
 // malformedSlowness records that a server has stated a slowness that can't be read, and
 // reports whether it is the first one.
 func (c *clusterState) malformedSlowness(vm *fleet.VM) bool {
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -115,6 +115,8 @@
 		Objective:    d.start.Add(d.route.Objective).Sub(now),
 		MaxEventGap:  d.route.MaxEventGap,
 		Traits:       d.traits,
+
+		SlownessStated: d.s.clusterState.slownessStated(now, c.VM.Service),
 	})
 	d.s.metrics.reserve.RecordDuration(time.Since(begun))
 	var refused *RefusedError
--- a/residency/estimate.go
+++ b/residency/estimate.go
@@ -43,17 +43,24 @@
 // after all other waiting requests whose model and adapter are loaded. It assumes that
 // running requests end at an even rate.
 func (s *Scheduler) capacityWait(p *pending) time.Duration {
-	over := float64(s.active+s.waitingAhead(p)+1) - s.concurrencyLimit.value
+	over := float64(s.active+s.waitingAhead(p)+1) - s.limit()
 	if over <= 0 {
 		return 0
 	}
-	return time.Duration(over / max(1, s.concurrencyLimit.value) * float64(s.runTime))
+	return time.Duration(over / max(1, s.limit()) * float64(s.runTime))
 }
 
 // prefillWait estimates the time until the prompt of a request fits into the prefill
 // backlog, after the prompts of all other waiting requests whose model and adapter are
 // loaded.
 func (s *Scheduler) prefillWait(now time.Time, p *pending) time.Duration {
+	if s.paced.inForce() {
+		wait, ok := s.pacedWait(now, p, s.promptsAhead(p))
+		if !ok {
+			return max(s.runTime, p.MaxWait+1)
+		}
+		return wait
+	}
 	maximum := maxBacklog(p.MaxEventGap)
 	if maximum == 0 {
 		return 0
--- a/residency/outcome.go
+++ b/residency/outcome.go
@@ -7,4 +7,6 @@
 	TimeToFirstEvent, LongestEventGap, Duration time.Duration
 	// NotLoaded is set when the engine responded that the model is not loaded.
 	NotLoaded bool
+	// Slowness is what the engine's server stated of its machine with the response, or 0.
+	Slowness float64
 }
--- a/residency/poll_delay.go
+++ b/residency/poll_delay.go
@@ -8,6 +8,9 @@
 // no additional reads: a request waits either for a reservation to be released, which
 // the Scheduler does itself, or for an order, whose end is estimated.
 func (s *Scheduler) PollDelay(now time.Time, idle, busy time.Duration) time.Duration {
+	if s.paced.stated && s.active > 0 {
+		idle = min(idle, pacedRead)
+	}
 	if s.inFlight == nil {
 		return idle
 	}
--- a/residency/reason.go
+++ b/residency/reason.go
@@ -10,6 +10,9 @@
 	ReasonFull Reason = "engine full"
 	// ReasonRequestLimit means that the engine takes fewer requests a second.
 	ReasonRequestLimit Reason = "request limit of the engine"
+	// ReasonPromptTooLong means that running streams would pause for too long while the
+	// engine prefills the prompt.
+	ReasonPromptTooLong Reason = "prompt too long beside running streams"
 	// ReasonLoad means that the model can't be loaded in time.
 	ReasonLoad Reason = "load takes too long"
 	// ReasonTimeout means that the request was not admitted within its MaxWait.
--- a/residency/request.go
+++ b/residency/request.go
@@ -25,4 +25,7 @@
 	Objective time.Duration
 	// MaxEventGap is the longest pause between events that the caller accepts.
 	MaxEventGap time.Duration
+	// SlownessStated is set if servers of the engine's service state how slow their machines
+	// are.
+	SlownessStated bool
 }
--- a/residency/scheduler.go
+++ b/residency/scheduler.go
@@ -23,6 +23,7 @@
 	tokens           int
 	concurrencyLimit concurrencyLimit
 	prefill          prefillQueue
+	paced            pacedAdmission
 	// pace keeps to the limit on requests a second that the engine's server names.
 	pace requestlimit.Pace
 	// runTime is the average run time of requests, and runTimes their number.
@@ -72,7 +73,7 @@
 // New returns a Scheduler with no information about its engine.
 func New(o Options) *Scheduler {
 	o = o.withDefaults()
-	return &Scheduler{opts: o, models: make(map[ident.Model]*modelState), runTime: o.RunTime, prefill: newPrefillQueue()}
+	return &Scheduler{opts: o, models: make(map[ident.Model]*modelState), runTime: o.RunTime, prefill: newPrefillQueue(), paced: pacedAdmission{pace: newEnginePace()}}
 }
 
 // Configure sets the description of the engine. It refuses the waiting requests, and
@@ -110,6 +111,7 @@
 		s.resetAfterRestart()
 	}
 	s.snap, s.ended = &snapshot, false
+	s.paced.observe(&snapshot)
 	s.finishOrder(now)
 	return s.Tick(now)
 }
@@ -127,6 +129,7 @@
 func (s *Scheduler) resetAfterRestart() {
 	s.inFlight = nil
 	s.pace = requestlimit.Pace{}
+	s.paced.pace.restarted()
 	for _, st := range s.models {
 		st.loadedAt = time.Time{}
 	}
@@ -267,6 +270,9 @@
 	if reason := s.refusalReason(now, &r); reason != "" {
 		return []Action{&Refuse{ID: r.ID, RetryAfter: noReportRetryAfter, Reason: reason}}
 	}
+	if r.SlownessStated {
+		s.paced.slownessStated(now)
+	}
 	s.model(r.Model).requestRate.Add(now, s.opts.RateHalfLife)
 	p := &pending{Request: r, arrivedAt: now}
 	wait, reason := s.estimate(now, p)
@@ -320,6 +326,7 @@
 		if o.TimeToFirstEvent > 0 && p.prefillAhead > 0 {
 			s.prefill.observe(p.prefillAhead, o.TimeToFirstEvent)
 		}
+		s.paced.ended(now, p, o)
 		s.addActive(now, p, -1)
 		if o.Duration > 0 {
 			s.runTimes++
@@ -362,6 +369,7 @@
 	if s.ended {
 		return out
 	}
+	out = append(out, s.refuseTooLong(now)...)
 	out = append(out, s.grantAll(now)...)
 	return append(out, s.plan(now)...)
 }
@@ -419,6 +427,7 @@
 		s.pace.Take(now)
 		p.grantedAt = now
 		p.prefillAhead = s.prefill.add(now, p.PromptTokens)
+		p.prefillAhead = s.paced.admitted(now, p.PromptTokens, p.prefillAhead)
 		s.addActive(now, p, 1)
 		out = append(out, &Grant{ID: p.ID, Waited: now.Sub(p.arrivedAt), VM: s.snap.VM, Started: s.snap.Started})
 	}
@@ -429,6 +438,10 @@
 // A prompt longer than the maximum backlog is admitted only when the backlog is
 // empty.
 func (s *Scheduler) prefillFits(now time.Time, p *pending) bool {
+	if s.paced.inForce() {
+		wait, ok := s.pacedWait(now, p, 0)
+		return ok && wait == 0
+	}
 	remaining, maximum := s.prefill.backlog(now), maxBacklog(p.MaxEventGap)
 	return remaining == 0 || maximum == 0 || remaining+s.prefill.duration(p.PromptTokens) <= maximum
 }
@@ -437,12 +450,15 @@
 // limit on requests a second can be admitted, and false if there is none.
 func (s *Scheduler) NextGrant(now time.Time) (time.Time, bool) {
 	backlog, pace := s.prefill.backlog(now), s.pace.Wait(now, 0)
-	if backlog == 0 && pace == 0 {
+	if backlog == 0 && pace == 0 && !s.paced.inForce() {
 		return time.Time{}, false
 	}
 	for _, p := range s.requests {
 		if !p.isGranted() && s.ready(p) && s.hasCapacity(p) {
 			prefill := min(backlog, backlog+s.prefill.duration(p.PromptTokens)-maxBacklog(p.MaxEventGap))
+			if s.paced.inForce() {
+				prefill, _ = s.pacedWait(now, p, 0)
+			}
 			return now.Add(max(0, prefill, pace)), true
 		}
 	}
@@ -453,7 +469,7 @@
 // concurrency limit and the part of the cache that requests may reserve. An idle
 // engine accepts a request of any size.
 func (s *Scheduler) hasCapacity(p *pending) bool {
-	if float64(s.active)+1 > s.concurrencyLimit.value {
+	if float64(s.active)+1 > s.limit() {
 		return false
 	}
 	total := s.opts.CacheShare * float64(s.spec.CacheTokens)
--- a/residency/snapshot.go
+++ b/residency/snapshot.go
@@ -31,6 +31,10 @@
 	Running, Waiting int
 	// CacheUsed is the part of CacheTotal that can't be evicted, in tokens.
 	CacheUsed, CacheTotal int
+	// Runs are the requests that the engine runs, if it reports them.
+	Runs []Run
+	// Slowness is what the engine's server stated of its machine with the report, or 0.
+	Slowness float64
 	// Leaving is set when the engine is about to stop.
 	Leaving bool
 	// RequestLimit is the limit that the report's response named, if it did.
--- a/residency/status.go
+++ b/residency/status.go
@@ -42,7 +42,7 @@
 // usableConcurrency returns how many requests the engine can run at once: no more than
 // begin within the run time of one, at the limit on requests a second.
 func (s *Scheduler) usableConcurrency() int {
-	n := s.concurrencyLimit.value
+	n := s.limit()
 	if l := s.pace.Limit(); l.Named {
 		n = min(n, l.PerSecond*s.runTime.Seconds())
 	}
@@ -115,6 +115,10 @@
 // Prefill returns the estimated prefill rate in prompt tokens per millisecond and the
 // duration of the prefill backlog, for logs.
 func (s *Scheduler) Prefill(now time.Time) (tokensPerMS float64, remaining time.Duration) {
+	if s.paced.inForce() {
+		rate := s.paced.rate(now)
+		return rate, milliseconds(s.paced.budget.spent(now, rate) / rate)
+	}
 	return s.prefill.rate(), s.prefill.backlog(now)
 }
 
@@ -124,5 +128,5 @@
 	if s.snap != nil {
 		reportMS = now.Sub(s.snap.ReadAt).Milliseconds()
 	}
-	return s.active, int(s.concurrencyLimit.value), reportMS
+	return s.active, int(s.limit()), reportMS
 }
--- a/sidecar/read_engine.go
+++ b/sidecar/read_engine.go
@@ -51,6 +51,7 @@
 	}
 	s.engineUnreachable = false
 	s.perform(s.scheduler.Observe(s.o.Now(), snap))
+	s.recordPace()
 	s.observeLimit(&snap)
 }
 
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -86,7 +86,7 @@
 	s.waiting[id] = decision
 	s.perform(s.scheduler.Reserve(s.o.Now(), residency.Request{
 		ID: id, Model: r.Model, Adapter: r.Adapter, Priority: r.Priority, CacheTokens: r.CacheTokens, PromptTokens: r.PromptTokens,
-		MaxWait: r.MaxWait, Objective: r.Objective, MaxEventGap: r.MaxEventGap,
+		MaxWait: r.MaxWait, Objective: r.Objective, MaxEventGap: r.MaxEventGap, SlownessStated: r.SlownessStated,
 	}))
 	return id, decision
 }
@@ -120,11 +120,16 @@
 	s.mu.Lock()
 	active, limit, _ := s.scheduler.Load(s.o.Now())
 	rate, _ := s.scheduler.Prefill(s.o.Now())
+	pace := s.scheduler.Pace(s.o.Now())
 	s.mu.Unlock()
-	s.o.Logger.WithFields(log.Fields{
+	f := log.Fields{
 		"request": r.Request, "model": r.Model, "active": active, "limit": limit, "first_ms": o.TimeToFirstEvent.Milliseconds(),
 		"gap_ms": o.LongestEventGap.Milliseconds(), "took_ms": o.Duration.Milliseconds(), "not_loaded": o.NotLoaded, "prefill_tokens_per_ms": int(rate),
-	}).Info("reservation released")
+	}
+	if pace.InForce {
+		f["event_ms"], f["slowness"], f["pause_scale"] = pace.EventTime.Milliseconds(), pace.Slowness, pace.Scale
+	}
+	s.o.Logger.WithFields(f).Info("reservation released")
 }
 
 func outcome(m wire.Message) residency.Outcome {
@@ -132,7 +137,7 @@
 	if !ok {
 		return residency.Outcome{}
 	}
-	return residency.Outcome{TimeToFirstEvent: reported.TimeToFirstEvent, LongestEventGap: reported.LongestEventGap, Duration: reported.Duration, NotLoaded: reported.NotLoaded}
+	return residency.Outcome{TimeToFirstEvent: reported.TimeToFirstEvent, LongestEventGap: reported.LongestEventGap, Duration: reported.Duration, NotLoaded: reported.NotLoaded, Slowness: reported.Slowness}
 }
 
 func (s *Sidecar) logDecision(peer wire.Hello, r *wire.Reserve, a residency.Action, took time.Duration) {
--- a/wire/reserve.go
+++ b/wire/reserve.go
@@ -29,6 +29,9 @@
 	MaxEventGap time.Duration `cbor:"8,keyasint,omitempty"`
 	// Traits holds those of the request, by which it may crash servers.
 	Traits []ident.Trait `cbor:"10,keyasint,omitempty"`
+	// SlownessStated is set if servers of the upstream's service state how slow their
+	// machines are.
+	SlownessStated bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Kind implements Message.
