--- a/e2e/hosted/installation_test.go
+++ b/e2e/hosted/installation_test.go
@@ -167,6 +167,7 @@
 		Directory:   &platform.Directory{Store: store, Regions: platform.Regions{zone: region}},
 		Credentials: credentials,
 		Logger:      logger(in.t),
+		Metrics:     in.metrics.SubScope(vm),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/residency/engine_pace.go
+++ b/residency/engine_pace.go
@@ -27,6 +27,9 @@
 	// initialEventTime and initialTokenTime are assumed before the first measurements, in
 	// milliseconds: those of a slow engine.
 	initialEventTime, initialTokenTime = 45, 0.075
+	// eventTimeStep and tokenTimeStep are the steps of the medians. A slow phase brings about
+	// twenty times between events in succession, but few first events.
+	eventTimeStep, tokenTimeStep = 0.005, 0.04
 )
 
 // enginePace is the pace of an engine, estimated from the events of its runs in successive
@@ -53,7 +56,7 @@
 }
 
 func newEnginePace() enginePace {
-	return enginePace{eventTime: median{value: initialEventTime}, tokenTime: median{value: initialTokenTime}}
+	return enginePace{eventTime: median{value: initialEventTime, step: eventTimeStep}, tokenTime: median{value: initialTokenTime, step: tokenTimeStep}}
 }
 
 // restarted drops what belongs to the previous start of the engine.
--- a/residency/median.go
+++ b/residency/median.go
@@ -2,11 +2,8 @@
 
 import "math"
 
-const (
-	// firstMedianStep and lastMedianStep are the relative changes of the estimate for the
-	// first value and after many.
-	firstMedianStep, lastMedianStep = 0.4, 0.04
-)
+// firstMedianStep is the relative change of the estimate for the first value.
+const firstMedianStep = 0.4
 
 // median estimates the median of positive values by steps that shrink with their number. Unlike
 // a mean it is not moved by a minority of values that are far off. The first value replaces an
@@ -14,6 +11,8 @@
 type median struct {
 	value float64
 	n     int
+	// step is the relative change of the estimate after many values.
+	step float64
 }
 
 // add takes a value.
@@ -26,7 +25,7 @@
 		m.value = x
 		return
 	}
-	step := max(lastMedianStep, firstMedianStep/float64(m.n))
+	step := max(m.step, firstMedianStep/float64(m.n))
 	// The step is no longer than the distance.
 	m.value *= math.Exp(max(-step, min(step, math.Log(x/m.value))))
 }
--- a/residency/scheduler.go
+++ b/residency/scheduler.go
@@ -73,7 +73,7 @@
 // New returns a Scheduler with no information about its engine.
 func New(o Options) *Scheduler {
 	o = o.withDefaults()
-	return &Scheduler{opts: o, models: make(map[ident.Model]*modelState), runTime: o.RunTime, prefill: newPrefillQueue(), paced: pacedAdmission{pace: newEnginePace()}}
+	return &Scheduler{opts: o, models: make(map[ident.Model]*modelState), runTime: o.RunTime, prefill: newPrefillQueue(), paced: pacedAdmission{pace: newEnginePace(), usual: median{step: eventTimeStep}}}
 }
 
 // Configure sets the description of the engine. It refuses the waiting requests, and
