--- a/residency/paced_admission.go
+++ b/residency/paced_admission.go
@@ -18,7 +18,7 @@
 	statedTTL = 30 * time.Second
 	// pacedRead is the interval of reads of the engine while streams run. A slow phase of
 	// 600 ms is seen after two or three reads.
-	pacedRead = 30 * time.Millisecond
+	pacedRead = 40 * time.Millisecond
 )
 
 // pacedAdmission decides how many streams and how much prefill an engine on a shared machine
