--- a/residency/engine_pace.go
+++ b/residency/engine_pace.go
@@ -44,7 +44,7 @@
 	prefilledBefore time.Duration
 	// eventTime is the time between events, and tokenTime the prefill time of a token, both
 	// lasting and in milliseconds.
-	eventTime, tokenTime median
+	eventTime, tokenTime quantile
 	// slowness is the estimate at slowAt; the slow phase, if there is one, was first seen at
 	// slowSince.
 	slowness          float64
@@ -56,7 +56,7 @@
 }
 
 func newEnginePace() enginePace {
-	return enginePace{eventTime: median{value: initialEventTime, step: eventTimeStep}, tokenTime: median{value: initialTokenTime, step: tokenTimeStep}}
+	return enginePace{eventTime: quantile{value: initialEventTime, below: 0.5, step: eventTimeStep}, tokenTime: quantile{value: initialTokenTime, below: 0.5, step: tokenTimeStep}}
 }
 
 // restarted drops what belongs to the previous start of the engine.
--- a/residency/pace_sim_test.go
+++ b/residency/pace_sim_test.go
@@ -29,6 +29,7 @@
 	simSlowPhase     = 600 * time.Millisecond
 	simSlowShare     = 0.15
 	simRouters       = 4
+	simLong          = 4000
 	simObjective     = 800 * time.Millisecond
 	simWarmUp        = 5 * time.Second
 	simTime          = 45 * time.Second
@@ -77,6 +78,8 @@
 	nextID  RequestID
 	seq     uint64
 	refused int
+	// longAsked is the number of requests with prompts of simLong tokens and more.
+	longAsked int
 	// decisions is the hash of all decisions.
 	decisions hash.Hash64
 }
@@ -249,8 +252,12 @@
 	for end := start.Add(d); s.now.Before(end); s.now = s.now.Add(simStep) {
 		if s.rng.Float64() < perSecond*simStep.Seconds() {
 			model := min(s.rng.IntN(6), s.rng.IntN(6))
-			s.place(&simRun{model: ident.Model(fmt.Sprint("m", model)), router: s.rng.IntN(simRouters), arrived: s.now,
-				prompt: max(20, int(s.logNormal(1110, 0.8))), shared: 350, tokens: simTokensAnEvent * max(3, int(s.logNormal(43, 0.6)))})
+			r := &simRun{model: ident.Model(fmt.Sprint("m", model)), router: s.rng.IntN(simRouters), arrived: s.now,
+				prompt: max(20, int(s.logNormal(1110, 0.8))), shared: 350, tokens: simTokensAnEvent * max(3, int(s.logNormal(43, 0.6)))}
+			if r.prompt >= simLong && s.now.After(start.Add(simWarmUp)) {
+				s.longAsked++
+			}
+			s.place(r)
 		}
 		for i, e := range s.engines {
 			s.advance(e)
@@ -272,17 +279,30 @@
 // paceResult sums up runs of the simulation.
 type paceResult struct {
 	done, late, inTime, refused int
-	// worst is the largest share of late streams of an engine in percent, among engines with at
-	// least minDone streams.
-	worst     float64
-	decisions uint64
+	// engines holds the numbers of complete and of late streams of each engine.
+	engines [12]struct{ done, late int }
+	// longDone of longAsked prompts of simLong tokens and more were served in time.
+	longAsked, longDone int
+	decisions           uint64
 }
 
 func (r *paceResult) latePercent() float64 { return 100 * float64(r.late) / float64(max(1, r.done)) }
 
+// worstPercent returns the largest share of late streams of an engine, among those with enough
+// streams for a share.
+func (r *paceResult) worstPercent() float64 {
+	const minDone = 100
+	worst := 0.0
+	for _, e := range r.engines {
+		if e.done >= minDone {
+			worst = max(worst, 100*float64(e.late)/float64(e.done))
+		}
+	}
+	return worst
+}
+
 func (r *paceResult) add(s *simulation) {
-	const minDone = 50
-	for _, e := range s.engines {
+	for i, e := range s.engines {
 		done, late := 0, 0
 		for _, q := range e.done {
 			if q.arrived.Before(start.Add(simWarmUp)) {
@@ -294,14 +314,16 @@
 				late++
 			case q.sent.Add(q.first).Sub(q.arrived) <= simObjective:
 				r.inTime++
+				if q.prompt >= simLong {
+					r.longDone++
+				}
 			}
 		}
 		r.done, r.late = r.done+done, r.late+late
-		if done >= minDone {
-			r.worst = max(r.worst, 100*float64(late)/float64(done))
-		}
+		r.engines[i].done += done
+		r.engines[i].late += late
 	}
-	r.refused += s.refused
+	r.refused, r.longAsked = r.refused+s.refused, r.longAsked+s.longAsked
 	r.decisions = s.decisions.Sum64()
 }
 
@@ -321,11 +343,14 @@
 // quarter to a third, and most of those on the slow engines.
 func TestStreamsOfUnevenEnginesKeepAcceptedPauses(t *testing.T) {
 	for _, perSecond := range []float64{30, 60} {
-		before, now := simulatePace(t, perSecond, 2, false), simulatePace(t, perSecond, 2, true)
-		t.Logf("%.0f requests a second: late by a pause %.1f%%, worst engine %.0f%%, in time %d, refused %d; before %.1f%%, %.0f%%, %d, %d", perSecond,
-			now.latePercent(), now.worst, now.inTime, now.refused, before.latePercent(), before.worst, before.inTime, before.refused)
-		if now.latePercent() >= 5 || now.worst >= 15 {
-			t.Errorf("%.1f%% of the streams late by a pause, %.0f%% on the worst engine", now.latePercent(), now.worst)
+		before, now := simulatePace(t, perSecond, 3, false), simulatePace(t, perSecond, 3, true)
+		t.Logf("%.0f requests a second: late by a pause %.1f%%, worst engine %.0f%%, in time %d, refused %d, long %d of %d; before %.1f%%, %.0f%%, %d, %d, %d of %d", perSecond,
+			now.latePercent(), now.worstPercent(), now.inTime, now.refused, now.longDone, now.longAsked, before.latePercent(), before.worstPercent(), before.inTime, before.refused, before.longDone, before.longAsked)
+		if now.latePercent() >= 5 || now.worstPercent() >= 15 {
+			t.Errorf("%.1f%% of the streams late by a pause, %.0f%% on the worst engine", now.latePercent(), now.worstPercent())
+		}
+		if now.longDone*10 < now.longAsked*3 {
+			t.Errorf("%d of %d long prompts served in time", now.longDone, now.longAsked)
 		}
 		if now.inTime*100 < before.inTime*120 {
 			t.Errorf("%d in time, %d before: the engines are not used", now.inTime, before.inTime)
--- a/residency/paced.go
+++ b/residency/paced.go
@@ -29,6 +29,9 @@
 	if !s.ready(p) || now.Sub(p.arrivedAt) >= p.MaxWait/2 {
 		single = pauseShare
 	}
+	if float64(p.PromptTokens) > s.paced.longPrompt.value {
+		single = max(single, longShare)
+	}
 	return s.paced.wait(now, p.PromptTokens, ahead, streams, gap, single)
 }
 
--- a/residency/paced_admission.go
+++ b/residency/paced_admission.go
@@ -11,6 +11,13 @@
 	// would not be served anywhere. Other engines may be faster, so it is pauseShare only for
 	// requests that have waited here already.
 	singleShare = 0.45
+	// longShare replaces singleShare for prompts that are longer than longPromptShare of all:
+	// most engines are too slow for them, so that they would hardly be served.
+	longShare, longPromptShare = 0.6, 0.95
+	// initialLongPrompt is assumed, in tokens, before the first request.
+	initialLongPrompt = 3000
+	// promptStep is the step of the estimated length.
+	promptStep = 0.02
 	// fewStreams is the number of streams that may be made to pause for a prompt that is too
 	// long for the engine.
 	fewStreams = 2
@@ -32,11 +39,21 @@
 	stated   bool
 	statedAt time.Time
 	// usual is the lasting slowness as the engine's own server states it with its reports.
-	usual    median
-	pace     enginePace
-	budget   prefillBudget
-	capacity streamCapacity
-	feedback pauseFeedback
+	usual quantile
+	// longPrompt is the length of prompts, in tokens, that longPromptShare of them stay below.
+	longPrompt quantile
+	pace       enginePace
+	budget     prefillBudget
+	capacity   streamCapacity
+	feedback   pauseFeedback
+}
+
+func newPacedAdmission() pacedAdmission {
+	return pacedAdmission{
+		usual:      quantile{below: 0.5, step: eventTimeStep},
+		longPrompt: quantile{value: initialLongPrompt, below: longPromptShare, step: promptStep},
+		pace:       newEnginePace(),
+	}
 }
 
 // inForce reports whether it decides instead of the prefill queue and the concurrency limit.
--- a/residency/scheduler.go
+++ b/residency/scheduler.go
@@ -73,7 +73,7 @@
 // New returns a Scheduler with no information about its engine.
 func New(o Options) *Scheduler {
 	o = o.withDefaults()
-	return &Scheduler{opts: o, models: make(map[ident.Model]*modelState), runTime: o.RunTime, prefill: newPrefillQueue(), paced: pacedAdmission{pace: newEnginePace(), usual: median{step: eventTimeStep}}}
+	return &Scheduler{opts: o, models: make(map[ident.Model]*modelState), runTime: o.RunTime, prefill: newPrefillQueue(), paced: newPacedAdmission()}
 }
 
 // Configure sets the description of the engine. It refuses the waiting requests, and
@@ -273,6 +273,7 @@
 	if r.SlownessStated {
 		s.paced.slownessStated(now)
 	}
+	s.paced.longPrompt.add(float64(r.PromptTokens))
 	s.model(r.Model).requestRate.Add(now, s.opts.RateHalfLife)
 	p := &pending{Request: r, arrivedAt: now}
 	wait, reason := s.estimate(now, p)
