--- a/routing/steady_time.go
+++ b/routing/steady_time.go
@@ -27,12 +27,12 @@
 	m.steady.add(time.Duration(float64(took) / queued / s.slowness.at(now)))
 }
 
+// statesSlowness reports whether the time of a request follows the slowness that the VM states.
+func (m *member) statesSlowness() bool { return m.state.slowness.known() && m.state.runTime == 0 }
+
 // fillSpeed sets what depends on the speed of a VM that states its slowness: the time of a
 // request at its steady speed and present slowness, and the load as far as it is known.
 func (m *member) fillSpeed(now time.Time, assumed time.Duration, meanUtilization float64, c *Candidate) {
-	if !m.state.slowness.known() || m.state.runTime > 0 {
-		return
-	}
 	steady := assumed
 	if m.steady.measured > 0 {
 		steady = m.steady.mean
--- a/routing/table.go
+++ b/routing/table.go
@@ -117,11 +117,16 @@
 	members := t.members[l.Target]
 	t.scratch = slices.Grow(t.scratch[:0], len(members))[:len(members)]
 	adapter := hashAdapter(l.Adapter)
-	assumed, utilization := assumedServiceTime(members), meanUtilization(members)
+	assumed, utilization := assumedServiceTime(members), -1.0
 	for i := range members {
 		t.fill(now, &l, adapter, &members[i], &t.scratch[i])
 		t.scratch[i].ServiceTime = members[i].runTime(assumed)
-		members[i].fillSpeed(now, assumed, utilization, &t.scratch[i])
+		if members[i].statesSlowness() {
+			if utilization < 0 {
+				utilization = meanUtilization(members)
+			}
+			members[i].fillSpeed(now, assumed, utilization, &t.scratch[i])
+		}
 	}
 	ch, err := t.chooser.Choose(l.Request, t.scratch)
 	if err != nil {
