--- a/residency/doc.go
+++ b/residency/doc.go
@@ -8,6 +8,8 @@
 //   - more requests than the engine can serve in time: a concurrency limit that
 //     adapts to observed latencies, a queue no longer than the objective allows,
 //     and immediate refusal of requests beyond it;
+//   - engines on shared machines, whose speed differs and which are slow for some hundred
+//     milliseconds at a time: streams and prompts are admitted at the engine's own pace;
 //   - many rarely used models in turn: idle models are unloaded in ascending order of
 //     their request rate, and models are loaded first for the requests that are due
 //     first;
