--- a/residency/paced_admission.go
+++ b/residency/paced_admission.go
@@ -30,8 +30,8 @@
 
 // pacedAdmission decides how many streams and how much prefill an engine on a shared machine
 // takes. It handles prompts that make running streams pause: on an engine of 0.6 times the
-// usual speed, or in a slow phase, a prompt of 1,000 tokens takes three quarters of the time
-// that callers accept between events. It is in force only for engines whose server states its
+// usual speed that is in a slow phase, the prefill of 1,000 tokens takes 190 of the 300 ms that
+// callers accept between events. It is in force only for engines whose server states its
 // slowness.
 type pacedAdmission struct {
 	// stated is set while a statement of the slowness, last at statedAt, is newer than
@@ -122,9 +122,10 @@
 	rate, slowness, event := a.rate(now), a.pace.slownessAt(now), a.pace.event()
 	duration := func(tokens float64) time.Duration { return milliseconds(tokens / rate) }
 	spent, own := duration(a.budget.spent(now, rate)+float64(ahead)), duration(float64(prompt))
+	lasting := func(share float64) time.Duration { return fraction(a.feedback.scale(), fraction(share, gap)-event) }
 	bound := func(share float64) time.Duration {
-		lasting := fraction(share, gap) - event
-		return fraction(a.feedback.scale(), min(fraction(slowness, lasting), fraction(pauseShare, gap)-fraction(slowness, event)))
+		present := fraction(a.feedback.scale(), fraction(pauseShare, gap)-fraction(slowness, event))
+		return min(fraction(slowness, lasting(share)), present)
 	}
 	drained := func(d time.Duration) time.Duration { return fraction(1/prefillShare, max(0, d)) }
 	switch {
@@ -132,8 +133,9 @@
 		return drained(spent + own - bound(burstShare)), true
 	case own <= bound(single) || streams <= fewStreams:
 		return drained(spent), true
-	case fraction(1/slowness, own) <= fraction(single, gap)-event:
-		return max(time.Millisecond, a.pace.slowRemaining(now), drained(spent)), true
+	case slowness > 1 && fraction(1/slowness, own) <= lasting(single):
+		// The next read shows whether the slow phase has ended.
+		return max(pacedRead, a.pace.slowRemaining(now), drained(spent)), true
 	}
 	return 0, false
 }
