--- a/residency/paced_admission.go
+++ b/residency/paced_admission.go
@@ -88,7 +88,7 @@
 	if !a.stated || o.TimeToFirstEvent == 0 {
 		return
 	}
-	a.pace.observeFirstEvent(p.prefillAhead, o.TimeToFirstEvent)
+	a.pace.observeFirstEvent(p.prefillAhead, o.TimeToFirstEvent-o.RoundTrip)
 	a.feedback.ended(now, o.LongestEventGap, p.MaxEventGap)
 	if o.Duration > 0 {
 		a.capacity.ended(o.Duration, a.pace.prefillOf(p.PromptTokens))
--- a/residency/paced_admission_test.go
+++ b/residency/paced_admission_test.go
@@ -177,6 +177,21 @@
 	}
 }
 
+// The prefill time of a token does not contain the way between engine and router, which is
+// longer than the prefill of most prompts where they are in different regions.
+func TestPrefillTimeLeavesOutTheWayToTheRouter(t *testing.T) {
+	learned := func(roundTrip time.Duration) float64 {
+		a := newPacedAdmission()
+		for range 50 {
+			a.ended(start, &pending{prefillAhead: 1000}, Outcome{TimeToFirstEvent: 100*time.Millisecond + roundTrip, RoundTrip: roundTrip, Slowness: 1})
+		}
+		return a.rate(start)
+	}
+	if near, far := learned(0), learned(60*time.Millisecond); math.Abs(near/far-1) > 0.01 {
+		t.Errorf("%.1f tokens/ms from a near router, %.1f from a far one", near, far)
+	}
+}
+
 // The concurrency in reports follows the prefill that the streams of an engine bring: routers
 // fill VMs up to a share of it.
 func TestStatedConcurrencyFollowsPrefill(t *testing.T) {
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -65,6 +65,7 @@
 			decision = nil
 		case m := <-ended:
 			o := outcome(m)
+			o.RoundTrip = s.roundTrip(peer)
 			s.logRelease(r, o)
 			s.release(id, o)
 			s.observeEnding(id, m)
