--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -27,12 +27,11 @@
 	vm, requirements := d.choice.VM.ID, d.requirements
 	d.s.clusterState.requestStarted(begun, vm, requirements)
 	d.s.metrics.attempts.Inc(1)
-	d.soundObserved, d.slowness = false, 0
+	d.soundObserved = false
 	if d.bypass = unreserved && requirements.Model != ""; d.bypass {
 		d.s.clusterState.bypassStarted(vm)
 	}
 	res := d.exchange(ctx, begun)
-	res.slowness = d.slowness
 	d.endBypass(vm, false)
 	d.observeAnswer(res, begun)
 	d.s.metrics.countAttempt(res.kind)
@@ -125,7 +124,6 @@
 		value := info.MalformedSlowness[:min(maxLoggedValue, len(info.MalformedSlowness))]
 		d.s.o.Logger.WithFields(f).WithField("value", value).Warn("malformed slowness of an upstream, ignored")
 	}
-	d.slowness = info.Load.Slowness
 	if info.MalformedPause != "" {
 		d.s.o.Logger.WithFields(f).WithFields(log.Fields{"value": info.MalformedPause, "used_ms": ms(info.Pause)}).Warn("malformed or absurd pause of an upstream")
 	}
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -67,9 +67,7 @@
 	// bypass is set while the current attempt was sent past a silent sidecar and has no
 	// answer yet.
 	bypass bool
-	// slowness is what the upstream stated with the response to the current attempt, or 0.
-	slowness float64
-	stream   streamState
+	stream streamState
 	// choice is that of the latest attempt, and waited the time that its reservation
 	// took.
 	choice placement.Choice
--- a/ingress/reservation.go
+++ b/ingress/reservation.go
@@ -29,7 +29,7 @@
 	if rsv == nil {
 		return
 	}
-	m := &wire.ReservationOutcome{TimeToFirstEvent: r.timeToFirstEvent, LongestEventGap: r.longestEventGap, NotLoaded: r.kind == outcomeOtherVM, NotRun: r.notRun(), Streamed: r.streamed, Slowness: r.slowness}
+	m := &wire.ReservationOutcome{TimeToFirstEvent: r.timeToFirstEvent, LongestEventGap: r.longestEventGap, NotLoaded: r.kind == outcomeOtherVM, NotRun: r.notRun(), Streamed: r.streamed}
 	if r.kind == outcomeDelivered {
 		m.Duration = r.took
 	}
--- a/ingress/result.go
+++ b/ingress/result.go
@@ -22,8 +22,6 @@
 	timeToFirstEvent, took, longestEventGap time.Duration
 	// streamed is the time between the first and the last event.
 	streamed time.Duration
-	// slowness is what the upstream stated with the response, or 0.
-	slowness float64
 }
 
 // withTimes returns r with the times between events of another result.
--- a/wire/reservation_outcome.go
+++ b/wire/reservation_outcome.go
@@ -17,9 +17,6 @@
 	NotRun bool `cbor:"5,keyasint,omitempty"`
 	// Streamed is the time between the first and the last event.
 	Streamed time.Duration `cbor:"6,keyasint,omitempty"`
-	// Slowness is what the server stated with the response: how long work took on its
-	// machine, as a multiple of the usual time. It is 0 if it did not state it.
-	Slowness float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Kind implements Message.
