ingress, resume: streams continue only at a version that is known

A router that read the VM list before the configuration had no links to sidecars until its next read of the list and refused streams that sidecars knew.

Homes are now asked always, two of them are told, and running streams are told again when homes restart or leave. The versions of each service are kept in one object of the store, written before the first resumable stream begins at a new version; a request that no home knows is bound only if that object names a single version and counts for the store's era.

--- a/cmd/laureltally-ingress/main.go
+++ b/cmd/laureltally-ingress/main.go
@@ -52,6 +52,7 @@
 		Settings:       s,
 		Directory:      &platform.Directory{Store: store, Regions: regions},
 		Store:          store,
+		Restores:       store.Restores,
 		Protocol:       platform.Protocol{},
 		Credentials:    credentials,
 		Logger:         components.Logger,
--- a/e2e/hosted/engines_test.go
+++ b/e2e/hosted/engines_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -69,17 +68,6 @@
 
 // awaitPort waits until the port of the first engine's sidecar, which was stopped, is
 // free.
-func (e *engines) awaitPort() {
-	e.t.Helper()
-	e.eventually("the port is free", func() bool {
-		c, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.11:%d", e.udp))
-		if err == nil {
-			c.Close()
-		}
-		return err == nil
-	})
-}
-
 func (e *engines) checkLimit() {
 	e.t.Helper()
 	for i, u := range e.upstreams {
@@ -171,7 +159,7 @@
 	// The sidecar sends prewarm orders until it stops; one may still be in flight.
 	time.Sleep(100 * time.Millisecond)
 	first := e.upstreams[0].Orders()
-	e.awaitPort()
+	e.awaitPort("127.0.0.11")
 	e.startSidecar(e.upstreams[0], "models", "side-other")
 	for _, model := range engineModels {
 		call(model)
--- a/e2e/hosted/installation_test.go
+++ b/e2e/hosted/installation_test.go
@@ -113,6 +113,7 @@
 		},
 		Directory:     &platform.Directory{Store: store, Regions: platform.Regions{zone: region}},
 		Store:         store,
+		Restores:      store.Restores,
 		Protocol:      platform.Protocol{},
 		Credentials:   credentials,
 		Logger:        logger(in.t),
@@ -198,6 +199,18 @@
 	return stop
 }
 
+// awaitPort waits until the sidecar at an IP address has freed its port.
+func (in *installation) awaitPort(ip string) {
+	in.t.Helper()
+	in.eventually("the port is free", func() bool {
+		c, err := net.ListenPacket("udp4", fmt.Sprintf("%s:%d", ip, in.udp))
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
+}
+
 // upstream starts an upstream and registers it.
 func (in *installation) upstream(o platformtest.UpstreamOptions) *platformtest.Upstream {
 	in.t.Helper()
--- a/e2e/hosted/restore_test.go
+++ b/e2e/hosted/restore_test.go
@@ -52,7 +52,7 @@
 	e := newEngines(t, 1, 100*time.Millisecond)
 	copied := e.store.Copy()
 	e.stops[0]()
-	e.awaitPort()
+	e.awaitPort("127.0.0.11")
 	stop := e.startSidecar(e.upstreams[0], "models", "side-0")
 	order := func(model string) uint64 {
 		before := len(e.orders())
@@ -65,7 +65,7 @@
 	}
 	first := order("m5")
 	stop()
-	e.awaitPort()
+	e.awaitPort("127.0.0.11")
 	e.store.Restore(copied)
 	e.startSidecar(e.upstreams[0], "models", "side-0")
 	if second := order("m6"); second <= first {
--- a/e2e/soak/callers_test.go
+++ b/e2e/soak/callers_test.go
@@ -25,6 +25,10 @@
 	from, to time.Time
 	// kind is the first segment of the path.
 	kind string
+	// first is the id of the attempt that began the stream, and after the last event that
+	// the caller had, if the request resumes it.
+	first string
+	after int
 }
 
 // startCallers starts callers that send requests until the returned function is
@@ -84,11 +88,20 @@
 	return kind, c
 }
 
+// send sends a request, and resumes its stream if that breaks off.
 func (in *installation) send(ch *checker, client *http.Client, kind string, c platformtest.Call, n int) {
-	e := exchange{call: c, kind: kind, router: in.pick(n)}
-	if e.router < 0 {
-		return
+	e := in.exchange(ch, client, exchange{call: c, kind: kind}, n)
+	if kind == "outlook" {
+		in.resume(ch, client, e, n)
 	}
+}
+
+// exchange sends the request of an exchange to a router and checks the reply.
+func (in *installation) exchange(ch *checker, client *http.Client, e exchange, n int) exchange {
+	if e.router = in.pick(n); e.router < 0 {
+		return e
+	}
+	c := e.call
 	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
 	defer cancel()
 	e.from = time.Now()
@@ -98,6 +111,7 @@
 	if e.reply.Status == http.StatusServiceUnavailable || e.reply.Status == http.StatusTooManyRequests {
 		time.Sleep(min(e.reply.RetryAfter, 300*time.Millisecond))
 	}
+	return e
 }
 
 // clientTimeout is the time after which a caller gives up on a router that does not
--- a/e2e/soak/checker_test.go
+++ b/e2e/soak/checker_test.go
@@ -33,12 +33,16 @@
 	// excused counts the requests that failed because their router was down.
 	// denied counts those that were refused for their keys.
 	total, answered, refusals, denied, failed, excused int
+	// begun maps the first attempts of resumed streams to the version that began them.
+	begun map[string]string
+	// resumes counts the attempts to resume a stream, and resumed those that continued.
+	resumes, resumed int
 	// violations counts the violations of each rule.
 	violations map[string]int
 }
 
 func newChecker(in *installation) *checker {
-	return &checker{in: in, refused: make(map[string]exchange), sent: make(map[string]exchange), nonIdempotent: make(map[string]bool), violations: make(map[string]int)}
+	return &checker{in: in, refused: make(map[string]exchange), sent: make(map[string]exchange), nonIdempotent: make(map[string]bool), begun: make(map[string]string), violations: make(map[string]int)}
 }
 
 // violation counts a violation of a rule and reports the first three of each rule.
@@ -104,8 +108,9 @@
 	want := "answer to " + r.ID
 	if e.call.Model != "" {
 		var b strings.Builder
-		for i := 1; i <= events; i++ {
-			fmt.Fprintf(&b, "id: %d\ndata: %d of %s\n\n", i, i, r.ID)
+		version := ch.checkVersion(e)
+		for i := e.after + 1; i <= events; i++ {
+			fmt.Fprintf(&b, "id: %d\ndata: %d of %s at %s\n\n", i, i, r.ID, version)
 		}
 		want = b.String()
 	}
@@ -221,5 +226,5 @@
 }
 
 func (ch *checker) summary() string {
-	return fmt.Sprintf("%d requests, %d answered, %d refused, %d denied, %d failed, %d excused as their router was down; violations: %v", ch.total, ch.answered, ch.refusals, ch.denied, ch.failed, ch.excused, ch.violations)
+	return fmt.Sprintf("%d requests, %d answered, %d refused, %d denied, %d failed, %d excused as their router was down; %d of %d resumed streams continued; violations: %v", ch.total, ch.answered, ch.refusals, ch.denied, ch.failed, ch.excused, ch.resumed, ch.resumes, ch.violations)
 }
--- a/e2e/soak/faults_test.go
+++ b/e2e/soak/faults_test.go
@@ -20,9 +20,7 @@
 		time.Sleep(time.Until(started.Add(f.at)))
 		all.Go(func() {
 			key := in.subject(f)
-			l, _ := in.faultLocks.LoadOrStore(key, &sync.Mutex{})
-			l.(*sync.Mutex).Lock()
-			defer l.(*sync.Mutex).Unlock()
+			defer in.lockSubject(key)()
 			in.t.Logf("%6.2f s %s, %s, %v", time.Since(started).Seconds(), f.kind, key, f.lasts.Round(time.Millisecond))
 			in.apply(f)
 		})
@@ -30,6 +28,15 @@
 	all.Wait()
 }
 
+// lockSubject waits for other faults of a subject and returns the function that ends this
+// one.
+func (in *installation) lockSubject(key string) (unlock func()) {
+	l, _ := in.faultLocks.LoadOrStore(key, &sync.Mutex{})
+	m := l.(*sync.Mutex)
+	m.Lock()
+	return m.Unlock
+}
+
 // subject returns the name of what a fault changes.
 func (in *installation) subject(f fault) string {
 	switch f.kind {
@@ -45,6 +52,10 @@
 		return fmt.Sprintf("orders of engine %d", f.target%soakSize.engines)
 	case routerTerm, routerKill, routerPause, routerReload:
 		return fmt.Sprintf("router %d", f.target%soakSize.routers)
+	case engineReleased:
+		return fmt.Sprintf("upstream %d", f.target%soakSize.engines)
+	case routersKilled:
+		return "all routers"
 	case linkSilent, linkOneWay:
 		return fmt.Sprintf("links of sidecar %d", f.target%soakSize.engines)
 	case sidecarTerm, sidecarKill, sidecarPause:
@@ -107,6 +118,10 @@
 		in.upstreams[f.target%soakSize.engines].SetEngineFaults(platformtest.EngineFaults{UnansweredOrders: 2, LateBy: f.lasts})
 	case routerTerm:
 		router.terminate()
+	case engineReleased:
+		in.release(in.upstreams[f.target%soakSize.engines], f.lasts)
+	case routersKilled:
+		in.killRouters(f.lasts / 4)
 	case routerKill:
 		router.kill(f.lasts / 4)
 	case routerPause:
--- a/e2e/soak/installation_test.go
+++ b/e2e/soak/installation_test.go
@@ -17,7 +17,8 @@
 	host = "orders.example"
 	zone = "z1"
 	// events is the number of events of a stream.
-	events = 6
+	events        = 6
+	eventInterval = 15 * time.Millisecond
 	// probeInterval and probeFailures are the load balancer's probe settings.
 	probeInterval = 500 * time.Millisecond
 	probeFailures = 2
@@ -103,6 +104,12 @@
 	failed int
 }
 
+func (s *readyState) set(failed int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failed = failed
+}
+
 func newInstallation(t *testing.T, worker int, n size) *installation {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "laureltally-soak-seed-")
@@ -143,7 +150,8 @@
 func (in *installation) addUpstream(i int) {
 	o := platformtest.UpstreamOptions{ID: fmt.Sprintf("i-%d-0", i), Zone: zone, Slots: 12, ProcessingTime: 30 * time.Millisecond, Service: "portal"}
 	if i < in.size.engines {
-		o.Service, o.Events, o.EventInterval, o.ProcessingTime = "models", events, 15*time.Millisecond, 0
+		o.Service, o.Events, o.EventInterval, o.ProcessingTime = "models", events, eventInterval, 0
+		o.Software = softwareVersions[0]
 		first := i % (len(modelNames) - 1)
 		o.Engine = &platformtest.EngineOptions{Loaded: modelNames[first : first+2], MemoryMB: 100, ModelMB: 45, AdapterSlots: 2, RemoteLoad: 400 * time.Millisecond, DiskLoad: 100 * time.Millisecond}
 	}
--- a/e2e/soak/plan_test.go
+++ b/e2e/soak/plan_test.go
@@ -45,6 +45,8 @@
 	upstreamLimit              faultKind = "upstream names a request limit"
 	upstreamEndless            faultKind = "upstream sends bytes without end"
 	keyReplaced                faultKind = "key removed and another one added"
+	engineReleased             faultKind = "engine starts anew with the other software version"
+	routersKilled              faultKind = "all routers killed"
 )
 
 var faultKinds = []faultKind{
@@ -54,6 +56,7 @@
 	linkSilent, linkOneWay, storeRestored, upstreamLeaves, upstreamPauses,
 	upstreamCrash, upstreamLimit, upstreamEndless,
 	keyReplaced,
+	engineReleased, routersKilled,
 }
 
 // fault is one injected fault.
--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -345,11 +345,11 @@
 	c.balancer.BypassAnswered(now, vm, answered)
 }
 
-// versions returns the software versions that may have begun a stream of a service.
-func (c *clusterState) versions(now time.Time, service ident.Upstream) []string {
+// hasSoftware reports whether a VM of a service with a software version is registered.
+func (c *clusterState) hasSoftware(service ident.Upstream, software string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.balancer.Versions(now, service)
+	return c.balancer.HasSoftware(service, software)
 }
 
 // staying reports whether a VM is listed and has not announced that it stops.
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -92,6 +92,8 @@
 		return
 	}
 	defer d.returnCharge()
+	defer d.streamOver()
+	d.avoidUnrecorded(ctx)
 	for {
 		if d.refusedByQuarantine() {
 			return
--- a/ingress/options.go
+++ b/ingress/options.go
@@ -40,7 +40,10 @@
 	Settings  config.IngressSettings
 	Directory fleet.Directory
 	// Store keeps what must outlive all processes.
-	Store       metastore.Store
+	Store metastore.Store
+	// Restores returns how often the store has been restored from an older copy, as far as
+	// its responses have shown; nil means never.
+	Restores    func() uint64
 	Protocol    Protocol
 	Credentials transport.Credentials
 	Logger      log.Interface
@@ -75,6 +78,9 @@
 	o.PollInterval = cmp.Or(o.PollInterval, fraction(pollShare, pollWithin))
 	o.ConfigFreshFor = cmp.Or(o.ConfigFreshFor, fraction(freshShare, configWithin))
 	o.ShutdownDelay = cmp.Or(o.ShutdownDelay, DefaultShutdownDelay)
+	if o.Restores == nil {
+		o.Restores = func() uint64 { return 0 }
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/ingress/poll.go
+++ b/ingress/poll.go
@@ -108,6 +108,8 @@
 		return nil
 	}
 	s.clusterState.setServices(c.Services)
+	// Which VMs have sidecars is known only now if the VM list was read first.
+	s.updateLinks(ctx)
 	s.o.Logger.WithFields(log.Fields{
 		"revision": c.Revision, "version": c.Version, "routes": len(c.Routes), "services": len(c.Services),
 		"age_ms": s.o.Now().Sub(begun).Milliseconds(),
@@ -148,6 +150,7 @@
 			s.metrics.storeRestores.Inc(1)
 		}
 		listed, restores = true, listing.Restores
+		s.software.observe(begun, listing)
 		return s.applyVMs(ctx, begun, listing)
 	})
 }
@@ -182,10 +185,12 @@
 }
 
 // updateLinks starts links to the sidecars of new engine VMs and closes those of
-// removed VMs.
+// removed VMs. It is called after each read of the list or the configuration.
 func (s *Server) updateLinks(ctx context.Context) {
+	s.linkUpdate.Lock()
+	defer s.linkUpdate.Unlock()
 	snap := s.currentConfig.Get()
-	if snap == nil {
+	if snap == nil || s.clusterState.listedAt().IsZero() {
 		return
 	}
 	engines := s.clusterState.engines(snap.Config.Services)
@@ -196,6 +201,7 @@
 		if engines[address] == nil {
 			l.stop()
 			delete(s.links, address)
+			notify(s.origins.homesChanged)
 		}
 	}
 	for address, vm := range engines {
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -127,13 +127,14 @@
 		Request: d.info.ID, Model: d.requirements.Model, Adapter: d.requirements.Adapter, Priority: d.requirements.Priority,
 		CacheTokens:  d.info.PromptTokens + d.info.MaxOutputTokens,
 		PromptTokens: d.info.PromptTokens,
-		MaxWait:      min(maxWait(now, d.start, d.deadline, d.route, c.Readiness), d.s.shutdownMaxWait(now)),
+		MaxWait:      min(maxWait(now, d.start, d.deadline, d.route, c.Readiness, d.info.LastEventID != ""), d.s.shutdownMaxWait(now)),
 		Objective:    d.start.Add(d.route.Objective).Sub(now),
 		MaxEventGap:  d.route.MaxEventGap,
 		Traits:       d.traits,
 		Tenant:       d.tenantName(),
 		Allotment:    d.tenant.Rate(),
 		Deadline:     max(0, d.deadline.Sub(now)),
+		Resumed:      d.info.LastEventID != "",
 	}
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -15,7 +15,6 @@
 	"github.com/laureltally/laureltally/internal/admin"
 	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/quarantine"
-	"github.com/laureltally/laureltally/resume"
 	"github.com/laureltally/laureltally/serving"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/upstreamhttp"
@@ -75,11 +74,12 @@
 	allotments     *allotments
 	sharedFindings sharedFindings
 
-	originsMu sync.Mutex
-	// origins holds the software versions of streams that this process began.
-	origins resume.Records
+	software *softwareVersions
+	origins  *origins
 
-	mu sync.Mutex
+	// linkUpdate orders updates of links, so that the last one is by the newest state.
+	linkUpdate sync.Mutex
+	mu         sync.Mutex
 	// links holds the link to each sidecar by the address of its engine.
 	links map[string]*sidecarLink
 }
@@ -100,6 +100,7 @@
 		listOutdated: make(chan struct{}, 1),
 	}
 	s.allotments = newAllotments(s)
+	s.software, s.origins = newSoftwareVersions(s), newOrigins(s)
 	s.heldBytes = newHeldBytes(o, s.metrics)
 	s.quarantine.detector = quarantine.NewDetector(s.epoch, quarantine.Options{Stagger: quarantine.StaggerOf(o.Settings.VM)})
 	s.sharedFindings.queue = make(chan quarantine.News, maxQueuedFindings)
@@ -153,6 +154,8 @@
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { s.pollConfig(work); return nil })
 	g.Go(func() error { s.pollVMs(work); return nil })
+	g.Go(func() error { s.software.run(work); return nil })
+	g.Go(func() error { s.origins.run(work); return nil })
 	g.Go(func() error { s.loadHolds(work); return nil })
 	g.Go(func() error { s.storeFindings(work); return nil })
 	g.Go(func() error { s.readFindings(work); return nil })
--- a/ingress/stream_origin.go
+++ b/ingress/stream_origin.go
@@ -1,156 +1,117 @@
 package ingress
 
 import (
-	"cmp"
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/apex/log"
 
+	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/ident"
-	"github.com/laureltally/laureltally/resume"
-	"github.com/laureltally/laureltally/transport"
-	"github.com/laureltally/laureltally/wire"
-)
-
-const (
-	// lookupHomes is the number of sidecars in each region that are asked which software
-	// version began a stream.
-	lookupHomes = 2
-	// recordTimeout bounds the time to tell a sidecar.
-	recordTimeout = time.Second
 )
 
 // bindToSoftware binds a request that resumes a stream to the software version that
-// began it. If several versions may have and the right one is unknown, it refuses the
-// request and returns false: what two versions write must not be joined.
-//
-// A process that knows a single version takes it without asking, so that a mass restart,
-// after which nobody remembers, does not end all streams.
+// began it. If that is unknown or no VM has it, it refuses the request and returns false:
+// what two versions write must not be joined.
 func (d *delivery) bindToSoftware(ctx context.Context) bool {
 	if d.info.LastEventID == "" {
 		return true
 	}
 	service := d.requirements.Service
-	versions := d.s.clusterState.versions(d.s.o.Now(), service)
-	if len(versions) <= 1 {
-		d.requirements.Software = cmp.Or(versions...)
-		return true
+	software, source := d.s.findOrigin(ctx, service, d.info.Resumes)
+	if source == originUnknown {
+		d.refuseResume("software version of the stream unknown", software)
+		return false
 	}
-	software, known := d.s.lookupOrigin(ctx, service, d.info.Resumes)
-	if !known {
-		d.s.o.Logger.WithFields(log.Fields{"request": d.info.ID, "resumes": d.info.Resumes, "versions": versions}).Info("resume refused, software version unknown")
-		d.s.metrics.resumesRefused.Inc(1)
-		d.finish(stepRefuse, http.StatusServiceUnavailable, "software version of the stream unknown", minRetryAfter)
+	if !d.s.clusterState.hasSoftware(service, software) {
+		// A registration that expired in an outage of the store is renewed within this time.
+		d.retryAfter = fleet.DefaultReturnGrace
+		d.refuseResume("no VM has the software version of the stream", software)
 		return false
 	}
+	d.s.o.Logger.WithFields(log.Fields{"request": d.info.ID, "resumes": d.info.Resumes, "software": software, "source": source}).Info("stream resumed")
 	d.requirements.Software = software
 	return true
 }
 
+func (d *delivery) refuseResume(reason, software string) {
+	d.s.o.Logger.WithFields(log.Fields{"request": d.info.ID, "resumes": d.info.Resumes, "software": software, "reason": reason}).Info("resume refused")
+	d.s.metrics.resumesRefused.Inc(1)
+	d.finish(stepRefuse, http.StatusServiceUnavailable, reason, d.retryAfter)
+}
+
+// avoidUnrecorded keeps a resumable stream from beginning at a software version that the
+// store does not have yet: if all routers ended, nobody would know of that version.
+func (d *delivery) avoidUnrecorded(ctx context.Context) {
+	if !d.route.Resumable || d.requirements.Software != "" {
+		return
+	}
+	d.s.software.await(ctx, d.requirements.Service)
+	d.requirements.AvoidSoftware = d.s.software.unrecorded(d.requirements.Service)
+}
+
 // streamBegun is called when the first event of the response is relayed. From then on
-// only VMs with the same software version may go on, here or for another attempt of the
-// caller.
+// only VMs with the same software version may continue it, here or for another attempt of
+// the caller.
 func (d *delivery) streamBegun() {
 	d.requirements.Software = d.choice.VM.Software
 	if !d.route.Resumable {
 		return
 	}
-	request := d.info.ID
-	if d.info.LastEventID != "" {
-		request = cmp.Or(d.info.Resumes, request)
+	d.s.origins.begun(d.s.o.Now(), d.origin())
+	if d.info.Resumes != "" {
+		// A caller that resumes again may name either attempt.
+		o := d.origin()
+		o.request = d.info.Resumes
+		d.s.origins.begun(d.s.o.Now(), o)
 	}
-	d.s.recordOrigin(d.requirements.Service, request, d.choice.VM.Software)
 }
 
-// recordOrigin remembers which software version began a stream and tells its home
-// sidecar.
-func (s *Server) recordOrigin(service ident.Upstream, request, software string) {
-	s.originsMu.Lock()
-	s.origins.Put(s.o.Now(), service, request, software)
-	s.originsMu.Unlock()
-	homes := s.homes(request, 1)[s.o.Settings.Region]
-	if len(homes) == 0 {
+// streamOver is called when the response ends, in whatever way.
+func (d *delivery) streamOver() {
+	if !d.route.Resumable || !d.stream.begun {
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-		defer cancel()
-		stream, err := homes[0].Open(ctx, &wire.StreamBegun{Upstream: service, Request: request, Software: software})
-		if err != nil {
-			s.metrics.originsNotRecorded.Inc(1)
-			return
-		}
-		_ = stream.CloseSend()
-		stream.CloseRecv()
-	}()
+	for _, request := range []string{d.info.ID, d.info.Resumes} {
+		d.s.origins.ended(d.requirements.Service, request)
+	}
 }
 
-// lookupOrigin returns which software version began a stream, and false if neither this
-// process nor the sidecars asked know it.
-func (s *Server) lookupOrigin(ctx context.Context, service ident.Upstream, request string) (string, bool) {
-	if request == "" {
-		return "", false
-	}
-	s.originsMu.Lock()
-	software, known := s.origins.Get(service, request)
-	s.originsMu.Unlock()
-	if known {
-		return software, true
-	}
-	ctx, cancel := context.WithTimeout(ctx, replyTimeout)
-	defer cancel()
-	asked, replies := 0, make(chan wire.StreamOrigin)
-	for _, conns := range s.homes(request, lookupHomes) {
-		for _, c := range conns {
-			asked++
-			go func() {
-				var reply wire.StreamOrigin
-				if m, err := c.Call(ctx, &wire.StreamOriginQuery{Upstream: service, Request: request}); err == nil {
-					if o, ok := m.(*wire.StreamOrigin); ok {
-						reply = *o
-					}
-				}
-				select {
-				case replies <- reply:
-				case <-ctx.Done():
-				}
-			}()
-		}
-	}
-	for range asked {
-		select {
-		case r := <-replies:
-			if r.Known {
-				return r.Software, true
-			}
-		case <-ctx.Done():
-			return "", false
-		}
-	}
-	return "", false
+func (d *delivery) origin() origin {
+	return origin{service: d.requirements.Service, request: d.info.ID, software: d.requirements.Software}
+}
+
+// origin says which software version began a stream. Request is the id of an attempt of the
+// caller.
+type origin struct {
+	service  ident.Upstream
+	request  string
+	software string
 }
 
-// homes returns the connections to the n sidecars in each region that rank first for a
-// request.
-func (s *Server) homes(request string, n int) map[ident.Region][]*transport.Conn {
-	s.mu.Lock()
-	agents := make(map[ident.Region][]ident.VM)
-	conns := make(map[ident.VM]*transport.Conn)
-	for _, l := range s.links {
-		if c := l.conn.Load(); c != nil {
-			agent := ident.VM(l.vm.Address)
-			agents[l.vm.Region] = append(agents[l.vm.Region], agent)
-			conns[agent] = c
-		}
+// originSource is how a router knows the version that began a stream. It is a log value.
+type originSource string
+
+const (
+	originUnknown originSource = ""
+	// originOwn means that this process began the stream.
+	originOwn originSource = "own"
+	// originHome means that a sidecar was told.
+	originHome originSource = "home"
+	// originOnly means that the service has had one version.
+	originOnly originSource = "only version"
+)
+
+// findOrigin returns which software version began a stream, and how that is known.
+func (s *Server) findOrigin(ctx context.Context, service ident.Upstream, request string) (string, originSource) {
+	if software, ok := s.origins.get(service, request); ok {
+		return software, originOwn
+	}
+	if software, ok := s.lookupOrigin(ctx, service, request); ok {
+		return software, originHome
 	}
-	s.mu.Unlock()
-	homes := make(map[ident.Region][]*transport.Conn, len(agents))
-	for region, vms := range agents {
-		for _, vm := range resume.Homes(request, vms, n) {
-			homes[region] = append(homes[region], conns[vm])
-		}
+	if software, ok := s.software.only(ctx, service); ok {
+		return software, originOnly
 	}
-	return homes
+	return "", originUnknown
 }
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -52,10 +52,7 @@
 	// and of the registered ones.
 	instances map[instanceKey]*instance
 	// byAddress maps the upstream address of an agent's report to its VM.
-	byAddress map[string]ident.VM
-	// versions maps the software versions of each service to when a VM with that
-	// version was last registered or removed.
-	versions    map[ident.Upstream]map[string]time.Time
+	byAddress   map[string]ident.VM
 	detectors   map[ident.Upstream]*outlier.Detector
 	services    map[ident.Upstream]*serving.Service
 	unmetDemand map[ident.Model]*decay.Rate
@@ -82,7 +79,6 @@
 		table:         routing.NewTable(chooser),
 		members:       make(map[ident.VM]*member),
 		instances:     make(map[instanceKey]*instance),
-		versions:      make(map[ident.Upstream]map[string]time.Time),
 		byAddress:     make(map[string]ident.VM),
 		detectors:     make(map[ident.Upstream]*outlier.Detector),
 		services:      make(map[ident.Upstream]*serving.Service),
@@ -117,7 +113,6 @@
 			}
 		}
 		m.vm = c.VM
-		b.versionSeen(now, c.VM)
 		b.publishRegistration(now, m)
 	}
 	return nil
@@ -159,7 +154,6 @@
 }
 
 func (b *Balancer) remove(now time.Time, m *member) {
-	b.versionSeen(now, m.vm)
 	if m.instance.unremarkable() {
 		delete(b.instances, instanceKey{m.vm.ID, m.vm.Started})
 	}
--- a/placement/requirements.go
+++ b/placement/requirements.go
@@ -17,6 +17,8 @@
 	Remaining time.Duration
 	// Software is the software version that the request is bound to, or empty.
 	Software string
+	// AvoidSoftware lists software versions at which the request must not begin.
+	AvoidSoftware []string
 	// Exclude lists VMs that have refused or failed this request.
 	Exclude []ident.VM
 }
--- a/placement/software.go
+++ b/placement/software.go
@@ -1,43 +1,13 @@
 package placement
 
-import (
-	"slices"
-	"time"
+import "github.com/laureltally/laureltally/ident"
 
-	"github.com/laureltally/laureltally/fleet"
-	"github.com/laureltally/laureltally/ident"
-)
-
-// versionMemory is how long a software version counts as in use after its last VM was
-// removed: a stream that it began may still be resumed. Callers give up earlier.
-const versionMemory = time.Minute
-
-// versionSeen records that a VM with its software version is or was registered.
-func (b *Balancer) versionSeen(now time.Time, vm *fleet.VM) {
-	seen := b.versions[vm.Service]
-	if seen == nil {
-		seen = make(map[string]time.Time)
-		b.versions[vm.Service] = seen
-	}
-	seen[vm.Software] = now
-}
-
-// Versions returns the software versions of a service that may have begun a stream which
-// is resumed now, in order of their names.
-func (b *Balancer) Versions(now time.Time, service ident.Upstream) []string {
+// HasSoftware reports whether a VM of a service with a software version is registered.
+func (b *Balancer) HasSoftware(service ident.Upstream, software string) bool {
 	for _, m := range b.members {
-		if m.vm.Service == service {
-			b.versionSeen(now, m.vm)
-		}
-	}
-	var versions []string
-	for v, at := range b.versions[service] {
-		if now.Sub(at) > versionMemory {
-			delete(b.versions[service], v)
-			continue
+		if m.vm.Service == service && m.vm.Software == software {
+			return true
 		}
-		versions = append(versions, v)
 	}
-	slices.Sort(versions)
-	return versions
+	return false
 }
--- a/residency/pending.go
+++ b/residency/pending.go
@@ -14,8 +14,13 @@
 
 func (p *pending) isGranted() bool { return !p.grantedAt.IsZero() }
 
-// due returns when the response should begin.
-func (p *pending) due() time.Time { return p.arrivedAt.Add(p.Objective) }
+// due returns when the response should begin or, if it has begun, continue.
+func (p *pending) due() time.Time {
+	if p.Resumed {
+		return p.arrivedAt
+	}
+	return p.arrivedAt.Add(p.Objective)
+}
 
 func (p *pending) kind() requestKind { return kindOf(&p.Request) }
 
--- a/residency/request.go
+++ b/residency/request.go
@@ -35,4 +35,6 @@
 	// SharedMachine is set if servers of the engine's service state how slow their machines
 	// are, which they share with others.
 	SharedMachine bool
+	// Resumed is set if the caller has the beginning of the response.
+	Resumed bool
 }
--- a/resume/homes.go
+++ b/resume/homes.go
@@ -9,9 +9,22 @@
 	"github.com/laureltally/laureltally/ident"
 )
 
-// Homes returns the n agents that rank first for a request, by rendezvous hashing. The
-// first one is told of the stream; a router that is connected to other agents than the
-// one that told it may find the record at the second.
+const (
+	// recordHomes is the number of agents that are told of a stream, in different zones
+	// if the region has several.
+	recordHomes = 2
+	// queryHomes is the number of agents in each zone that are asked. Agents that joined
+	// since the stream began may rank before those that were told.
+	queryHomes = 3
+)
+
+// Agent is an agent that may be the home of streams.
+type Agent struct {
+	VM   ident.VM
+	Zone ident.Zone
+}
+
+// Homes returns the n agents that rank first for a request, by rendezvous hashing.
 func Homes(request string, agents []ident.VM, n int) []ident.VM {
 	type ranked struct {
 		vm   ident.VM
@@ -30,3 +43,36 @@
 	}
 	return homes
 }
+
+// RecordHomes returns which agents of a router's region are told of a stream.
+func RecordHomes(request string, agents []Agent) []ident.VM {
+	zones := byZone(agents)
+	if len(zones) == 1 {
+		return homesIn(request, zones, recordHomes)
+	}
+	// One in each zone, and the best of these: the loss of a zone leaves one.
+	return Homes(request, homesIn(request, zones, 1), recordHomes)
+}
+
+// QueryHomes returns which agents are asked for a stream: those that any router may have
+// told, and the next ones.
+func QueryHomes(request string, agents []Agent) []ident.VM {
+	return homesIn(request, byZone(agents), queryHomes)
+}
+
+func byZone(agents []Agent) map[ident.Zone][]ident.VM {
+	zones := make(map[ident.Zone][]ident.VM)
+	for _, a := range agents {
+		zones[a.Zone] = append(zones[a.Zone], a.VM)
+	}
+	return zones
+}
+
+// homesIn returns the n first homes in each zone.
+func homesIn(request string, zones map[ident.Zone][]ident.VM, n int) []ident.VM {
+	var homes []ident.VM
+	for _, vms := range zones {
+		homes = append(homes, Homes(request, vms, n)...)
+	}
+	return homes
+}
--- a/resume/resume_test.go
+++ b/resume/resume_test.go
@@ -77,3 +77,47 @@
 		t.Error("homes without agents")
 	}
 }
+
+// Half of the agents of a region were replaced, as in a release, after streams were recorded,
+// or a zone was lost. A router in any region finds nearly all streams.
+func TestStreamsAreFoundAfterARelease(t *testing.T) {
+	for _, zones := range []int{1, 2, 3} {
+		var agents, replaced, withoutZone []Agent
+		for i := range 12 {
+			a := Agent{VM: ident.VM(fmt.Sprint("10.0.0.", i)), Zone: ident.Zone(fmt.Sprint("z", i%zones))}
+			agents = append(agents, a)
+			if a.Zone != "z0" {
+				withoutZone = append(withoutZone, a)
+			}
+			if i < 6 {
+				a.VM = ident.VM(fmt.Sprint("10.0.1.", i))
+			}
+			replaced = append(replaced, a)
+		}
+		const streams = 1000
+		lost, lostWithZone := 0, 0
+		for i := range streams {
+			request := fmt.Sprint("request-", i)
+			told := RecordHomes(request, agents)
+			if len(told) != recordHomes {
+				t.Fatalf("%d zones: told %v", zones, told)
+			}
+			found := func(now []Agent) bool {
+				return slices.ContainsFunc(QueryHomes(request, now), func(vm ident.VM) bool { return slices.Contains(told, vm) })
+			}
+			if !found(agents) {
+				t.Fatalf("%d zones: %s is told to %v and asked at %v", zones, request, told, QueryHomes(request, agents))
+			}
+			if !found(replaced) {
+				lost++
+			}
+			if zones > 1 && !found(withoutZone) {
+				lostWithZone++
+			}
+		}
+		// Both homes are replaced for about a quarter of the streams.
+		if lost > streams*4/10 || lostWithZone > 0 {
+			t.Errorf("%d zones: %d of %d streams are not found after a release, %d after the loss of a zone", zones, lost, streams, lostWithZone)
+		}
+	}
+}
--- a/sidecar/serve.go
+++ b/sidecar/serve.go
@@ -89,7 +89,7 @@
 	s.perform(s.scheduler.Reserve(s.o.Now(), residency.Request{
 		ID: id, Model: r.Model, Adapter: r.Adapter, Priority: r.Priority, CacheTokens: r.CacheTokens, PromptTokens: r.PromptTokens,
 		MaxWait: r.MaxWait, Objective: r.Objective, MaxEventGap: r.MaxEventGap,
-		Tenant: r.Tenant, Allotment: r.Allotment, Deadline: r.Deadline, SharedMachine: r.SharedMachine,
+		Tenant: r.Tenant, Allotment: r.Allotment, Deadline: r.Deadline, SharedMachine: r.SharedMachine, Resumed: r.Resumed,
 	}))
 	return id, decision
 }
--- a/wire/reserve.go
+++ b/wire/reserve.go
@@ -39,6 +39,8 @@
 	// SharedMachine is set if servers of the upstream's service state how slow their machines
 	// are at the moment.
 	SharedMachine bool `cbor:"15,keyasint,omitempty"`
+	// Resumed is set if the caller has the beginning of the response.
+	Resumed bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Kind implements Message.
