residency: waiting requests with objectives are ordered, rare models gather

The order by slack was used only with tenants or on shared machines. A second request for a rare model went to the engine with the shortest queue of swaps, which then swapped the model in too.

The order is now used while requests state objectives. Sidecars report models that requests wait for as loading, so that routers send further requests there.

--- a/residency/queue_order.go
+++ b/residency/queue_order.go
@@ -34,13 +34,16 @@
 //   - a burst of latency-tolerant requests at an engine that urgent ones fill: the
 //     latency-tolerant ones wait as long as their objective allows, and are the first that
 //     are refused;
+//
 //   - a flood of one tenant: its requests wait for those of the others.
 //
-// The order is used while requests carry tenants or the engine runs on a shared machine.
-// All others are served in order of arrival.
+//   - more requests than the engine can serve in time: those that can still be in time are
+//     served before those that are late already.
+//
+// The order is used while requests have objectives or tenants, or the engine runs on a shared
+// machine. All others are served in order of arrival.
 type queueOrder struct {
-	// usedAt is when the newest request arrived that has a tenant, or whose router knows that
-	// the engine runs on a shared machine.
+	// usedAt is when the newest request arrived that asks for the order.
 	usedAt time.Time
 	grants tenantShare
 	loads  tenantShare
@@ -58,7 +61,7 @@
 
 // observe records whether requests are to be ordered.
 func (o *queueOrder) observe(now time.Time, r *Request) {
-	if r.Tenant != "" || r.SharedMachine {
+	if r.Tenant != "" || r.SharedMachine || r.Objective > 0 {
 		o.usedAt = now
 	}
 }
@@ -101,6 +104,9 @@
 	q.headroom = s.headroom(q)
 	q.slack = p.due().Sub(now) - firstEvent
 	switch {
+	case p.Resumed:
+		// Only this version's engines can continue the stream; others can serve new requests.
+		q.slack = -slackStep
 	case p.Objective > 0 && p.Objective < firstEvent && !s.ready(p):
 		// Its objective is shorter than the load. More such requests arrive until the model
 		// is loaded, so the load comes before those that can wait for it.
--- a/residency/status.go
+++ b/residency/status.go
@@ -69,10 +69,16 @@
 		}
 		reports = append(reports, report)
 	}
+	awaited := s.awaitedSwaps(now)
 	for name, t := range s.snap.Tiers {
-		if _, loaded := s.snap.Loaded[name]; !loaded && !s.loading(name) {
-			reports = append(reports, wire.ModelReport{Model: name, Tier: t})
+		if _, loaded := s.snap.Loaded[name]; loaded || s.loading(name) {
+			continue
 		}
+		report := wire.ModelReport{Model: name, Tier: t}
+		if wait, ok := awaited[name]; ok {
+			report.Phase, report.ReadyIn = engine.PhaseLoading, wait
+		}
+		reports = append(reports, report)
 	}
 	if s.inFlight != nil && s.inFlight.loadsModel() {
 		reports = append(reports, wire.ModelReport{Model: s.inFlight.Model, Phase: engine.PhaseLoading, Tier: s.tier(s.inFlight.Model), ReadyIn: s.inFlight.remaining(now)})
@@ -81,6 +87,22 @@
 	return slices.CompactFunc(reports, func(a, b wire.ModelReport) bool { return a.Model == b.Model })
 }
 
+// awaitedSwaps estimates the time until each model is loaded that requests wait for and whose
+// weights are in memory or on disk. Routers are told that these models are loading, so that
+// further requests for a rare model join those that wait: many rare models that get one request
+// each take turns, and a swap for each request, rather than each model, fills the engines.
+func (s *Scheduler) awaitedSwaps(now time.Time) map[ident.Model]time.Duration {
+	waits := s.loadWaits(now)
+	for name, wait := range waits {
+		if s.tier(name) == engine.TierRemote || !s.hasWaiting(name, "") {
+			delete(waits, name)
+			continue
+		}
+		waits[name] = wait + s.evictionWait(now, name)
+	}
+	return waits
+}
+
 func (s *Scheduler) loading(name ident.Model) bool {
 	return s.inFlight != nil && s.inFlight.loadsModel() && s.inFlight.Model == name
 }
