--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -66,10 +66,7 @@
 		model = ""
 	}
 	d.s.clusterState.misdirected(d.s.o.Now(), vm, model)
-	select {
-	case d.s.listOutdated <- struct{}{}:
-	default:
-	}
+	notify(d.s.listOutdated)
 	d.s.o.Logger.WithFields(log.Fields{
 		"request": d.info.ID, "vm": vm, "responder": responder, "model": model, "report_ms": ms(d.choice.ReportAge), "agent": d.choice.AgentReachable,
 	}).Info("request reached the wrong vm or a vm without the model")
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -24,14 +24,14 @@
 	attempts         tally.Counter
 	// upstreamsLeaving and upstreamPauses count what upstreams have asked for in
 	// responses, storeRestores the restores of the store, resumesRefused the streams
-	// whose software version was unknown and originsNotRecorded those that no sidecar
-	// could be told of.
+	// whose software version was unknown or gone, originsNotRecorded those that no sidecar
+	// could be told of, and originQueriesFailed the queries that a sidecar did not answer.
 	upstreamsLeaving, upstreamPauses tally.Counter
 	// requestLimitNews counts the request limits, and their ends, that upstreams named and
 	// that other routers were told of.
-	requestLimitNews                   tally.Counter
-	storeRestores                      tally.Counter
-	resumesRefused, originsNotRecorded tally.Counter
+	requestLimitNews                                        tally.Counter
+	storeRestores                                           tally.Counter
+	resumesRefused, originsNotRecorded, originQueriesFailed tally.Counter
 	// quarantines counts the prompt parts that were quarantined, quarantineRefusals the
 	// requests refused for one, newsNotTold the failures to tell a sidecar what other
 	// routers have to know.
@@ -56,7 +56,8 @@
 
 		storeRestores:  scope.Counter("store_restores"),
 		resumesRefused: scope.Counter("resumes_refused"), originsNotRecorded: scope.Counter("stream_origins_not_recorded"),
-		quarantines: scope.Counter("quarantines"), quarantineRefusals: scope.Counter("quarantine_refusals"), newsNotTold: scope.Counter("news_not_told"),
+		originQueriesFailed: scope.Counter("stream_origin_queries_failed"),
+		quarantines:         scope.Counter("quarantines"), quarantineRefusals: scope.Counter("quarantine_refusals"), newsNotTold: scope.Counter("news_not_told"),
 		serversCrashed: scope.Counter("servers_crashed"),
 
 		heldBytes: scope.Gauge("held_bytes"), heldBytesBudget: scope.Gauge("held_bytes_budget"),
--- a/ingress/software_versions.go
+++ b/ingress/software_versions.go
@@ -24,8 +24,6 @@
 	// maxSyncDelay is the maximum pause before the record is read. Routers see a new
 	// version at about the same time, and most of them find it recorded after it.
 	maxSyncDelay = 300 * time.Millisecond
-	// softwareReadTimeout bounds a read of the record for a caller.
-	softwareReadTimeout = time.Second
 	// maxSoftwareWait is how long a request waits until the first software version of
 	// its service is recorded, which takes two calls to the store.
 	maxSoftwareWait = 500 * time.Millisecond
@@ -42,19 +40,10 @@
 	history *resume.History
 	// changed is closed and replaced when the record was read or written.
 	changed chan struct{}
-	// reading is closed when the running read for callers ends; nil without one.
+	// reading is the newest read for callers, or nil.
 	reading *softwareRead
 }
 
-// softwareRead is one read of the record, shared by the callers that arrived before it.
-type softwareRead struct {
-	// started is closed when the read begins, done when it has ended.
-	started, done chan struct{}
-	record        resume.Record
-	restores      uint64
-	err           error
-}
-
 func newSoftwareVersions(s *Server) *softwareVersions {
 	return &softwareVersions{
 		s: s, listed: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
@@ -186,54 +175,6 @@
 	return r, o.Version, restores, nil
 }
 
-// only returns the version that began all streams of a service so far, and false if there
-// may be another one or the store can't tell.
-func (v *softwareVersions) only(ctx context.Context, service ident.Upstream) (string, bool) {
-	ctx, cancel := context.WithTimeout(ctx, softwareReadTimeout)
-	defer cancel()
-	r := v.readSoon(ctx)
-	select {
-	case <-r.done:
-	case <-ctx.Done():
-		return "", false
-	}
-	if r.err != nil {
-		v.s.o.Logger.WithError(r.err).Warn("software versions not read for a caller")
-		return "", false
-	}
-	return r.record.Only(service, r.restores)
-}
-
-// readSoon returns a read that begins after now. Callers that arrive together share one:
-// after a restart, many of them resume their streams at once.
-func (v *softwareVersions) readSoon(ctx context.Context) *softwareRead {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	previous := v.reading
-	if previous != nil {
-		select {
-		case <-previous.started:
-		default:
-			return previous
-		}
-	}
-	r := &softwareRead{started: make(chan struct{}), done: make(chan struct{})}
-	v.reading = r
-	go func() {
-		defer close(r.done)
-		if previous != nil {
-			<-previous.done
-		}
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), softwareReadTimeout)
-		defer cancel()
-		v.mu.Lock()
-		close(r.started)
-		v.mu.Unlock()
-		r.record, _, r.restores, r.err = v.read(ctx)
-	}()
-	return r
-}
-
 // notify sends to a channel of capacity one without waiting.
 func notify(c chan struct{}) {
 	select {
