resume: the record is not made complete for an unseen restore

Cause: a router that read the record after a restore of the store, but had not listed VMs since, could write it as complete for the new era, although its listing was older than versions that others had recorded. TestRecordIsNotCompletedBeforeAListing fails on the code before.

--- a/placement/readiness.go
+++ b/placement/readiness.go
@@ -7,7 +7,7 @@
 const (
 	// Loaded VMs can run the request at once.
 	Loaded Readiness = "loaded"
-	// Loading VMs are already loading the model.
+	// Loading VMs are loading the model, or will for requests that wait for it there.
 	Loading Readiness = "loading"
 	// Cached VMs have the weights in memory or on disk.
 	Cached Readiness = "at_hand"
--- a/resume/history.go
+++ b/resume/history.go
@@ -129,7 +129,8 @@
 
 // Next returns the Record that should replace the stored one, and false if that one is
 // right. Versions are removed only by a router that has not seen them for streamMemory, so
-// that no clock of another process matters.
+// that no clock of another process matters. The stored one is not made complete for a restore
+// that no listing has shown yet.
 func (h *History) Next(now time.Time, restores uint64) (Record, bool) {
 	next := Record{Versions: make(map[ident.Upstream][]string), Complete: h.stored.Complete, Restores: h.stored.Restores}
 	for service, versions := range h.seen {
@@ -140,7 +141,7 @@
 		}
 		slices.Sort(next.Versions[service])
 	}
-	if h.mayCertify(now) {
+	if h.mayCertify(now) && restores == h.restores {
 		next.Complete, next.Restores = true, restores
 	}
 	return next, len(next.Versions) > 0 && !next.equal(h.stored)
--- a/resume/history_test.go
+++ b/resume/history_test.go
@@ -250,3 +250,15 @@
 		}
 	}
 }
+
+// A router that has not listed since a restore of the store does not vouch for what the
+// restored record lacks.
+func TestRecordIsNotCompletedBeforeAListing(t *testing.T) {
+	r := &releases{now: start, running: map[string]time.Time{"v1": start}, routers: []*History{NewHistory(testGap)}}
+	r.settle(10 * time.Second)
+	h := r.routers[0]
+	h.Stored(r.now, r.record, 1)
+	if next, write := h.Next(r.now, 1); write {
+		t.Errorf("the record is replaced by %+v", next)
+	}
+}
