ingress, quarantine: log what does not count, what a quarantine rests on, and news not confirmed

A crash that a router ignores left no line, 'requests quarantined' did not say on which crashes it rests, and news counted as told once they were written to a connection, also to a sidecar that had ended. No decision changes: a router waits for the end of the stream, which a sidecar closes after it has taken a message, and logs it if that does not come.

--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -48,6 +48,7 @@
 	q := &s.quarantine
 	q.mu.Lock()
 	var decided, learned []quarantine.Hold
+	var ignored []quarantine.Crash
 	for _, p := range n.Sound {
 		q.detector.ObserveSound(p)
 	}
@@ -57,9 +58,16 @@
 		}
 	}
 	for _, c := range n.Crashes {
+		if !q.detector.Counts(now, c) {
+			ignored = append(ignored, c)
+		}
 		decided = append(decided, q.detector.ObserveCrash(now, c)...)
 	}
 	q.mu.Unlock()
+	for _, c := range ignored {
+		_, requests := ident.SplitTraits(c.Traits)
+		s.o.Logger.WithFields(log.Fields{"server": c.Server.Address, "started": c.Server.Started, "age_ms": ms(now.Sub(c.At)), "requests": ident.JoinTraits(requests)}).Info("crash does not count")
+	}
 	for _, h := range learned {
 		s.logHold(now, h, "other process")
 	}
@@ -71,7 +79,11 @@
 
 func (s *Server) logHold(now time.Time, h quarantine.Hold, source string) {
 	s.metrics.quarantines.Inc(1)
-	s.o.Logger.WithFields(log.Fields{"trait": h.Trait.String(), "request": h.Trait.OfRequest(), "remaining_ms": ms(h.Until.Sub(now)), "source": source}).Warn("requests quarantined")
+	f := log.Fields{"trait": h.Trait.String(), "request": h.Trait.OfRequest(), "remaining_ms": ms(h.Until.Sub(now)), "source": source}
+	if e := h.Evidence; e.Crashes > 0 {
+		f["crashes"], f["spaced"], f["shared"] = e.Crashes, e.Spaced, e.Shared
+	}
+	s.o.Logger.WithFields(f).Warn("requests quarantined")
 }
 
 // loadHolds reads the stored quarantines until it succeeds.
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"time"
@@ -49,19 +52,37 @@
 // wait.
 func (s *Server) send(c *transport.Conn, m wire.Message) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-		defer cancel()
-		stream, err := c.Open(ctx, m)
-		if err != nil {
+		if err := s.sendConfirmed(c, m); err != nil {
 			s.metrics.newsNotTold.Inc(1)
 			s.o.Logger.WithField("sidecar", c.Peer().VM).WithError(err).Warn("news not passed to sidecar")
-			return
 		}
-		_ = stream.CloseSend()
-		stream.CloseRecv()
 	}()
 }
 
+// sendConfirmed sends a message to a sidecar and waits until the sidecar closes the stream, which
+// it does once it has taken the message. A write alone also succeeds after the sidecar has ended.
+func (s *Server) sendConfirmed(c *transport.Conn, m wire.Message) error {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	stream, err := c.Open(ctx, m)
+	if err != nil {
+		return err
+	}
+	defer stream.CloseRecv()
+	if err := stream.CloseSend(); err != nil {
+		return fmt.Errorf("close stream: %w", err)
+	}
+	_ = stream.SetDeadline(time.Now().Add(recordTimeout))
+	reply, err := stream.Recv()
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err != nil:
+		return fmt.Errorf("not confirmed: %w", err)
+	}
+	return &wire.KindError{Kind: reply.Kind()}
+}
+
 // tellKnown tells a sidecar that was connected just now, and may have started just now, what
 // this process knows.
 func (s *Server) tellKnown(conn *transport.Conn, now time.Time) {
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -38,7 +38,7 @@
 // is known adds only the traits that it did not have.
 func (d *Detector) ObserveCrash(now time.Time, c Crash) []Hold {
 	d.forget(now)
-	if c.At.Before(d.since) || now.Sub(c.At) > d.opts.Memory || len(c.Traits) == 0 {
+	if !d.Counts(now, c) {
 		return nil
 	}
 	i := slices.IndexFunc(d.crashes, func(k Crash) bool { return k.Server == c.Server })
@@ -52,6 +52,11 @@
 	return d.evaluate(now)
 }
 
+// Counts reports whether a crash may speak against its traits.
+func (d *Detector) Counts(now time.Time, c Crash) bool {
+	return !c.At.Before(d.since) && now.Sub(c.At) <= d.opts.Memory && len(c.Traits) > 0
+}
+
 func (d *Detector) insert(c Crash) {
 	if len(d.crashes) >= maxCrashes {
 		d.crashes = slices.Delete(d.crashes, 0, 1)
@@ -179,7 +184,7 @@
 		if s == nil {
 			return out
 		}
-		h := Hold{Trait: s.part, At: s.newestAt, Until: now.Add(d.opts.HoldTime)}
+		h := Hold{Trait: s.part, At: s.newestAt, Until: now.Add(d.opts.HoldTime), Evidence: Evidence{Crashes: s.explainedAll, Spaced: s.explained}}
 		d.hold(now, h)
 		out = append(out, h)
 	}
--- a/quarantine/hold.go
+++ b/quarantine/hold.go
@@ -11,6 +11,17 @@
 	Trait ident.Trait
 	// At is the time of the newest crash that speaks against the trait.
 	At, Until time.Time
+	// Evidence is zero at processes that have not decided it themselves.
+	Evidence Evidence
+}
+
+// Evidence is what a decision rests on.
+type Evidence struct {
+	// Crashes counts the crashes that speak against the trait, Spaced those of them that
+	// were not close together.
+	Crashes, Spaced int
+	// Shared is set if another request was there each time.
+	Shared bool
 }
 
 // Length returns how long the quarantine lasts.
--- a/quarantine/request_suspicion.go
+++ b/quarantine/request_suspicion.go
@@ -43,8 +43,11 @@
 		if !spaced && (len(s.crashes) < needed || !d.soundAt(t).IsZero()) {
 			continue
 		}
-		h := Hold{Trait: t, At: s.newestAt, Until: s.newestAt.Add(d.opts.TentativeTime)}
-		if spaced && d.alone(all, t, s) {
+		h := Hold{
+			Trait: t, At: s.newestAt, Until: s.newestAt.Add(d.opts.TentativeTime),
+			Evidence: Evidence{Crashes: len(s.crashes), Spaced: s.spaced, Shared: !d.alone(all, t, s)},
+		}
+		if spaced && !h.Evidence.Shared {
 			h.Until = s.newestAt.Add(d.opts.HoldTime)
 		}
 		out = append(out, h)
