quarantine: crashes from before a router's start count

The reason was that it has seen no sound answers. Sidecars know those too, so it now waits a second for them and then decides on all crashes of the last minute; until then it refuses a request that would be held.

TestCrashesFromBeforeTheStartDontCount asserted the fault. In its place: such crashes wait for sound answers, and count for a minute only.

The simulation with restarts has no late try more than three.

--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -18,10 +18,18 @@
 // crash or quarantine, and pass it on to all routers.
 const quarantineHomes = 2
 
+// findingsReadTimeout is how long a router that has started waits at most for the stored
+// quarantines before it reads the configuration, without which it serves nothing.
+const findingsReadTimeout = 250 * time.Millisecond
+
 // quarantineState guards the quarantine decisions of one router.
 type quarantineState struct {
 	mu       sync.Mutex
 	detector *quarantine.Detector
+	// scheduled is set once the decision on crashes from before the start has been scheduled.
+	scheduled bool
+	// readOnce is closed after the first attempt to read the stored quarantines.
+	readOnce chan struct{}
 }
 
 // suspected reports whether a request may have crashed a server before.
@@ -49,6 +57,7 @@
 	q.mu.Lock()
 	var decided, learned []quarantine.Hold
 	var ignored []quarantine.Crash
+	var sound []quarantine.Sound
 	for _, p := range n.Sound {
 		q.detector.ObserveSound(p)
 	}
@@ -60,9 +69,12 @@
 	for _, c := range n.Crashes {
 		if !q.detector.Counts(now, c) {
 			ignored = append(ignored, c)
+		} else if !q.detector.Knows(c.Server) {
+			sound = append(sound, q.detector.SoundSince(c)...)
 		}
 		decided = append(decided, q.detector.ObserveCrash(now, c)...)
 	}
+	s.scheduleDecision(now)
 	q.mu.Unlock()
 	for _, c := range ignored {
 		_, requests := ident.SplitTraits(c.Traits)
@@ -71,7 +83,29 @@
 	for _, h := range learned {
 		s.logHold(now, h, "other process")
 	}
-	for _, h := range decided {
+	s.tellSound(sound)
+	s.tellHolds(now, decided)
+}
+
+// scheduleDecision makes the crashes from before the start be decided on once they count. The
+// caller holds the lock of the detector.
+func (s *Server) scheduleDecision(now time.Time) {
+	q := &s.quarantine
+	if at := q.detector.DecideAt(); at.After(now) && !q.scheduled {
+		q.scheduled = true
+		time.AfterFunc(at.Sub(now), func() {
+			now := s.o.Now()
+			q.mu.Lock()
+			holds := q.detector.Decide(now)
+			q.mu.Unlock()
+			s.tellHolds(now, holds)
+		})
+	}
+}
+
+// tellHolds tells other processes of quarantines that this one has decided.
+func (s *Server) tellHolds(now time.Time, holds []quarantine.Hold) {
+	for _, h := range holds {
 		s.logHold(now, h, "crashes of servers")
 		s.tellOrShare(h.Trait.String(), quarantine.News{Holds: []quarantine.Hold{h}})
 	}
@@ -89,6 +123,7 @@
 // loadHolds reads the stored quarantines until it succeeds.
 func (s *Server) loadHolds(ctx context.Context) {
 	p := s.poller("quarantines")
+	first := sync.OnceFunc(func() { close(s.quarantine.readOnce) })
 	for ctx.Err() == nil {
 		begun := s.o.Now()
 		holds, skipped, err := findingstore.LoadHolds(ctx, s.o.Store, begun)
@@ -96,12 +131,24 @@
 		s.logSkipped(skipped)
 		if err == nil {
 			s.observeNews(begun, quarantine.News{Holds: holds})
+			first()
 			return
 		}
+		first()
 		_ = wait.Sleep(ctx, p.pause(s.o.PollInterval, err))
 	}
 }
 
+// awaitHolds waits for the first attempt to read the stored quarantines.
+func (s *Server) awaitHolds(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, findingsReadTimeout)
+	defer cancel()
+	select {
+	case <-s.quarantine.readOnce:
+	case <-ctx.Done():
+	}
+}
+
 // logSkipped logs stored findings that could not be read, or not be deleted when they were old.
 func (s *Server) logSkipped(skipped []error) {
 	for _, e := range skipped {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -103,6 +103,7 @@
 	s.software, s.origins = newSoftwareVersions(s), newOrigins(s)
 	s.heldBytes = newHeldBytes(o, s.metrics)
 	s.quarantine.detector = quarantine.NewDetector(s.epoch, quarantine.Options{Stagger: quarantine.StaggerOf(o.Settings.VM)})
+	s.quarantine.readOnce = make(chan struct{})
 	s.sharedFindings.queue = make(chan quarantine.News, maxQueuedFindings)
 	s.forceStop, s.cancelForceStop = context.WithCancel(context.Background())
 	handler := transport.HandlerFunc(newPermitServer(s).handle)
--- a/ingress/suspicion.go
+++ b/ingress/suspicion.go
@@ -37,9 +37,7 @@
 	q.mu.Lock()
 	news := q.detector.ObserveAnswer(d.s.o.Now(), d.traits, begun.Add(res.timeToFirstEvent))
 	q.mu.Unlock()
-	for _, sound := range news {
-		d.s.tell(d.s.newsHomes(sound.Trait.String(), 1), quarantine.News{Sound: []quarantine.Sound{sound}})
-	}
+	d.s.tellSound(news)
 }
 
 // observeLostConnection takes the end of an attempt. If its connection broke, the server may
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -30,6 +30,13 @@
 	}
 }
 
+// tellSound tells the homes of traits that they are sound.
+func (s *Server) tellSound(sound []quarantine.Sound) {
+	for _, p := range sound {
+		s.tell(s.newsHomes(p.Trait.String(), 1), quarantine.News{Sound: []quarantine.Sound{p}})
+	}
+}
+
 // tell tells sidecars what this process has found, and reports whether there was one.
 func (s *Server) tell(conns []*transport.Conn, n quarantine.News) bool {
 	for _, c := range conns {
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/ident"
 )
 
@@ -12,14 +13,20 @@
 	maxCrashes = 256
 	// maxHolds bounds the quarantined traits.
 	maxHolds = 256
+	// learnTime is how long a Detector that has learned of a crash from before its start waits
+	// for what speaks for the traits of such crashes: sidecars tell of both, but not the same
+	// ones. Links to all of them are made within half a second.
+	learnTime = time.Second
 )
 
 // Detector decides at one router which traits are quarantined.
 type Detector struct {
 	opts Options
-	// since is when the Detector began to see answers. What was sound before is unknown,
-	// so earlier crashes don't count.
+	// since is when the Detector began to see answers. What was sound before it hears from
+	// others only.
 	since time.Time
+	// decideAt is when crashes from before since begin to count, zero while none is known.
+	decideAt time.Time
 	// crashes is in order of time.
 	crashes []Crash
 	// soundParts and soundRequests hold the traits that were answered soundly. Requests
@@ -41,6 +48,9 @@
 	if !d.Counts(now, c) {
 		return nil
 	}
+	if c.At.Before(d.since) && d.decideAt.IsZero() {
+		d.decideAt = now.Add(learnTime)
+	}
 	i := slices.IndexFunc(d.crashes, func(k Crash) bool { return k.Server == c.Server })
 	if i < 0 {
 		d.insert(c)
@@ -52,9 +62,36 @@
 	return d.evaluate(now)
 }
 
-// Counts reports whether a crash may speak against its traits.
+// Counts reports whether a crash may speak against its traits. Of those from before the start
+// only the crashes count of which it is known too what was sound after them.
 func (d *Detector) Counts(now time.Time, c Crash) bool {
-	return !c.At.Before(d.since) && now.Sub(c.At) <= d.opts.Memory && len(c.Traits) > 0
+	memory := d.opts.Memory
+	if c.At.Before(d.since) {
+		memory = min(memory, newsTTL)
+	}
+	return now.Sub(c.At) <= memory && len(c.Traits) > 0
+}
+
+// DecideAt returns when Decide is due, since crashes from before the start begin to count
+// then, or the zero time.
+func (d *Detector) DecideAt() time.Time { return d.decideAt }
+
+// Decide returns the quarantines that follow from all crashes known.
+func (d *Detector) Decide(now time.Time) []Hold {
+	d.forget(now)
+	return d.evaluate(now)
+}
+
+// counted returns the crashes that decisions may rest on now.
+func (d *Detector) counted(now time.Time) []Crash {
+	if !now.Before(d.decideAt) {
+		return d.crashes
+	}
+	i := slices.IndexFunc(d.crashes, func(c Crash) bool { return !c.At.Before(d.since) })
+	if i < 0 {
+		return nil
+	}
+	return d.crashes[i:]
 }
 
 func (d *Detector) insert(c Crash) {
@@ -114,10 +151,28 @@
 		if remaining := h.Until.Add(d.opts.Stagger).Sub(now); ok && remaining > 0 {
 			return h, remaining
 		}
+		if now.Before(d.decideAt) && d.undecided(t) {
+			return Hold{Trait: t, Until: d.decideAt}, d.decideAt.Sub(now)
+		}
 	}
 	return Hold{}, 0
 }
 
+// undecided reports whether a request will be quarantined once the crashes from before the
+// start count, unless something speaks for it until then.
+func (d *Detector) undecided(t ident.Trait) bool {
+	if !t.OfRequest() {
+		return false
+	}
+	against := 0
+	for i := range d.crashes {
+		if d.speaksAgainst(&d.crashes[i], t) {
+			against++
+		}
+	}
+	return against >= d.needed(t)
+}
+
 // Holds returns the quarantines in force.
 func (d *Detector) Holds(now time.Time) []Hold {
 	d.forget(now)
@@ -145,6 +200,23 @@
 	return out
 }
 
+// Knows reports whether a crash of a server is known.
+func (d *Detector) Knows(s fleet.ServerStart) bool {
+	return slices.ContainsFunc(d.crashes, func(k Crash) bool { return k.Server == s })
+}
+
+// SoundSince returns the traits of a crash that this router knows to be sound since then. Others
+// may not: the answers were no news before the crash was known.
+func (d *Detector) SoundSince(c Crash) []Sound {
+	var out []Sound
+	for _, t := range c.Traits {
+		if at := d.soundAt(t); at.After(c.At) {
+			out = append(out, Sound{Trait: t, BegunAt: at})
+		}
+	}
+	return out
+}
+
 // contradicts reports whether a sound answer contradicts something that speaks against its
 // trait.
 func (d *Detector) contradicts(now time.Time, s Sound) bool {
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -113,10 +113,35 @@
 	expectHeld(t, observe(d, crash(4000, "c", 1)), 1)
 }
 
-// A router that has just started has seen no sound answers.
-func TestCrashesFromBeforeTheStartDontCount(t *testing.T) {
+// A router that has just started has seen no sound answers, and sidecars tell of them and of
+// crashes in any order. Parts 2 and 3 were sound, each after some of the crashes.
+func TestCrashesFromBeforeTheStartWaitForSoundAnswers(t *testing.T) {
 	d := NewDetector(at(10000), Options{})
-	expectHeld(t, observe(d, crash(1000, "a", 1), crash(2000, "b", 1), crash(3000, "c", 1), crash(11000, "d", 1)))
+	for i, engine := range []string{"a", "b", "c"} {
+		if held := d.ObserveCrash(at(10100), crash(7000+1000*i, engine, 1, 2, 3)); len(held) > 0 {
+			t.Fatalf("quarantined %v before anything could speak for it", held)
+		}
+	}
+	d.ObserveSound(Sound{Trait: 2, BegunAt: at(9500)})
+	d.ObserveSound(Sound{Trait: 3, BegunAt: at(7500)})
+	if want := at(10100).Add(learnTime); !d.DecideAt().Equal(want) {
+		t.Fatalf("decides at %v, want %v", d.DecideAt(), want)
+	}
+	held := d.Decide(d.DecideAt())
+	if len(held) != 1 || held[0].Trait != 1 {
+		t.Errorf("quarantined %v, want 1", held)
+	}
+}
+
+// Sidecars forget what was sound after a minute.
+func TestCrashesLongBeforeTheStartDontCount(t *testing.T) {
+	d := NewDetector(at(70000), Options{})
+	for i, engine := range []string{"a", "b", "c"} {
+		d.ObserveCrash(at(70100), crash(7000+1000*i, engine, 1))
+	}
+	if held := d.Decide(at(72000)); len(held) > 0 {
+		t.Errorf("quarantined %v", held)
+	}
 }
 
 func TestQuarantineEndsAndOneCrashRenewsIt(t *testing.T) {
--- a/quarantine/part_suspicion.go
+++ b/quarantine/part_suspicion.go
@@ -85,7 +85,7 @@
 // partSuspicions returns what speaks against each prompt part.
 func (d *Detector) partSuspicions(now time.Time) map[ident.Trait]*partSuspicion {
 	all := make(map[ident.Trait]*partSuspicion)
-	for _, c := range d.crashes {
+	for _, c := range d.counted(now) {
 		byPart, request := d.explanation(now, &c)
 		for i, t := range c.Traits {
 			if t.OfRequest() {
--- a/quarantine/repeat_simulation_test.go
+++ b/quarantine/repeat_simulation_test.go
@@ -23,6 +23,10 @@
 	crashesAt, tries []time.Time
 	// refused and sent count the popular request.
 	refused, sent int
+	// told is what sidecars remember. Routers start anew at the interval restarts, if it is
+	// not zero.
+	told     Findings
+	restarts time.Duration
 }
 
 type simulatedServer struct {
@@ -99,9 +103,18 @@
 		return
 	}
 	f.receive(now, from, n)
+	for _, c := range n.Crashes {
+		f.told.AddCrash(now, c)
+	}
+	for _, s := range n.Sound {
+		f.told.AddSound(now, s)
+	}
+	for _, h := range n.Holds {
+		f.told.AddHold(now, h)
+	}
 	for i := range f.routers {
 		if i != from {
-			f.news = append(f.news, delayedNews{now.Add(time.Duration(f.r.Int64N(int64(maxNewsDelay)))), i, n})
+			f.news = append(f.news, f.delayed(now, i, n))
 		}
 	}
 }
@@ -115,13 +128,48 @@
 		d.ObserveHold(now, h)
 	}
 	for _, c := range n.Crashes {
+		if sound := d.SoundSince(c); !d.Knows(c.Server) && len(sound) > 0 {
+			f.tell(now, router, News{Sound: sound})
+		}
 		if holds := d.ObserveCrash(now, c); len(holds) > 0 {
 			f.tell(now, router, News{Holds: holds})
 		}
 	}
 }
 
+// restartRouters starts all routers anew. Each hears what sidecars remember a moment later.
+func (f *repeatSimulation) restartRouters(now time.Time) {
+	f.news = nil
+	for i := range f.routers {
+		f.routers[i] = NewDetector(now, Options{Stagger: StaggerOf(ident.VM(fmt.Sprint("router-", i)))})
+		known := f.told.Since(now, 0)
+		// Each finding is remembered by another sidecar.
+		for _, s := range known.Sound {
+			f.news = append(f.news, f.delayed(now, i, News{Sound: []Sound{s}}))
+		}
+		for _, c := range known.Crashes {
+			f.news = append(f.news, f.delayed(now, i, News{Crashes: []Crash{c}}))
+		}
+		for _, h := range known.Holds {
+			// It has been stored, and is read before the router serves.
+			if !h.Tentative() {
+				f.routers[i].ObserveHold(now, h)
+			}
+			f.news = append(f.news, f.delayed(now, i, News{Holds: []Hold{h}}))
+		}
+	}
+}
+
+func (f *repeatSimulation) delayed(now time.Time, router int, n News) delayedNews {
+	return delayedNews{now.Add(time.Duration(f.r.Int64N(int64(maxNewsDelay)))), router, n}
+}
+
 func (f *repeatSimulation) step(now time.Time) {
+	for i, d := range f.routers {
+		if now.Equal(d.DecideAt().Truncate(10 * time.Millisecond).Add(10 * time.Millisecond)) {
+			f.tell(now, i, News{Holds: d.Decide(now)})
+		}
+	}
 	due := f.news
 	f.news = nil
 	for _, n := range due {
@@ -157,6 +205,9 @@
 func (f *repeatSimulation) run(perSecond, repeats, otherCrashesPerSecond float64) {
 	for ms := 0; ms < 60000; ms += 10 {
 		now := at(ms)
+		if f.restarts > 0 && ms%int(f.restarts.Milliseconds()) == 0 {
+			f.restartRouters(now)
+		}
 		f.step(now)
 		for range poisson(f.r, perSecond/100) {
 			f.nextID++
@@ -236,3 +287,40 @@
 		}
 	}
 }
+
+// All routers restart again and again, before they have met enough crashes themselves. The request
+// crashes a server in each of their lives otherwise.
+func TestFleetLearnsTheCrashingRequestWhileRoutersRestart(t *testing.T) {
+	for _, tt := range []struct {
+		routers, servers              int
+		perSecond, repeats, otherwise float64
+		restarts                      time.Duration
+	}{
+		{4, 3, 12, 0.3, 0, 3800 * time.Millisecond}, {4, 3, 12, 1, 0, 3800 * time.Millisecond},
+		{10, 6, 30, 1, 0, 2 * time.Second}, {30, 6, 100, 2, 0.1, 5 * time.Second},
+	} {
+		for seed := range uint64(8) {
+			f := newRepeatSimulation(seed, tt.routers, tt.servers)
+			f.restarts = tt.restarts
+			f.run(tt.perSecond, tt.repeats, tt.otherwise)
+			if late := f.late(); late > 3 {
+				t.Errorf("%+v, seed %d: sent late %d times, %d crashes under it", tt, seed, late, len(f.crashesAt))
+			}
+			if f.refused*20 > f.sent {
+				t.Errorf("%+v, seed %d: the popular request was held back %d times of %d", tt, seed, f.refused, f.sent)
+			}
+		}
+	}
+}
+
+// Routers that restart beside servers that crash for other reasons hold nobody back for long.
+func TestFleetThatRestartsHoldsNoRequestBack(t *testing.T) {
+	for seed := range uint64(8) {
+		f := newRepeatSimulation(seed, 10, 3)
+		f.restarts = 5 * time.Second
+		f.run(60, 0, 0.5)
+		if f.refused*20 > f.sent {
+			t.Errorf("seed %d: the popular request was held back %d times of %d", seed, f.refused, f.sent)
+		}
+	}
+}
--- a/quarantine/request_suspicion.go
+++ b/quarantine/request_suspicion.go
@@ -45,7 +45,7 @@
 		}
 		h := Hold{
 			Trait: t, At: s.newestAt, Until: s.newestAt.Add(d.opts.TentativeTime),
-			Evidence: Evidence{Crashes: len(s.crashes), Spaced: s.spaced, Shared: !d.alone(all, t, s)},
+			Evidence: Evidence{Crashes: len(s.crashes), Spaced: s.spaced, Shared: !d.alone(now, all, t, s)},
 		}
 		if spaced && !h.Evidence.Shared {
 			h.Until = s.newestAt.Add(d.opts.HoldTime)
@@ -57,8 +57,8 @@
 
 // alone reports whether no other request that might be quarantined was there at all crashes
 // of a request.
-func (d *Detector) alone(all map[ident.Trait]*requestSuspicion, t ident.Trait, s *requestSuspicion) bool {
-	for _, other := range d.crashes[s.crashes[0]].Traits {
+func (d *Detector) alone(now time.Time, all map[ident.Trait]*requestSuspicion, t ident.Trait, s *requestSuspicion) bool {
+	for _, other := range d.counted(now)[s.crashes[0]].Traits {
 		if o := all[other]; o != nil && other != t && len(o.crashes) >= d.needed(other) && o.includes(s) {
 			return false
 		}
@@ -69,7 +69,7 @@
 // requestSuspicions returns what speaks against each request.
 func (d *Detector) requestSuspicions(now time.Time) map[ident.Trait]*requestSuspicion {
 	all := make(map[ident.Trait]*requestSuspicion)
-	for i, c := range d.crashes {
+	for i, c := range d.counted(now) {
 		if d.explained(now, &c) {
 			continue
 		}
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -170,3 +170,38 @@
 	expectHeld(t, observe(d, crash(9500, "d", bad)), bad)
 	expectHeldFor(t, d, at(10000), bad, DefaultHoldTime/2, DefaultHoldTime)
 }
+
+// Each router that starts would let the request through again until it has met three crashes itself.
+func TestCrashesFromBeforeTheStartHoldTheRequest(t *testing.T) {
+	d := NewDetector(at(10000), Options{})
+	bad, popular := request(9), request(5)
+	for i, server := range []string{"a", "b", "c"} {
+		d.ObserveCrash(at(10200), crash(7000+1000*i, server, popular, bad))
+	}
+	// Nobody knows yet whether they are sound.
+	expectHeldFor(t, d, at(10300), bad, learnTime/2, learnTime)
+	expectHeldFor(t, d, at(10300), popular, learnTime/2, learnTime)
+	d.ObserveSound(Sound{Trait: popular, BegunAt: at(8500)})
+	expectHeldFor(t, d, at(10600), popular, 0, 0)
+	if held := d.Decide(d.DecideAt()); len(held) != 1 || held[0].Trait != bad {
+		t.Errorf("quarantined %v", held)
+	}
+	expectHeldFor(t, d, at(12000), bad, DefaultHoldTime/2, DefaultHoldTime)
+	expectHeldFor(t, d, at(12000), popular, 0, 0)
+}
+
+// An answer that is sound before its router hears of the crash is no news at the time, but it is
+// to routers that start later.
+func TestAnswerBeforeTheNewsOfACrashIsTold(t *testing.T) {
+	d := NewDetector(at(0), Options{})
+	if told := d.ObserveAnswer(at(2200), parts(1, 2), at(2100)); len(told) > 0 {
+		t.Fatalf("told %v", told)
+	}
+	c := crash(2000, "a", 1, 3)
+	if told := d.SoundSince(c); len(told) != 1 || told[0] != (Sound{Trait: 1, BegunAt: at(2100)}) {
+		t.Errorf("told %v", told)
+	}
+	if d.Knows(c.Server) {
+		t.Error("the crash is known before it is observed")
+	}
+}
