ingress: news that no sidecar confirms go through the store, and again to sidecars that connect

News counted as told once they were written to a connection, and the store was used only while there was no link at all.

A router now waits for the confirmation. What is not confirmed, and all that is found within 30 s of the loss of a sidecar, is stored as well, and routers read the store at that time while there are signs of crashes. A sidecar that connects is told of the crashes that this router has noticed. Crashes from before a router's start that come from the store say nothing about prompt parts, since sound answers are not stored. The writing moves to findingstore.Writer.

--- a/ingress/check_key_test.go
+++ b/ingress/check_key_test.go
@@ -13,7 +13,6 @@
 	"github.com/apex/log/handlers/memory"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/serving"
 )
@@ -51,12 +50,9 @@
 func newKeyServer(t *testing.T) *keyServer {
 	t.Helper()
 	k := &keyServer{t: t, now: time.Now(), directory: &fakeDirectory{}, log: memory.New(), metrics: tally.NewTestScope("", nil)}
-	settings := settingsWith(4*time.Second, 5*time.Second)
-	settings.VM, settings.Region, settings.Zone, settings.SidecarPort = "v", "r", "z", 1
-	settings.RetryWindow, settings.RegistrationInterval = config.Duration(time.Second), config.Duration(time.Second)
 	var err error
 	k.Server, err = New(Options{
-		Settings: settings, Directory: k.directory, Protocol: fakeProtocol{}, Metrics: k.metrics,
+		Settings: completeSettings(4*time.Second, 5*time.Second), Directory: k.directory, Protocol: fakeProtocol{}, Metrics: k.metrics,
 		Logger: &log.Logger{Handler: k.log, Level: log.InfoLevel}, Now: func() time.Time { return k.now },
 	})
 	if err != nil {
--- a/ingress/crash_checks.go
+++ b/ingress/crash_checks.go
@@ -85,6 +85,7 @@
 // serverCrashed takes a crash that this process has noticed.
 func (s *Server) serverCrashed(c quarantine.Crash) {
 	s.metrics.serversCrashed.Inc(1)
+	s.quarantine.notice(c.Server)
 	news := quarantine.News{Crashes: []quarantine.Crash{c}}
 	s.tellOrShare(c.Server.Address, news)
 	s.observeNews(s.o.Now(), news)
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/quarantine"
@@ -22,12 +23,18 @@
 // quarantines before it reads the configuration, without which it serves nothing.
 const findingsReadTimeout = 250 * time.Millisecond
 
+// maxNoticed bounds the crashes that a router tells again to sidecars that connect.
+const maxNoticed = 32
+
 // quarantineState guards the quarantine decisions of one router.
 type quarantineState struct {
 	mu       sync.Mutex
 	detector *quarantine.Detector
 	// scheduled is set once the decision on crashes from before the start has been scheduled.
 	scheduled bool
+	// noticed holds the servers whose crashes this router has noticed itself, the newest
+	// last.
+	noticed []fleet.ServerStart
 	// readOnce is closed after the first attempt to read the stored quarantines.
 	readOnce chan struct{}
 }
@@ -40,11 +47,23 @@
 	return slices.ContainsFunc(requests, s.quarantine.detector.Suspected)
 }
 
-// holds returns the quarantines in force.
-func (s *Server) holds(now time.Time) []quarantine.Hold {
-	s.quarantine.mu.Lock()
-	defer s.quarantine.mu.Unlock()
-	return s.quarantine.detector.Holds(now)
+// known returns what a sidecar has to be told that knows nothing: the quarantines in force, and
+// the crashes that this router has noticed itself.
+func (s *Server) known(now time.Time) quarantine.News {
+	q := &s.quarantine
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return quarantine.News{Crashes: q.detector.Recent(now, q.noticed), Holds: q.detector.Holds(now)}
+}
+
+// notice records a crash that this router has noticed itself.
+func (q *quarantineState) notice(server fleet.ServerStart) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.noticed) >= maxNoticed {
+		q.noticed = slices.Delete(q.noticed, 0, 1)
+	}
+	q.noticed = append(q.noticed, server)
 }
 
 // observeNews takes what other processes have found, and tells them of the quarantines
--- a/ingress/revocation_test.go
+++ b/ingress/revocation_test.go
@@ -183,3 +183,11 @@
 		RevokeStrict: true, RevokeWithin: config.Duration(revoke),
 	}
 }
+
+// completeSettings returns settings with which a Server can be made.
+func completeSettings(change, revoke time.Duration) config.IngressSettings {
+	s := settingsWith(change, revoke)
+	s.VM, s.Region, s.Zone, s.SidecarPort = "v", "r", "z", 1
+	s.RetryWindow, s.RegistrationInterval = config.Duration(time.Second), config.Duration(time.Second)
+	return s
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -104,7 +104,8 @@
 	s.heldBytes = newHeldBytes(o, s.metrics)
 	s.quarantine.detector = quarantine.NewDetector(s.epoch, quarantine.Options{Stagger: quarantine.StaggerOf(o.Settings.VM)})
 	s.quarantine.readOnce = make(chan struct{})
-	s.sharedFindings.queue = make(chan quarantine.News, maxQueuedFindings)
+	s.sharedFindings.writer = newFindingWriter(s)
+	s.observeSidecarLost()
 	s.forceStop, s.cancelForceStop = context.WithCancel(context.Background())
 	handler := transport.HandlerFunc(newPermitServer(s).handle)
 	s.nearPool = transport.NewPool(s.transportOptions(handler))
@@ -158,7 +159,7 @@
 	g.Go(func() error { s.software.run(work); return nil })
 	g.Go(func() error { s.origins.run(work); return nil })
 	g.Go(func() error { s.loadHolds(work); return nil })
-	g.Go(func() error { s.storeFindings(work); return nil })
+	g.Go(func() error { s.sharedFindings.writer.Run(work); return nil })
 	g.Go(func() error { s.readFindings(work); return nil })
 	readiness := &http.Server{Handler: s.readinessHandler(), ReadHeaderTimeout: headerReadTimeout}
 	server := s.callerServer()
--- a/ingress/sidecar_link.go
+++ b/ingress/sidecar_link.go
@@ -63,6 +63,7 @@
 			// use by another one.
 			if ctx.Err() == nil {
 				l.s.clusterState.sidecarLost(l.s.o.Now(), l.vm.Address)
+				l.s.observeSidecarLost()
 				l.s.o.Logger.WithFields(log.Fields{"dependency": "sidecar", "vm": l.vm.ID}).WithError(err).Warn("dependency lost")
 			}
 		}
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/laureltally/laureltally/quarantine"
 	"github.com/laureltally/laureltally/requestlimit"
 	"github.com/laureltally/laureltally/transport"
@@ -16,7 +18,8 @@
 )
 
 // tellOrShare tells the homes of a key what this process has found, also one in each other
-// region, as those of its own may be stalled. If there are none, it shares it through the store.
+// region, as those of its own may be stalled. It shares it through the store too if sidecars may
+// not pass it on, or if one of them does not confirm that it has taken it. It does not wait.
 func (s *Server) tellOrShare(key string, n quarantine.News) {
 	var conns []*transport.Conn
 	for region, homes := range s.homes(key, quarantineHomes) {
@@ -25,9 +28,21 @@
 		}
 		conns = append(conns, homes...)
 	}
-	if !s.tell(conns, n) {
+	if s.sidecarsUncertain() {
 		s.shareFindings(n)
+		s.tell(conns, n)
+		return
 	}
+	m := n.Encode(s.o.Now())
+	go func() {
+		var sends errgroup.Group
+		for _, c := range conns {
+			sends.Go(func() error { return s.sendConfirmed(c, m) })
+		}
+		if sends.Wait() != nil {
+			s.shareFindings(n)
+		}
+	}()
 }
 
 // tellSound tells the homes of traits that they are sound.
@@ -37,12 +52,11 @@
 	}
 }
 
-// tell tells sidecars what this process has found, and reports whether there was one.
-func (s *Server) tell(conns []*transport.Conn, n quarantine.News) bool {
+// tell tells sidecars what this process has found.
+func (s *Server) tell(conns []*transport.Conn, n quarantine.News) {
 	for _, c := range conns {
 		s.send(c, n.Encode(s.o.Now()))
 	}
-	return len(conns) > 0
 }
 
 // newsHomes returns the connections to the first homes of a key in this region or, if it has
@@ -58,17 +72,24 @@
 // send sends what this process has learned to a sidecar, which passes it on. It does not
 // wait.
 func (s *Server) send(c *transport.Conn, m wire.Message) {
-	go func() {
-		if err := s.sendConfirmed(c, m); err != nil {
-			s.metrics.newsNotTold.Inc(1)
-			s.o.Logger.WithField("sidecar", c.Peer().VM).WithError(err).Warn("news not passed to sidecar")
-		}
-	}()
+	go func() { _ = s.sendConfirmed(c, m) }()
 }
 
-// sendConfirmed sends a message to a sidecar and waits until the sidecar closes the stream, which
-// it does once it has taken the message. A write alone also succeeds after the sidecar has ended.
+// sendConfirmed sends a message to a sidecar, waits until the sidecar confirms it, and logs if
+// that fails.
 func (s *Server) sendConfirmed(c *transport.Conn, m wire.Message) error {
+	err := exchangeConfirmed(c, m)
+	if err != nil {
+		s.observeSidecarLost()
+		s.metrics.newsNotTold.Inc(1)
+		s.o.Logger.WithField("sidecar", c.Peer().VM).WithError(err).Warn("news not passed to sidecar")
+	}
+	return err
+}
+
+// exchangeConfirmed sends a message and waits until the sidecar closes the stream, which
+// it does once it has taken the message. A write alone also succeeds after the sidecar has ended.
+func exchangeConfirmed(c *transport.Conn, m wire.Message) error {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
 	stream, err := c.Open(ctx, m)
@@ -93,7 +114,7 @@
 // tellKnown tells a sidecar that was connected just now, and may have started just now, what
 // this process knows.
 func (s *Server) tellKnown(conn *transport.Conn, now time.Time) {
-	if known := (quarantine.News{Holds: s.holds(now)}); !known.Empty() {
+	if known := s.known(now); !known.Empty() {
 		s.send(conn, known.Encode(now))
 	}
 	s.tellLimitsTo(conn, s.clusterState.requestLimits(now))
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -205,6 +205,18 @@
 	return slices.ContainsFunc(d.crashes, func(k Crash) bool { return k.Server == s })
 }
 
+// Recent returns the crashes of some servers that a process which starts may count, without the
+// traits that were sound since.
+func (d *Detector) Recent(now time.Time, servers []fleet.ServerStart) []Crash {
+	var out []Crash
+	for _, c := range d.crashes {
+		if now.Sub(c.At) <= newsTTL && slices.Contains(servers, c.Server) && len(c.Traits) > 0 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // SoundSince returns the traits of a crash that this router knows to be sound since then. Others
 // may not: the answers were no news before the crash was known.
 func (d *Detector) SoundSince(c Crash) []Sound {
