quarantine: weak evidence against a request does not end in one short hold after the other

Three rules asked for more than users accept. Three crashes at two separate moments were weak, though one crash after three at one moment was proof: now both are proof. Requests that always ran together stayed suspects together forever: now they are let through one after the other, so that the next crash or answer tells. A request that was sound before needed five crashes: now it is held for a moment after three at separate moments, and four are proof.

--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -310,10 +310,13 @@
 	if _, probation := d.holds[t]; probation {
 		return 1
 	}
-	if !d.soundAt(t).IsZero() {
-		return d.opts.MinCrashesOfSound
+	switch {
+	case d.soundAt(t).IsZero():
+		return d.opts.MinCrashes
+	case t.OfRequest():
+		return d.opts.MinCrashes + 1
 	}
-	return d.opts.MinCrashes
+	return d.opts.MinCrashesOfSound
 }
 
 // forget drops what is too old to count.
--- a/quarantine/options.go
+++ b/quarantine/options.go
@@ -13,8 +13,9 @@
 const (
 	// DefaultMinCrashes is the number of crashes that quarantine a trait.
 	DefaultMinCrashes = 3
-	// DefaultMinCrashesOfSound is the same for a trait that was answered soundly before,
-	// and for a prompt part while another one explains as many crashes.
+	// DefaultMinCrashesOfSound is the same for a prompt part that was answered soundly before,
+	// and while another one explains as many crashes. A request that was sound before takes
+	// one more than others: users accept three further tries, some of which are under way.
 	DefaultMinCrashesOfSound = 5
 	// DefaultSpacing is the minimum time between two crashes that count. Servers that
 	// lose power together crash at the same moment, under many requests.
--- a/quarantine/repeat_simulation_test.go
+++ b/quarantine/repeat_simulation_test.go
@@ -27,6 +27,9 @@
 	// not zero.
 	told     Findings
 	restarts time.Duration
+	// soundBefore makes the crashing request come before too, when it is still answered.
+	soundBefore bool
+	crashing    bool
 }
 
 type simulatedServer struct {
@@ -71,7 +74,7 @@
 			continue
 		}
 		run := simulatedRun{router: router, parts: parts(trait), begunAt: now, endsAt: now.Add(serverRunTime)}
-		if trait == crashingRequest {
+		if trait == crashingRequest && f.crashing {
 			run.endsAt = now.Add(serverCrashTime)
 			f.tries = append(f.tries, now)
 		}
@@ -186,7 +189,7 @@
 			switch {
 			case now.Before(run.endsAt):
 				s.runs = append(s.runs, run)
-			case run.parts[0] == crashingRequest:
+			case run.parts[0] == crashingRequest && run.endsAt.Sub(run.begunAt) == serverCrashTime:
 				s.runs = append(s.runs, runs[i:]...)
 				f.crash(now, s)
 				f.crashesAt = append(f.crashesAt, now)
@@ -219,7 +222,12 @@
 				f.refused++
 			}
 		}
-		if ms >= 5000 {
+		if f.crashing = ms >= 5000; !f.crashing && f.soundBefore {
+			for range poisson(f.r, repeats/100) {
+				f.send(now, crashingRequest)
+			}
+		}
+		if f.crashing {
 			for range poisson(f.r, repeats/100) {
 				f.send(now, crashingRequest)
 			}
@@ -324,3 +332,24 @@
 		}
 	}
 }
+
+// A request that was answered until now begins to crash servers, as its content meets another
+// version of the model.
+func TestFleetLearnsARequestThatWasSoundBefore(t *testing.T) {
+	for _, tt := range []struct {
+		routers, servers              int
+		perSecond, repeats, otherwise float64
+	}{{4, 3, 12, 1, 0}, {4, 3, 12, 4, 0}, {10, 6, 30, 2, 0.1}, {30, 6, 100, 2, 0.1}} {
+		for seed := range uint64(8) {
+			f := newRepeatSimulation(seed, tt.routers, tt.servers)
+			f.soundBefore = true
+			f.run(tt.perSecond, tt.repeats, tt.otherwise)
+			if late := f.late(); late > 3 {
+				t.Errorf("%+v, seed %d: sent late %d times, %d crashes under it", tt, seed, late, len(f.crashesAt))
+			}
+			if len(f.crashesAt) > 3+3 {
+				t.Errorf("%+v, seed %d: %d crashes under it", tt, seed, len(f.crashesAt))
+			}
+		}
+	}
+}
--- a/quarantine/request_suspicion.go
+++ b/quarantine/request_suspicion.go
@@ -7,6 +7,14 @@
 	"github.com/laureltally/laureltally/ident"
 )
 
+const (
+	// minMoments is the number of separate moments at which crashes under a request prove
+	// more than a loss of power.
+	minMoments = 2
+	// maxQueued bounds how many other requests one waits for until it is let through again.
+	maxQueued = 7
+)
+
 // requestSuspicion is how much speaks against a request.
 type requestSuspicion struct {
 	// crashes holds the indexes of the unexplained crashes at which it was running.
@@ -31,39 +39,66 @@
 }
 
 // crashingRequests returns the quarantines of requests that follow from the crashes. The
-// evidence against a request is weak if the crashes were close together, when servers may
-// have lost power while a popular request was running at all of them, and if another request
-// was there each time. Then it is quarantined tentatively.
+// evidence against a request is weak if all crashes were close together, when servers may
+// have lost power while a popular request was running at all of them, if it was sound before, and
+// if another request was there each time. Then it is quarantined tentatively.
 func (d *Detector) crashingRequests(now time.Time) []Hold {
 	all := d.requestSuspicions(now)
-	var out []Hold
+	suspects := make(map[ident.Trait]*requestSuspicion)
 	for t, s := range all {
-		needed := d.needed(t)
-		spaced := s.spaced >= needed
-		if !spaced && (len(s.crashes) < needed || !d.soundAt(t).IsZero()) {
-			continue
+		if d.suspect(t, s) {
+			suspects[t] = s
 		}
+	}
+	var out []Hold
+	for t, s := range suspects {
+		before, shared := d.companions(now, suspects, t, s)
 		h := Hold{
-			Trait: t, At: s.newestAt, Until: s.newestAt.Add(d.opts.TentativeTime),
-			Evidence: Evidence{Crashes: len(s.crashes), Spaced: s.spaced, Shared: !d.alone(now, all, t, s)},
+			Trait: t, At: s.newestAt,
+			Evidence: Evidence{Crashes: len(s.crashes), Spaced: s.spaced, Shared: shared},
 		}
-		if spaced && !h.Evidence.Shared {
+		switch {
+		case d.proven(t, s) && !shared:
 			h.Until = s.newestAt.Add(d.opts.HoldTime)
+		default:
+			h.Until = s.newestAt.Add(d.opts.TentativeTime + time.Duration(min(before, maxQueued))*(d.opts.TentativeTime+maxStagger))
 		}
 		out = append(out, h)
 	}
 	return out
 }
 
-// alone reports whether no other request that might be quarantined was there at all crashes
-// of a request.
-func (d *Detector) alone(now time.Time, all map[ident.Trait]*requestSuspicion, t ident.Trait, s *requestSuspicion) bool {
+// suspect reports whether enough speaks against a request to quarantine it for a moment at least.
+// One that was sound before has to be there at crashes that are not close together.
+func (d *Detector) suspect(t ident.Trait, s *requestSuspicion) bool {
+	if _, probation := d.holds[t]; probation {
+		return true
+	}
+	return len(s.crashes) >= d.opts.MinCrashes && (s.spaced >= minMoments || d.soundAt(t).IsZero())
+}
+
+// proven reports whether the crashes prove that a request causes them, if no other request was
+// there each time.
+func (d *Detector) proven(t ident.Trait, s *requestSuspicion) bool {
+	needed := d.needed(t)
+	return len(s.crashes) >= needed && s.spaced >= min(needed, minMoments)
+}
+
+// companions reports whether another suspect was there at all crashes of a request, and returns
+// how many of these come before it in the order in which they are let through again: one after the
+// other, since together they would be suspects forever.
+func (d *Detector) companions(now time.Time, suspects map[ident.Trait]*requestSuspicion, t ident.Trait, s *requestSuspicion) (before int, shared bool) {
 	for _, other := range d.counted(now)[s.crashes[0]].Traits {
-		if o := all[other]; o != nil && other != t && len(o.crashes) >= d.needed(other) && o.includes(s) {
-			return false
+		o := suspects[other]
+		if o == nil || other == t || !o.includes(s) {
+			continue
+		}
+		shared = true
+		if other < t {
+			before++
 		}
 	}
-	return true
+	return before, shared
 }
 
 // requestSuspicions returns what speaks against each request.
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -205,3 +205,54 @@
 		t.Error("the crash is known before it is observed")
 	}
 }
+
+// A power supply would not fail twice under the same request only.
+func TestCrashesAtTwoSeparateMomentsProveARequest(t *testing.T) {
+	bad := request(9)
+	for _, all := range [][]Crash{
+		{crash(1000, "a", bad), crash(2000, "b", bad), crash(2100, "c", bad)},
+		{crash(1000, "a", bad), crash(1100, "b", bad), crash(2000, "c", bad)},
+	} {
+		d := NewDetector(at(0), Options{})
+		expectHeld(t, observe(d, all...), bad)
+		expectHeldFor(t, d, at(2500), bad, DefaultHoldTime/2, DefaultHoldTime)
+	}
+}
+
+// Two callers repeat one request each at the same pace. Both crash servers, or only one does.
+func TestRequestsThatAlwaysRunTogetherAreLetThroughOneAfterTheOther(t *testing.T) {
+	first, second := request(4), request(9)
+	together := func() *Detector {
+		d := NewDetector(at(0), Options{})
+		for i, server := range []string{"a", "b", "c"} {
+			observe(d, crash(1000+1000*i, server, first, second))
+		}
+		expectHeldFor(t, d, at(3300), first, time.Second, DefaultTentativeTime)
+		expectHeldFor(t, d, at(3300), second, DefaultTentativeTime+maxStagger, 2*DefaultTentativeTime+maxStagger)
+		return d
+	}
+	both := together()
+	expectHeld(t, observe(both, crash(7000, "d", first)), first)
+	expectHeldFor(t, both, at(7500), first, DefaultHoldTime/2, DefaultHoldTime)
+	expectHeldFor(t, both, at(13500), second, 0, 0)
+	expectHeld(t, observe(both, crash(14000, "e", second)), second)
+	expectHeldFor(t, both, at(15000), second, DefaultHoldTime/2, DefaultHoldTime)
+
+	one := together()
+	one.ObserveSound(Sound{Trait: first, BegunAt: at(7000)})
+	expectHeldFor(t, one, at(7100), first, 0, 0)
+	expectHeld(t, observe(one, crash(14000, "d", first, second)), second)
+	expectHeldFor(t, one, at(15000), second, DefaultHoldTime/2, DefaultHoldTime)
+	expectHeldFor(t, one, at(15000), first, 0, 0)
+}
+
+// Five servers would end before anything is done.
+func TestRequestThatWasSoundBeforeIsHeldAfterThreeCrashes(t *testing.T) {
+	d := NewDetector(at(0), Options{})
+	bad := request(9)
+	d.ObserveSound(Sound{Trait: bad, BegunAt: at(500)})
+	expectHeld(t, observe(d, crash(1000, "a", bad), crash(2000, "b", bad), crash(3000, "c", bad)), bad)
+	expectHeldFor(t, d, at(3300), bad, time.Second, DefaultTentativeTime)
+	expectHeld(t, observe(d, crash(7000, "d", bad)), bad)
+	expectHeldFor(t, d, at(8000), bad, DefaultHoldTime/2, DefaultHoldTime)
+}
