sidecar, ingress: crashes are stored for processes that start when all have ended

Callers saw servers end under a repeated request while all machines lost power again and again: nobody was left who remembered the crashes, and only quarantines were stored.

Sidecars now store the crash of their engine and those that routers tell them, at a bounded rate, with the traits of requests only. A router reads stored crashes with the stored quarantines when it starts, before it serves. Of stored crashes those of the last minute count, as long as what was sound since is remembered.

--- a/ingress/poll.go
+++ b/ingress/poll.go
@@ -88,7 +88,7 @@
 }
 
 func (s *Server) pollConfig(ctx context.Context) {
-	s.awaitHolds(ctx)
+	s.awaitFindings(ctx)
 	p := s.poller("configuration")
 	p.scheduled = func(at time.Time) { s.nextConfigRead.Store(int64(s.sinceEpoch(at))) }
 	p.run(ctx, s.o.PollInterval, s.o.Now, s.readConfig)
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -20,7 +21,7 @@
 const quarantineHomes = 2
 
 // findingsReadTimeout is how long a router that has started waits at most for the stored
-// quarantines before it reads the configuration, without which it serves nothing.
+// findings before it reads the configuration, without which it serves nothing.
 const findingsReadTimeout = 250 * time.Millisecond
 
 // maxNoticed bounds the crashes that a router tells again to sidecars that connect.
@@ -35,7 +36,7 @@
 	// noticed holds the servers whose crashes this router has noticed itself, the newest
 	// last.
 	noticed []fleet.ServerStart
-	// readOnce is closed after the first attempt to read the stored quarantines.
+	// readOnce is closed after the first attempt to read the stored findings.
 	readOnce chan struct{}
 }
 
@@ -139,27 +140,33 @@
 	s.o.Logger.WithFields(f).Warn("requests quarantined")
 }
 
-// loadHolds reads the stored quarantines until it succeeds.
-func (s *Server) loadHolds(ctx context.Context) {
-	p := s.poller("quarantines")
+// loadFindings reads the stored quarantines and crashes until it succeeds.
+func (s *Server) loadFindings(ctx context.Context) {
+	p := s.poller("stored findings")
 	first := sync.OnceFunc(func() { close(s.quarantine.readOnce) })
 	for ctx.Err() == nil {
-		begun := s.o.Now()
-		holds, skipped, err := findingstore.LoadHolds(ctx, s.o.Store, begun)
+		err := s.readStored(ctx)
 		p.Record(err, nil)
-		s.logSkipped(skipped)
+		first()
 		if err == nil {
-			s.observeNews(begun, quarantine.News{Holds: holds})
-			first()
 			return
 		}
-		first()
 		_ = wait.Sleep(ctx, p.pause(s.o.PollInterval, err))
 	}
 }
 
-// awaitHolds waits for the first attempt to read the stored quarantines.
-func (s *Server) awaitHolds(ctx context.Context) {
+// readStored reads the stored quarantines and crashes once.
+func (s *Server) readStored(ctx context.Context) error {
+	now := s.o.Now()
+	holds, skippedHolds, holdsErr := findingstore.LoadHolds(ctx, s.o.Store, now)
+	crashes, skipped, err := findingstore.LoadCrashes(ctx, s.o.Store, now)
+	s.logSkipped(slices.Concat(skipped, skippedHolds))
+	s.observeNews(now, quarantine.News{Crashes: s.storedCrashes(now, crashes), Holds: holds})
+	return errors.Join(holdsErr, err)
+}
+
+// awaitFindings waits for the first attempt to read the stored findings.
+func (s *Server) awaitFindings(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, findingsReadTimeout)
 	defer cancel()
 	select {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -158,7 +158,7 @@
 	g.Go(func() error { s.pollVMs(work); return nil })
 	g.Go(func() error { s.software.run(work); return nil })
 	g.Go(func() error { s.origins.run(work); return nil })
-	g.Go(func() error { s.loadHolds(work); return nil })
+	g.Go(func() error { s.loadFindings(work); return nil })
 	g.Go(func() error { s.sharedFindings.writer.Run(work); return nil })
 	g.Go(func() error { s.readFindings(work); return nil })
 	readiness := &http.Server{Handler: s.readinessHandler(), ReadHeaderTimeout: headerReadTimeout}
--- a/ingress/shared_findings.go
+++ b/ingress/shared_findings.go
@@ -72,15 +72,9 @@
 func (s *Server) readFindings(ctx context.Context) {
 	p := s.poller("stored findings")
 	for wait.Sleep(ctx, s.o.PollInterval) == nil {
-		now := s.o.Now()
-		if int64(now.Sub(s.epoch)) >= s.sharedFindings.readUntil.Load() || !s.sidecarsUncertain() {
-			continue
+		if int64(s.o.Now().Sub(s.epoch)) < s.sharedFindings.readUntil.Load() && s.sidecarsUncertain() {
+			p.Record(s.readStored(ctx), nil)
 		}
-		crashes, skipped, err := findingstore.LoadCrashes(ctx, s.o.Store, now)
-		holds, skippedHolds, holdsErr := findingstore.LoadHolds(ctx, s.o.Store, now)
-		p.Record(errors.Join(err, holdsErr), nil)
-		s.logSkipped(slices.Concat(skipped, skippedHolds))
-		s.observeNews(now, quarantine.News{Crashes: s.storedCrashes(now, crashes), Holds: holds})
 	}
 }
 
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -67,7 +67,7 @@
 func (d *Detector) Counts(now time.Time, c Crash) bool {
 	memory := d.opts.Memory
 	if c.At.Before(d.since) {
-		memory = min(memory, newsTTL)
+		memory = min(memory, NewsTTL)
 	}
 	return now.Sub(c.At) <= memory && len(c.Traits) > 0
 }
@@ -210,7 +210,7 @@
 func (d *Detector) Recent(now time.Time, servers []fleet.ServerStart) []Crash {
 	var out []Crash
 	for _, c := range d.crashes {
-		if now.Sub(c.At) <= newsTTL && slices.Contains(servers, c.Server) && len(c.Traits) > 0 {
+		if now.Sub(c.At) <= NewsTTL && slices.Contains(servers, c.Server) && len(c.Traits) > 0 {
 			out = append(out, c)
 		}
 	}
--- a/quarantine/findings.go
+++ b/quarantine/findings.go
@@ -10,9 +10,9 @@
 const (
 	// maxFindings bounds each kind of finding.
 	maxFindings = 256
-	// newsTTL is how long crashes and sound traits are passed on, to routers that connect
+	// NewsTTL is how long crashes and sound traits are passed on, to routers that connect
 	// again too.
-	newsTTL = time.Minute
+	NewsTTL = time.Minute
 	// soundInterval is the minimum time between two proofs of the same trait that are
 	// passed on.
 	soundInterval = time.Second
@@ -98,8 +98,8 @@
 }
 
 func (f *Findings) forget(now time.Time) {
-	f.crashes = slices.DeleteFunc(f.crashes, func(k numbered[Crash]) bool { return now.Sub(k.value.At) > newsTTL })
-	f.sound = slices.DeleteFunc(f.sound, func(k numbered[Sound]) bool { return now.Sub(k.value.BegunAt) > newsTTL })
+	f.crashes = slices.DeleteFunc(f.crashes, func(k numbered[Crash]) bool { return now.Sub(k.value.At) > NewsTTL })
+	f.sound = slices.DeleteFunc(f.sound, func(k numbered[Sound]) bool { return now.Sub(k.value.BegunAt) > NewsTTL })
 	f.holds = slices.DeleteFunc(f.holds, func(k numbered[Hold]) bool { return now.After(k.value.Until) })
 }
 
--- a/quarantine/findingstore/crashes.go
+++ b/quarantine/findingstore/crashes.go
@@ -72,7 +72,8 @@
 	return nil
 }
 
-// LoadCrashes returns the stored crashes that still count, and deletes older ones. Skipped
+// LoadCrashes returns the stored crashes of the last minute, as sidecars pass them on: what was
+// sound since is remembered no longer. It deletes those that no longer count. Skipped
 // holds the errors of malformed records and failed deletions.
 func LoadCrashes(ctx context.Context, s metastore.Store, now time.Time) (crashes []quarantine.Crash, skipped []error, err error) {
 	objects, _, err := s.List(ctx, crashPrefix)
@@ -84,9 +85,9 @@
 		switch {
 		case err != nil:
 			skipped = append(skipped, err)
-		case now.Sub(c.At) <= quarantine.DefaultMemory:
+		case now.Sub(c.At) <= quarantine.NewsTTL:
 			crashes = append(crashes, c)
-		default:
+		case now.Sub(c.At) > quarantine.DefaultMemory:
 			if err := s.Delete(ctx, o.Key, o.Version); err != nil {
 				skipped = append(skipped, fmt.Errorf("delete old crash: %w", err))
 			}
--- a/quarantine/findingstore/crashes_test.go
+++ b/quarantine/findingstore/crashes_test.go
@@ -41,6 +41,10 @@
 			t.Errorf("%+v has traits %v, want %v", c.Server, c.Traits, want)
 		}
 	}
+	// What was sound after them is forgotten by then.
+	if crashes, _, _ := LoadCrashes(ctx, s, now.Add(5*time.Minute)); len(crashes) != 0 {
+		t.Errorf("crashes of five minutes ago: %+v", crashes)
+	}
 	if crashes, _, _ := LoadCrashes(ctx, s, now.Add(time.Hour)); len(crashes) != 0 {
 		t.Errorf("old crashes: %+v", crashes)
 	}
--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -18,6 +18,9 @@
 // holdStoreTimeout bounds the attempts to store a quarantine, beyond outages of the store.
 const holdStoreTimeout = time.Minute
 
+// maxStoredAge is the age from which on a crash that a sidecar hears of has been stored by others.
+const maxStoredAge = 5 * time.Second
+
 // observeRequest records that a request was granted its reservation.
 func (s *Sidecar) observeRequest(id residency.RequestID, r *wire.Reserve) {
 	s.mu.Lock()
@@ -52,7 +55,9 @@
 		}
 	}
 	for _, c := range n.Crashes {
-		s.findings.AddCrash(now, c)
+		if s.findings.AddCrash(now, c) {
+			s.storeCrash(now, c)
+		}
 	}
 	for _, h := range n.Holds {
 		if !s.findings.AddHold(now, h) {
@@ -90,6 +95,16 @@
 	}
 }
 
+// storeCrash stores a crash for processes that start when nobody remembers it: all of them may
+// lose power together. What was sound is not stored, so that prompt parts are left out. A router
+// that was linked again tells of crashes that have been stored before.
+func (s *Sidecar) storeCrash(now time.Time, c quarantine.Crash) {
+	_, c.Traits = ident.SplitTraits(c.Traits)
+	if len(c.Traits) > 0 && now.Sub(c.At) < maxStoredAge {
+		s.crashWriter.Add(quarantine.News{Crashes: []quarantine.Crash{c}})
+	}
+}
+
 // deleteHold deletes a stored quarantine that has ended early.
 func (s *Sidecar) deleteHold(t ident.Trait) {
 	ctx, cancel := context.WithTimeout(s.ctx, holdStoreTimeout)
@@ -106,7 +121,9 @@
 	if c == nil {
 		return
 	}
-	s.findings.AddCrash(s.o.Now(), *c)
+	if s.findings.AddCrash(s.o.Now(), *c) {
+		s.storeCrash(s.o.Now(), *c)
+	}
 	s.o.Metrics.Counter("engine_crashes").Inc(1)
 	parts, requests := ident.SplitTraits(c.Traits)
 	s.o.Logger.WithFields(log.Fields{
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 	"github.com/laureltally/laureltally/internal/admin"
 	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/quarantine"
+	"github.com/laureltally/laureltally/quarantine/findingstore"
 	"github.com/laureltally/laureltally/requestlimit"
 	"github.com/laureltally/laureltally/residency"
 	"github.com/laureltally/laureltally/resume"
@@ -59,6 +60,8 @@
 	observer *quarantine.Observer
 	// findings holds what is told to all routers.
 	findings quarantine.Findings
+	// crashWriter stores crashes for processes that start when all have ended.
+	crashWriter *findingstore.Writer
 	// newsChanged is broadcast when there are newer findings or limits than announced.
 	newsChanged *signal
 	announced   uint64
@@ -72,6 +75,7 @@
 // New returns a Sidecar, which is idle until Run.
 func New(o Options) *Sidecar {
 	o = o.withDefaults()
+	crashes := findingstore.NewWriter(o.Store, func(err error) { o.Logger.WithError(err).Warn("finding not stored") })
 	return &Sidecar{
 		o: o, readNow: make(chan struct{}, 1),
 		scheduler: residency.New(residency.Options{}),
@@ -81,6 +85,7 @@
 
 		allotments:  newAllotments(o.Now()),
 		newsChanged: newSignal(),
+		crashWriter: crashes,
 	}
 }
 
@@ -107,6 +112,7 @@
 	g.Go(func() error { s.readEngine(ctx); return nil })
 	g.Go(func() error { s.ownEngine(ctx); return nil })
 	g.Go(func() error { s.publish(ctx); return nil })
+	g.Go(func() error { s.crashWriter.Run(ctx); return nil })
 	admin.ServeMetrics(ctx, g, s.o.Settings.AdminListen, s.o.MetricsHandler, s.o.Logger)
 	err = g.Wait()
 	_ = listener.Close()
