ingress: an error does not get into a stream that has begun

Callers whose stream had broken off found the text of another server's error in it, and a complete end: four events, the text of a sealed 404, and the last chunk. A 204 ended the stream as complete after four of ten events, a long 500 went into it without end.

The attempt that continues a stream relayed every response but 200 as if nothing had been sent. Such a response is now a failed attempt: another server may continue, or the stream is cut off. A 200 without events is still a complete end: the server states that nothing follows the last event, as when the stream broke off right after it.

--- a/e2e/hosted/streams_test.go
+++ b/e2e/hosted/streams_test.go
@@ -35,3 +35,40 @@
 		return upstreams[0].InFlight()+upstreams[1].InFlight() == 0
 	})
 }
+
+// A stream has begun and breaks off; the server that is asked to continue it answers with
+// something else. Its text must not get into the caller's stream, nor complete it.
+func TestErrorDoesNotGetIntoAStreamThatHasBegun(t *testing.T) {
+	t.Parallel()
+	const text = "no such thing"
+	sealed := func(status, rest string) string {
+		return "HTTP/1.1 " + status + "\r\nX-Request-Id: {id}\r\nX-Server-Seal: s\r\n" + rest
+	}
+	for name, b := range map[string]platformtest.Behavior{
+		"404 with a length":       {Raw: sealed("404 Not Found", "Content-Length: 13\r\n\r\n"+text)},
+		"404 without a length":    {Raw: sealed("404 Not Found", "\r\n"+text)},
+		"204":                     {Raw: sealed("204 No Content", "\r\n")},
+		"206 of an event stream":  {Raw: sealed("206 Partial Content", "Content-Type: text/event-stream\r\n\r\nid: 5\ndata: "+text+"\n\n")},
+		"short 500":               {Raw: sealed("500 Internal Server Error", "Content-Length: 13\r\n\r\n"+text)},
+		"500 longer than buffers": {Raw: sealed("500 Internal Server Error", "\r\n"), RawRepeat: strings.Repeat(text, 1000)},
+		"503":                     {Raw: sealed("503 Service Unavailable", "Content-Length: 13\r\n\r\n"+text)},
+		"200 that is no stream":   {Raw: sealed("200 OK", "Content-Type: text/plain\r\nContent-Length: 13\r\n\r\n"+text)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{Events: 10})
+			for _, u := range upstreams {
+				u.SetBehavior(func(_ int, r *http.Request) platformtest.Behavior {
+					if r.Header.Get("Last-Event-Id") != "" {
+						return b
+					}
+					return platformtest.Behavior{TruncateAfter: 4}
+				})
+			}
+			r := in.call(platformtest.Call{ID: "s", Path: "/outlook/a", Body: "x"})
+			if r.Status != http.StatusOK || r.Complete || strings.Contains(r.Body, text) || !strings.Contains(r.Body, "4 of s") {
+				t.Errorf("status %d, complete %v, %d bytes: %.300q", r.Status, r.Complete, len(r.Body), r.Body)
+			}
+		})
+	}
+}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -95,6 +95,9 @@
 	if d.route.Kind == serving.Streaming && response.Status == http.StatusOK {
 		return d.relayStream(ctx, response, begun)
 	}
+	if d.stream.begun {
+		return result{kind: outcomeFailedResponse, err: &NotContinuedError{Status: response.Status}}
+	}
 	return d.relayWhole(ctx, response, begun)
 }
 
