ingress: events do not follow inside an error that breaks off

A caller that resumed a stream and got a long error which broke off found the events of another server in its body. A response that is too long to be buffered counted as a stream that has begun, which another server may continue, since the caller had named a last event.

TestStreamDoesNotFollowInsideAnError: 142 bytes of events followed in the body of the 404, in two tries; one try now, and the response is cut off.

--- a/e2e/hosted/streams_test.go
+++ b/e2e/hosted/streams_test.go
@@ -1,8 +1,10 @@
 package hosted
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,3 +74,32 @@
 		})
 	}
 }
+
+// A caller resumes a stream and gets a long error that breaks off. Another server's events must
+// not follow in it.
+func TestStreamDoesNotFollowInsideAnError(t *testing.T) {
+	t.Parallel()
+	in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{Events: 10})
+	var tries atomic.Int32
+	for _, u := range upstreams {
+		u.SetBehavior(func(_ int, r *http.Request) platformtest.Behavior {
+			if r.Header.Get("X-Request-Id") == "first" {
+				return platformtest.Behavior{TruncateAfter: 3, Decline: r.Header.Get("Last-Event-Id") != ""}
+			}
+			if tries.Add(1) > 1 || strings.HasPrefix(r.Header.Get("X-Request-Id"), "read-") {
+				return platformtest.Behavior{}
+			}
+			return platformtest.Behavior{Raw: "HTTP/1.1 404 Not Found\r\nX-Request-Id: {id}\r\nX-Server-Seal: s\r\nContent-Length: 400000\r\n\r\n" + strings.Repeat("a", 300000)}
+		})
+	}
+	in.call(platformtest.Call{ID: "first", Path: "/outlook/a", Body: "x"})
+	// The budget of retries grows with the requests.
+	for i := range 20 {
+		in.call(platformtest.Call{ID: fmt.Sprint("read-", i), Path: "/read/a", Method: http.MethodGet})
+	}
+	tries.Store(0)
+	r := in.call(platformtest.Call{ID: "s", Path: "/outlook/a", Body: "x", Header: http.Header{"Last-Event-Id": {"3"}, "Resumes": {"first"}}})
+	if r.Status != http.StatusNotFound || r.Complete || strings.Contains(r.Body, "of s") || tries.Load() != 1 {
+		t.Errorf("status %d, complete %v, %d tries, %d bytes, ends with %q", r.Status, r.Complete, tries.Load(), len(r.Body), r.Body[max(0, len(r.Body)-100):])
+	}
+}
--- a/ingress/relay_whole.go
+++ b/ingress/relay_whole.go
@@ -65,7 +65,8 @@
 		d.w.Header().Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	d.w.WriteHeader(response.Status)
-	d.stream.begun = true
+	// No other upstream can continue it, also if the caller has resumed a stream.
+	d.stream.begun, d.stream.lastID = true, ""
 	d.conn.hold(copyBufferBytes)
 	if _, err := d.w.Write(head); err != nil {
 		return result{kind: outcomeCallerGone, err: err}
