upstreamhttp: a response without an id is not taken for the next request's

Callers could be told that a request has not run which a server was running, and it could run a second time: a faulty server wrote an earlier refusal once more on a kept connection, without an id. Such a response was taken for the current request's on any connection.

It is now taken only for the first response on a connection that has had no other request. Elsewhere the connection is closed and the request counts as one that may have run. Refusals with an id were skipped before.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -151,9 +151,14 @@
 	return &upstreamhttp.Request{
 		Method: d.r.Method, Target: d.r.RequestURI, Host: d.r.Host, Header: h, Body: d.body,
 		HasBody: d.r.ContentLength != 0 || len(d.r.TransferEncoding) > 0,
-		Matches: func(h http.Header) bool {
-			id := d.s.o.Protocol.ReadResponse(0, h).RequestID
-			return id == "" || id == d.info.ID
+		Matches: func(h http.Header) upstreamhttp.Match {
+			switch d.s.o.Protocol.ReadResponse(0, h).RequestID {
+			case d.info.ID:
+				return upstreamhttp.MatchOwn
+			case "":
+				return upstreamhttp.MatchUnknown
+			}
+			return upstreamhttp.MatchOther
 		},
 	}
 }
--- a/upstreamhttp/client_test.go
+++ b/upstreamhttp/client_test.go
@@ -53,17 +53,30 @@
 }
 
 func send(t *testing.T, c *Client, address, id string) (string, error) {
+	t.Helper()
+	return sendBody(t, c, address, id, "")
+}
+
+func sendBody(t *testing.T, c *Client, address, id, body string) (string, error) {
 	t.Helper()
 	resp, err := c.Send(t.Context(), address, &Request{
-		Method: http.MethodGet, Target: "/a", Host: "h", Header: http.Header{"X-Id": {id}},
-		Matches: func(h http.Header) bool { return h.Get("X-Id") == id },
+		Method: http.MethodGet, Target: "/a", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte(body),
+		Matches: func(h http.Header) Match {
+			switch h.Get("X-Id") {
+			case id:
+				return MatchOwn
+			case "":
+				return MatchUnknown
+			}
+			return MatchOther
+		},
 	})
 	if err != nil {
 		return "", err
 	}
 	defer resp.Close()
-	body, err := io.ReadAll(resp)
-	return string(body), err
+	text, err := io.ReadAll(resp)
+	return string(text), err
 }
 
 func TestConnectionIsReused(t *testing.T) {
@@ -140,6 +153,71 @@
 	}
 }
 
+// A faulty upstream writes an earlier refusal once more while it runs the next request, with its id
+// or without one. It must not be taken for the answer to that request: the caller would be told that
+// it has not run.
+func TestRepeatedRefusalIsNotTakenForTheNextResponse(t *testing.T) {
+	refusal := func(id string) string { return "HTTP/1.1 503 Full\r\n" + id + "Content-Length: 0\r\n\r\n" }
+	own, none := "X-Id: a\r\n", ""
+	for name, tt := range map[string]struct {
+		copies []string
+		body   int
+		want   string
+	}{
+		"with its id":              {copies: []string{own}, want: "right-b"},
+		"twice":                    {copies: []string{own, own}, want: "right-b"},
+		"without an id":            {copies: []string{none}},
+		"after one with its id":    {copies: []string{own, none}},
+		"amid a long body":         {copies: []string{own}, body: 8 << 20, want: "right-b"},
+		"amid a long body, no id":  {copies: []string{none}, body: 8 << 20},
+		"more often than is borne": {copies: []string{own, own, own}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := upstream(t, func(_ int, c net.Conn, in *bufio.Reader) {
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					id := r.Header.Get("X-Id")
+					if id == "a" {
+						fmt.Fprint(c, refusal(own))
+						continue
+					}
+					for _, copied := range tt.copies {
+						fmt.Fprint(c, refusal(copied))
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					respond(c, id, "right-"+id, "")
+				}
+			})
+			c := New(Options{})
+			if _, err := send(t, c, address, "a"); err != nil {
+				t.Fatal(err)
+			}
+			if c.Idle(address) != 1 {
+				t.Fatal("the connection is not kept")
+			}
+			got, err := sendBody(t, c, address, "b", strings.Repeat("x", tt.body))
+			var unmatched *UnmatchedResponseError
+			if got != tt.want || (tt.want == "") != errors.As(err, &unmatched) {
+				t.Errorf("got %q %v", got, err)
+			}
+		})
+	}
+}
+
+// On a new connection nothing else can have been answered.
+func TestResponseWithoutIDIsTakenOnANewConnection(t *testing.T) {
+	address := upstream(t, func(_ int, c net.Conn, in *bufio.Reader) {
+		readRequest(in)
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+	})
+	if got, err := send(t, New(Options{}), address, "a"); err != nil || got != "x" {
+		t.Errorf("got %q %v", got, err)
+	}
+}
+
 // A late response without a length extends to the end of the connection. What follows
 // can't be distinguished from its body, so the request must fail instead of waiting.
 func TestLateResponseWithoutLengthFailsRequest(t *testing.T) {
--- a/upstreamhttp/exchange.go
+++ b/upstreamhttp/exchange.go
@@ -37,16 +37,23 @@
 	if err := x.send(); err != nil {
 		return nil, x.fail(StageRequest, err)
 	}
-	for range maxUnmatched + 1 {
+	first := !x.conn.used
+	x.conn.used = true
+	for n := range maxUnmatched + 1 {
 		resp, err := x.header()
 		if err != nil {
 			return nil, x.fail(StageHeader, err)
 		}
-		if x.request.Matches == nil || x.request.Matches(resp.Header) {
+		match := MatchOwn
+		if x.request.Matches != nil {
+			match = x.request.Matches(resp.Header)
+		}
+		if match == MatchOwn || match == MatchUnknown && first && n == 0 {
 			return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, resp: resp, x: x}, nil
 		}
-		if resp.Close || !x.skip(resp.Body) {
-			return nil, x.fail(StageHeader, &UnmatchedResponseError{Responses: 1})
+		// Nothing tells whether the request's own response follows.
+		if match == MatchUnknown || resp.Close || !x.skip(resp.Body) {
+			return nil, x.fail(StageHeader, &UnmatchedResponseError{Responses: n + 1})
 		}
 	}
 	return nil, x.fail(StageHeader, &UnmatchedResponseError{Responses: maxUnmatched + 1})
--- a/upstreamhttp/request.go
+++ b/upstreamhttp/request.go
@@ -16,9 +16,9 @@
 	Body   []byte
 	// HasBody distinguishes an empty body from no body.
 	HasBody bool
-	// Matches reports whether a response with this header belongs to the request. If it
-	// is nil, all do.
-	Matches func(http.Header) bool
+	// Matches tells whether a response with this header belongs to the request. If it is nil,
+	// all do.
+	Matches func(http.Header) Match
 }
 
 // writeHead writes the request line and the header to b.
