ingress: a server's failure does not show that a request is sound

Under a faulty server, all that speaks against a request which crashes the others would be forgotten with each of its failures, at all routers: a complete answer counted as sound whatever its status.

A 5xx shows nothing now. Sidecars have never taken one for a complete answer.

--- a/ingress/suspicion.go
+++ b/ingress/suspicion.go
@@ -25,10 +25,10 @@
 }
 
 // observeAnswer takes what an answer shows about the traits of the request, once for each
-// attempt, and tells other routers of traits that they may suspect.
+// attempt, and tells other routers of traits that they may suspect. A failure of the server shows
+// nothing: a faulty one fails before it runs a request as well as after.
 func (d *delivery) observeAnswer(res result, begun time.Time) {
-	complete := res.kind == outcomeDelivered || res.kind == outcomeFailedResponse
-	ending := quarantine.Ending{Complete: complete, Streamed: res.streamed}
+	ending := quarantine.Ending{Complete: res.kind == outcomeDelivered, Streamed: res.streamed}
 	if d.soundObserved || !ending.Sound() {
 		return
 	}
