ingress: crashes under reservations of a sidecar that restarted are noticed

A sidecar that restarts knows none of the requests that run at its engine. If the engine ends under one, its report of the crash has no traits, and routers left the look at the engine to the sidecar. Found by reading.

A router checks an engine after any broken connection while sidecars may be restarting, as it does for requests that are suspected. TestCrashUnderAReservationOfARestartedSidecarIsNoticed fails without it.

--- a/ingress/suspicion.go
+++ b/ingress/suspicion.go
@@ -42,14 +42,15 @@
 
 // observeLostConnection takes the end of an attempt. If its connection broke, the server may
 // have crashed. A sidecar notices that by itself if the request had a reservation; it
-// takes longer, so that suspected requests are looked into here too.
+// takes longer, so that suspected requests are looked into here too, and one that has restarted
+// knows of none of the requests that were running before.
 func (d *delivery) observeLostConnection(res result, reserved bool) {
 	d.s.observeAttemptError(res.err)
 	var lost *upstreamhttp.ConnectionError
 	if d.soundObserved || d.s.forceStop.Err() != nil || res.kind != outcomeBroken || !errors.As(res.err, &lost) {
 		return
 	}
-	if reserved && !d.s.suspected(d.traits) {
+	if reserved && !d.s.suspected(d.traits) && !d.s.sidecarsUncertain() {
 		return
 	}
 	d.s.checkServer(d.choice.VM, d.traits)
--- a/ingress/suspicion_test.go
+++ b/ingress/suspicion_test.go
@@ -1,13 +1,20 @@
 package ingress
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/placement"
 	"github.com/laureltally/laureltally/quarantine"
+	"github.com/laureltally/laureltally/transport"
+	"github.com/laureltally/laureltally/upstreamhttp"
+	"github.com/laureltally/laureltally/wire"
 )
 
 // A server that fails each second request fails the one that crashes the others too, and what
@@ -36,3 +43,39 @@
 		}
 	}
 }
+
+// The sidecar of an engine has restarted, and the engine ends under a request that ran before.
+func TestCrashUnderAReservationOfARestartedSidecarIsNoticed(t *testing.T) {
+	s, _ := newTellingServer(t, func(_ context.Context, _ wire.Hello, _ wire.Message, stream *transport.Stream) { _ = stream.CloseSend() })
+	ended, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	vm := &fleet.VM{ID: "i-1", Service: "models", Address: ended.Addr().String(), Zone: "z", Region: "r", Concurrency: 1, Started: 1}
+	_ = ended.Close()
+	if err := s.applyVMs(t.Context(), s.epoch, fleet.Listing{VMs: []fleet.VM{*vm}}); err != nil {
+		t.Fatal(err)
+	}
+	crashed := func() bool {
+		s.quarantine.mu.Lock()
+		defer s.quarantine.mu.Unlock()
+		return s.quarantine.detector.Knows(vm.ServerStart())
+	}
+	for _, restarted := range []bool{false, true} {
+		s.sharedFindings.gapUntil.Store(0)
+		if restarted {
+			s.observeSidecarLost()
+		}
+		d := &delivery{s: s, traits: []ident.Trait{ident.TraitOfRequest(9)}, choice: placement.Choice{VM: vm}}
+		d.observeLostConnection(result{kind: outcomeBroken, err: &upstreamhttp.ConnectionError{Err: io.ErrUnexpectedEOF}}, true)
+		for end := time.Now().Add(5 * time.Second); restarted && !crashed() && time.Now().Before(end); {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if !restarted {
+			time.Sleep(5 * crashCheckDelay)
+		}
+		if crashed() != restarted {
+			t.Errorf("sidecar restarted %v, crash noticed %v", restarted, crashed())
+		}
+	}
+}
