--- a/ingress/suspicion_test.go
+++ b/ingress/suspicion_test.go
@@ -46,7 +46,9 @@
 
 // The sidecar of an engine has restarted, and the engine ends under a request that ran before.
 func TestCrashUnderAReservationOfARestartedSidecarIsNoticed(t *testing.T) {
-	s, _ := newTellingServer(t, func(_ context.Context, _ wire.Hello, _ wire.Message, stream *transport.Stream) { _ = stream.CloseSend() })
+	s, _ := newTellingServer(t, func(_ context.Context, _ wire.Hello, _ wire.Message, stream *transport.Stream) {
+		_ = stream.CloseSend()
+	})
 	ended, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
