--- a/ingress/server.go
+++ b/ingress/server.go
@@ -105,7 +105,6 @@
 	s.quarantine.detector = quarantine.NewDetector(s.epoch, quarantine.Options{Stagger: quarantine.StaggerOf(o.Settings.VM)})
 	s.quarantine.readOnce = make(chan struct{})
 	s.sharedFindings.writer = newFindingWriter(s)
-	s.observeSidecarLost()
 	s.forceStop, s.cancelForceStop = context.WithCancel(context.Background())
 	handler := transport.HandlerFunc(newPermitServer(s).handle)
 	s.nearPool = transport.NewPool(s.transportOptions(handler))
--- a/ingress/tell_test.go
+++ b/ingress/tell_test.go
@@ -50,7 +50,6 @@
 // News that are written to the connection of a sidecar which has ended reach nobody.
 func TestNewsThatNoSidecarConfirmsAreStored(t *testing.T) {
 	s, store := newTellingServer(t, func(ctx context.Context, _ wire.Hello, _ wire.Message, _ *transport.Stream) { <-ctx.Done() })
-	s.sharedFindings.gapUntil.Store(0)
 	s.tellOrShare("key", testCrash)
 	if n := storedCrashes(t, store, recordTimeout+5*time.Second); n != 1 {
 		t.Errorf("%d crashes are stored", n)
@@ -65,7 +64,6 @@
 	s, store := newTellingServer(t, func(_ context.Context, _ wire.Hello, _ wire.Message, stream *transport.Stream) {
 		_ = stream.CloseSend()
 	})
-	s.sharedFindings.gapUntil.Store(0)
 	s.tellOrShare("key", testCrash)
 	if n := storedCrashes(t, store, recordTimeout+time.Second); n != 0 {
 		t.Errorf("%d crashes are stored", n)
