--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -47,8 +47,14 @@
 
 // tellSound tells the homes of traits that they are sound.
 func (s *Server) tellSound(sound []quarantine.Sound) {
+	byHome := make(map[*transport.Conn][]quarantine.Sound)
 	for _, p := range sound {
-		s.tell(s.newsHomes(p.Trait.String(), 1), quarantine.News{Sound: []quarantine.Sound{p}})
+		for _, c := range s.newsHomes(p.Trait.String(), 1) {
+			byHome[c] = append(byHome[c], p)
+		}
+	}
+	for c, known := range byHome {
+		s.tell([]*transport.Conn{c}, quarantine.News{Sound: known})
 	}
 }
 
--- a/quarantine/request_suspicion.go
+++ b/quarantine/request_suspicion.go
@@ -11,8 +11,8 @@
 	// minMoments is the number of separate moments at which crashes under a request prove
 	// more than a loss of power.
 	minMoments = 2
-	// maxQueued bounds how many other requests one waits for until it is let through again.
-	maxQueued = 7
+	// maxCompanions bounds how many other suspects one waits for until it is let through again.
+	maxCompanions = 7
 )
 
 // requestSuspicion is how much speaks against a request.
@@ -57,11 +57,10 @@
 			Trait: t, At: s.newestAt,
 			Evidence: Evidence{Crashes: len(s.crashes), Spaced: s.spaced, Shared: shared},
 		}
-		switch {
-		case d.proven(t, s) && !shared:
+		if d.proven(t, s) && !shared {
 			h.Until = s.newestAt.Add(d.opts.HoldTime)
-		default:
-			h.Until = s.newestAt.Add(d.opts.TentativeTime + time.Duration(min(before, maxQueued))*(d.opts.TentativeTime+maxStagger))
+		} else {
+			h.Until = s.newestAt.Add(d.opts.TentativeTime + time.Duration(min(before, maxCompanions))*(d.opts.TentativeTime+maxStagger))
 		}
 		out = append(out, h)
 	}
--- a/wire/crash_findings.go
+++ b/wire/crash_findings.go
@@ -8,8 +8,8 @@
 
 // CrashFindings tells what was found about requests that crash servers. A sidecar
 // sends it to routers among its reports, if their Subscribe asks for it; a router sends it
-// to a sidecar, which passes it on to all routers. There is no reply. Times are ages, since
-// clocks differ.
+// to a sidecar, which closes the stream once it has taken it, and passes it on to all routers. Times
+// are ages, since clocks differ.
 type CrashFindings struct {
 	Crashes     []ServerCrash      `cbor:"1,keyasint,omitempty"`
 	Sound       []SoundTrait       `cbor:"2,keyasint,omitempty"`
