--- a/ingress/shared_findings.go
+++ b/ingress/shared_findings.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/internal/wait"
 	"github.com/laureltally/laureltally/quarantine"
 	"github.com/laureltally/laureltally/quarantine/findingstore"
@@ -77,19 +76,3 @@
 		}
 	}
 }
-
-// storedCrashes returns what this router may conclude from stored crashes. What was sound is not
-// stored, so that those from before its start say nothing about prompt parts. The clock of the
-// process that wrote them may be ahead.
-func (s *Server) storedCrashes(now time.Time, crashes []quarantine.Crash) []quarantine.Crash {
-	for i := range crashes {
-		c := &crashes[i]
-		if c.At.After(now) {
-			c.At = now
-		}
-		if c.At.Before(s.epoch) {
-			_, c.Traits = ident.SplitTraits(c.Traits)
-		}
-	}
-	return crashes
-}
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/ident"
 )
 
@@ -13,10 +12,6 @@
 	maxCrashes = 256
 	// maxHolds bounds the quarantined traits.
 	maxHolds = 256
-	// learnTime is how long a Detector that has learned of a crash from before its start waits
-	// for what speaks for the traits of such crashes: sidecars tell of both, but not the same
-	// ones. Links to all of them are made within half a second.
-	learnTime = time.Second
 )
 
 // Detector decides at one router which traits are quarantined.
@@ -62,38 +57,6 @@
 	return d.evaluate(now)
 }
 
-// Counts reports whether a crash may speak against its traits. Of those from before the start
-// only the crashes count of which it is known too what was sound after them.
-func (d *Detector) Counts(now time.Time, c Crash) bool {
-	memory := d.opts.Memory
-	if c.At.Before(d.since) {
-		memory = min(memory, NewsTTL)
-	}
-	return now.Sub(c.At) <= memory && len(c.Traits) > 0
-}
-
-// DecideAt returns when Decide is due, since crashes from before the start begin to count
-// then, or the zero time.
-func (d *Detector) DecideAt() time.Time { return d.decideAt }
-
-// Decide returns the quarantines that follow from all crashes known.
-func (d *Detector) Decide(now time.Time) []Hold {
-	d.forget(now)
-	return d.evaluate(now)
-}
-
-// counted returns the crashes that decisions may rest on now.
-func (d *Detector) counted(now time.Time) []Crash {
-	if !now.Before(d.decideAt) {
-		return d.crashes
-	}
-	i := slices.IndexFunc(d.crashes, func(c Crash) bool { return !c.At.Before(d.since) })
-	if i < 0 {
-		return nil
-	}
-	return d.crashes[i:]
-}
-
 func (d *Detector) insert(c Crash) {
 	if len(d.crashes) >= maxCrashes {
 		d.crashes = slices.Delete(d.crashes, 0, 1)
@@ -158,21 +121,6 @@
 	return Hold{}, 0
 }
 
-// undecided reports whether a request will be quarantined once the crashes from before the
-// start count, unless something speaks for it until then.
-func (d *Detector) undecided(t ident.Trait) bool {
-	if !t.OfRequest() {
-		return false
-	}
-	against := 0
-	for i := range d.crashes {
-		if d.speaksAgainst(&d.crashes[i], t) {
-			against++
-		}
-	}
-	return against >= d.needed(t)
-}
-
 // Holds returns the quarantines in force.
 func (d *Detector) Holds(now time.Time) []Hold {
 	d.forget(now)
@@ -200,35 +148,6 @@
 	return out
 }
 
-// Knows reports whether a crash of a server is known.
-func (d *Detector) Knows(s fleet.ServerStart) bool {
-	return slices.ContainsFunc(d.crashes, func(k Crash) bool { return k.Server == s })
-}
-
-// Recent returns the crashes of some servers that a process which starts may count, without the
-// traits that were sound since.
-func (d *Detector) Recent(now time.Time, servers []fleet.ServerStart) []Crash {
-	var out []Crash
-	for _, c := range d.crashes {
-		if now.Sub(c.At) <= NewsTTL && slices.Contains(servers, c.Server) && len(c.Traits) > 0 {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
-// SoundSince returns the traits of a crash that this router knows to be sound since then. Others
-// may not: the answers were no news before the crash was known.
-func (d *Detector) SoundSince(c Crash) []Sound {
-	var out []Sound
-	for _, t := range c.Traits {
-		if at := d.soundAt(t); at.After(c.At) {
-			out = append(out, Sound{Trait: t, BegunAt: at})
-		}
-	}
-	return out
-}
-
 // contradicts reports whether a sound answer contradicts something that speaks against its
 // trait.
 func (d *Detector) contradicts(now time.Time, s Sound) bool {
--- a/quarantine/repeat_simulation_test.go
+++ b/quarantine/repeat_simulation_test.go
@@ -257,6 +257,22 @@
 	return n
 }
 
+// checkLate checks that hardly any try of the crashing request was sent late.
+func (f *repeatSimulation) checkLate(t *testing.T, played any, seed uint64) {
+	t.Helper()
+	if late := f.late(); late > 3 {
+		t.Errorf("%+v, seed %d: sent late %d times, %d crashes under it", played, seed, late, len(f.crashesAt))
+	}
+}
+
+// checkPopular checks that the popular request was hardly held back.
+func (f *repeatSimulation) checkPopular(t *testing.T, played any, seed uint64) {
+	t.Helper()
+	if f.refused*20 > f.sent {
+		t.Errorf("%+v, seed %d: the popular request was held back %d times of %d", played, seed, f.refused, f.sent)
+	}
+}
+
 // Rule BUDGET: whatever the number of routers and servers and the pace of repeats, hardly any
 // of them is sent late, and a popular request is hardly held back.
 func TestFleetLearnsTheCrashingRequest(t *testing.T) {
@@ -270,12 +286,8 @@
 		for seed := range uint64(8) {
 			f := newRepeatSimulation(seed, tt.routers, tt.servers)
 			f.run(tt.perSecond, tt.repeats, tt.otherwise)
-			if late := f.late(); late > 3 {
-				t.Errorf("%+v, seed %d: sent late %d times, %d crashes under it", tt, seed, late, len(f.crashesAt))
-			}
-			if f.refused*20 > f.sent {
-				t.Errorf("%+v, seed %d: the popular request was held back %d times of %d", tt, seed, f.refused, f.sent)
-			}
+			f.checkLate(t, tt, seed)
+			f.checkPopular(t, tt, seed)
 		}
 	}
 }
@@ -289,9 +301,7 @@
 		for seed := range uint64(8) {
 			f := newRepeatSimulation(seed, tt.routers, tt.servers)
 			f.run(tt.perSecond, 0, tt.otherwise)
-			if f.refused*20 > f.sent {
-				t.Errorf("%+v, seed %d: the popular request was held back %d times of %d", tt, seed, f.refused, f.sent)
-			}
+			f.checkPopular(t, tt, seed)
 		}
 	}
 }
@@ -311,12 +321,8 @@
 			f := newRepeatSimulation(seed, tt.routers, tt.servers)
 			f.restarts = tt.restarts
 			f.run(tt.perSecond, tt.repeats, tt.otherwise)
-			if late := f.late(); late > 3 {
-				t.Errorf("%+v, seed %d: sent late %d times, %d crashes under it", tt, seed, late, len(f.crashesAt))
-			}
-			if f.refused*20 > f.sent {
-				t.Errorf("%+v, seed %d: the popular request was held back %d times of %d", tt, seed, f.refused, f.sent)
-			}
+			f.checkLate(t, tt, seed)
+			f.checkPopular(t, tt, seed)
 		}
 	}
 }
@@ -327,9 +333,7 @@
 		f := newRepeatSimulation(seed, 10, 3)
 		f.restarts = 5 * time.Second
 		f.run(60, 0, 0.5)
-		if f.refused*20 > f.sent {
-			t.Errorf("seed %d: the popular request was held back %d times of %d", seed, f.refused, f.sent)
-		}
+		f.checkPopular(t, f.restarts, seed)
 	}
 }
 
@@ -344,9 +348,7 @@
 			f := newRepeatSimulation(seed, tt.routers, tt.servers)
 			f.soundBefore = true
 			f.run(tt.perSecond, tt.repeats, tt.otherwise)
-			if late := f.late(); late > 3 {
-				t.Errorf("%+v, seed %d: sent late %d times, %d crashes under it", tt, seed, late, len(f.crashesAt))
-			}
+			f.checkLate(t, tt, seed)
 			if len(f.crashesAt) > 3+3 {
 				t.Errorf("%+v, seed %d: %d crashes under it", tt, seed, len(f.crashesAt))
 			}
