--- a/quarantine/repeat_simulation_test.go
+++ b/quarantine/repeat_simulation_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,7 +95,8 @@
 	for _, run := range s.runs {
 		lost[run.router] = append(lost[run.router], run.parts...)
 	}
-	for router, traits := range lost {
+	for _, router := range slices.Sorted(maps.Keys(lost)) {
+		traits := lost[router]
 		f.tell(now, router, News{Crashes: []Crash{{Server: fleet.ServerStart{Address: s.address, Started: s.started}, At: now, Traits: traits}}})
 	}
 	s.runs, s.downUntil = nil, now.Add(serverDowntime)
--- a/quarantine/request_suspicion.go
+++ b/quarantine/request_suspicion.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -51,7 +52,8 @@
 		}
 	}
 	var out []Hold
-	for t, s := range suspects {
+	for _, t := range slices.Sorted(maps.Keys(suspects)) {
+		s := suspects[t]
 		before, shared := d.companions(now, suspects, t, s)
 		h := Hold{
 			Trait: t, At: s.newestAt,
