--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -28,10 +28,9 @@
 		}
 		conns = append(conns, homes...)
 	}
-	if s.sidecarsUncertain() {
+	uncertain := s.sidecarsUncertain()
+	if uncertain {
 		s.shareFindings(n)
-		s.tell(conns, n)
-		return
 	}
 	m := n.Encode(s.o.Now())
 	go func() {
@@ -39,7 +38,7 @@
 		for _, c := range conns {
 			sends.Go(func() error { return s.sendConfirmed(c, m) })
 		}
-		if sends.Wait() != nil {
+		if sends.Wait() != nil && !uncertain {
 			s.shareFindings(n)
 		}
 	}()
@@ -54,13 +53,7 @@
 		}
 	}
 	for c, known := range byHome {
-		s.tell([]*transport.Conn{c}, quarantine.News{Sound: known})
-	}
-}
-
-// tell tells sidecars what this process has found.
-func (s *Server) tell(conns []*transport.Conn, n quarantine.News) {
-	for _, c := range conns {
+		n := quarantine.News{Sound: known}
 		s.send(c, n.Encode(s.o.Now()))
 	}
 }
