--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 const objectsPath = "/laureltally/objects/"
@@ -48,7 +49,9 @@
 	Address string
 	// TurnsAway is set while the store answers all calls at this address with status 503.
 	TurnsAway atomic.Bool
-	server    *http.Server
+	// lists counts the reads of the list of servers at this address.
+	lists  atomic.Int64
+	server *http.Server
 }
 
 // Open serves the store at a free port.
@@ -63,12 +66,23 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if r.Method == http.MethodGet && r.URL.Path == objectsPath+"servers" {
+			d.lists.Add(1)
+		}
 		s.serve(w, r)
 	})}
 	go func() { _ = d.server.Serve(ln) }()
 	return d, nil
 }
 
+// AwaitList waits for the next read of the list of servers, but not for long.
+func (d *Door) AwaitList() {
+	n := d.lists.Load()
+	for end := time.Now().Add(3 * time.Second); d.lists.Load() == n && time.Now().Before(end); {
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
 // Close ends the service at this address.
 func (d *Door) Close() { _ = d.server.Close() }
 
