--- a/review/standin/case.go
+++ b/review/standin/case.go
@@ -40,13 +40,14 @@
 	atEnd     []func()
 }
 
-// NewCase begins a run. Folder is the case's folder, in which record.txt is written.
-func NewCase(folder string) (*Case, error) {
-	folder, err := filepath.Abs(folder)
+// NewCase begins a run. Path is that of the record, record.txt in the case's folder.
+func NewCase(path string) (*Case, error) {
+	path, err := filepath.Abs(path)
 	if err != nil {
 		return nil, err
 	}
-	record, err := os.Create(filepath.Join(folder, "record.txt"))
+	folder := filepath.Dir(path)
+	record, err := os.Create(path)
 	if err != nil {
 		return nil, err
 	}
