ingress, upstreamhttp: the log says how a stream was framed and what of it was sent

The log lines of a request could not tell an end that the server marked from one that only the connection made, nor name the software version, the last event or events that were dropped. 'request ended' has them now, also for streams that were broken off. No decision changes.

--- a/ingress/final_response.go
+++ b/ingress/final_response.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"maps"
 	"net/http"
 	"time"
 
@@ -103,9 +104,8 @@
 		f["vm"], f["readiness"], f["report_ms"] = d.choice.VM.ID, d.choice.Readiness, ms(d.choice.ReportAge)
 		f["expected_ms"], f["waited_ms"] = ms(d.choice.Wait), ms(d.waited)
 	}
-	for k, v := range more {
-		f[k] = v
-	}
+	maps.Copy(f, d.stream.fields(d.requirements.Software))
+	maps.Copy(f, more)
 	d.s.o.Logger.WithFields(f).Info("request ended")
 }
 
--- a/ingress/relay_stream.go
+++ b/ingress/relay_stream.go
@@ -17,6 +17,7 @@
 // attempt.
 func (d *delivery) relayStream(ctx context.Context, response *upstreamhttp.Response, begun time.Time) result {
 	events := newEventReader(response)
+	d.stream.framing = response.Framing
 	res := result{kind: outcomeDelivered}
 	last := begun
 	eventBytes := freeEventBytes
@@ -40,6 +41,7 @@
 			d.observeAnswer(result{streamed: res.streamed, timeToFirstEvent: res.timeToFirstEvent}, begun)
 		}
 		if d.stream.begun && !follows(e.id, d.stream.lastID) {
+			d.stream.skipped++
 			continue
 		}
 		if !d.stream.begun && now.After(d.deadline.Add(responseSlack)) {
@@ -80,6 +82,7 @@
 	if _, err := d.w.Write(e.text); err != nil {
 		return err
 	}
+	d.stream.relayed++
 	if e.id != "" {
 		d.stream.lastID = e.id
 	}
--- a/upstreamhttp/response.go
+++ b/upstreamhttp/response.go
@@ -13,6 +13,8 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if unknown.
 	Length int64
+	// Framing is how the end of the body is marked.
+	Framing Framing
 
 	resp *http.Response
 	x    *exchange
