ingress, router: a response that is given up is never completed

Callers saw (a test, not yet known to be the users' five cases): a stream that ends early as complete, and 200 without a seal and a body, after they had closed the sending half of their connection, on which they read on.

Cause: net/http completes the response of a handler that returns. The end of the caller's sending half ends the request's context, the request is given up as that of a caller that has gone, and the handler returned. Every way out that sends no answer had to remember to abort, and those for callers that have gone did not.

Change: a delivery records that its final response has been written to its end, and ServeHTTP closes the connection within the response otherwise, whatever way led out. The own interface aborts as well.

--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -73,6 +73,9 @@
 	// answer yet.
 	bypass bool
 	stream streamState
+	// answered is set once the final response has been written to its end. Without it the
+	// connection is closed within the response.
+	answered bool
 	// choice is that of the latest attempt, and waited the time that its reservation
 	// took.
 	choice placement.Choice
--- a/ingress/final_response.go
+++ b/ingress/final_response.go
@@ -22,7 +22,7 @@
 func (d *delivery) finish(st step, status int, reason string, retryAfter time.Duration) {
 	d.log(st, status, log.Fields{"reason": reason, "retry_after_ms": ms(retryAfter)})
 	if st == stepAbort {
-		panic(http.ErrAbortHandler)
+		return
 	}
 	switch status {
 	case http.StatusServiceUnavailable:
@@ -36,6 +36,7 @@
 	d.extendWrite()
 	d.w.Header().Set("Content-Length", "0")
 	d.w.WriteHeader(status)
+	d.answered = true
 }
 
 // extendWrite allows writeSlack from now on, at least, for writing a response that is
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -36,10 +36,14 @@
 	if d.config = s.configRead.Load(); d.config != nil {
 		d.snap = d.config.snap
 	}
-	if !d.admit() {
-		return
+	if d.admit() {
+		d.run()
+	}
+	if !d.answered {
+		// net/http completes the response of a handler that returns, also for a caller that
+		// has closed only its sending half and reads on.
+		panic(http.ErrAbortHandler)
 	}
-	d.run()
 }
 
 // admit finds the route and reads the body. If that fails, it responds to the caller
@@ -104,8 +108,6 @@
 		d.refuseWhileStopping(d.s.o.Now(), t)
 	default:
 		d.log(stepNone, 0, log.Fields{"reason": "body not read", "error": err.Error()})
-		// The end of the request body is unknown, so the connection can't be reused.
-		panic(http.ErrAbortHandler)
 	}
 	return false
 }
--- a/ingress/relay_stream.go
+++ b/ingress/relay_stream.go
@@ -67,6 +67,7 @@
 		copyHeader(d.w.Header(), response.Header)
 		d.w.WriteHeader(response.Status)
 	}
+	d.answered = true
 	return res
 }
 
--- a/ingress/relay_whole.go
+++ b/ingress/relay_whole.go
@@ -55,7 +55,10 @@
 		d.w.Header().Set("Content-Length", length)
 	}
 	d.w.WriteHeader(whole.status)
+	// A failed write leaves the response short of its length, and net/http closes the
+	// connection.
 	_, _ = d.w.Write(whole.body)
+	d.answered = true
 }
 
 // relayLong relays a response that is too long to be buffered.
@@ -74,5 +77,6 @@
 	if _, err := io.Copy(d.w, response); err != nil {
 		return d.failure(ctx, err)
 	}
+	d.answered = true
 	return result{kind: outcomeDelivered, timeToFirstEvent: d.s.o.Now().Sub(begun), took: d.s.o.Now().Sub(begun)}
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -24,7 +24,9 @@
 	}
 	s.count(failure)
 	if r.Context().Err() != nil {
-		return
+		// The caller may have closed only its sending half and read on; the response of a
+		// handler that returns is complete.
+		panic(http.ErrAbortHandler)
 	}
 	started := out.Started()
 	out.Abort(failure)
