ingress: an event out of order breaks its stream, a resumed one does not go back

Callers could see a stream that is complete without one of its events, or, where they resumed one, a number that went back.

Cause: an event whose id was not above the last one was taken for a repeat and dropped, whichever server sent it and whenever, and only within one response: the first events of a resumed stream were not compared with the id that the caller has.

Change: repeats are left out until the first event that follows, also where the caller resumes; after it, an event that does not follow ends the attempt as broken.

--- a/ingress/relay_stream.go
+++ b/ingress/relay_stream.go
@@ -21,6 +21,8 @@
 	res := result{kind: outcomeDelivered}
 	last := begun
 	eventBytes := freeEventBytes
+	// relaying is set once an event of this response has been relayed.
+	relaying := false
 	for {
 		e, err := events.next()
 		now := d.s.o.Now()
@@ -40,10 +42,15 @@
 		if res.streamed >= quarantine.SoundAfter {
 			d.observeAnswer(result{streamed: res.streamed, timeToFirstEvent: res.timeToFirstEvent}, begun)
 		}
-		if d.stream.begun && !follows(e.id, d.stream.lastID) {
+		if !follows(e.id, d.stream.lastID) {
+			if relaying {
+				return result{kind: outcomeBroken, err: &EventOrderError{ID: e.id, Last: d.stream.lastID}}.withTimes(res)
+			}
+			// A server may begin earlier than it was asked to continue.
 			d.stream.skipped++
 			continue
 		}
+		relaying = true
 		if !d.stream.begun && now.After(d.deadline.Add(responseSlack)) {
 			// The process was paused: the time for writing to the connection is over, and
 			// only a final response gets more.
