ingress, upstreamhttp: no response states an end that its server did not mark

Callers could see as complete: a stream, or an order's answer, whose server was killed after a whole event or in the middle of the body; over HTTP/1.0 also what the router itself broke off, or left when it was killed.

The router passed such an answer on with a length or in chunks, which state that all of it has come.

Change: such an answer is passed on as it was stated, without a mark of its own. As only the connection then tells a caller the end, it is reset until all has been written, also if the router is killed; the same holds for callers of HTTP/1.0. A stream that was begun in chunks is not completed by an unmarked end: another server continues it, or it is cut.

--- /dev/null
+++ b/e2e/hosted/unmarked_end_test.go
@@ -0,0 +1,108 @@
+package hosted
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/laureltally/laureltally/platform/platformtest"
+)
+
+// rawCall sends a request in a version of HTTP and returns the response and its body as far as
+// it was received, with the error that ended it.
+func (in *installation) rawCall(path, proto string) (*http.Response, string, error) {
+	in.t.Helper()
+	c, err := net.Dial("tcp4", in.router)
+	if err != nil {
+		in.t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := fmt.Fprintf(c, "POST %s %s\r\nHost: %s\r\nX-Request-Id: raw\r\nContent-Length: 1\r\n\r\nx", path, proto, host); err != nil {
+		in.t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(testTimeout))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		in.t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+const (
+	rawUnmarked = rawHead + "Content-Type: text/event-stream\r\n\r\n"
+	rawChunked  = rawHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+// Rules ORDER, MIXED: guards against an answer that is passed on as known to be complete though
+// only the end of its connection marked its end: the kernel closes the connections of a server
+// that was killed in the same way.
+func TestEndThatOnlyTheConnectionMarksIsNotStatedToBeOne(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct{ path, raw string }{
+		"stream":       {"/draft/a", rawUnmarked + rawEvent},
+		"empty stream": {"/draft/a", rawUnmarked},
+		"whole answer": {"/order/a", rawHead + "\r\nthe bo"},
+		"long answer":  {"/order/a", rawHead + "\r\n" + strings.Repeat("a", 300<<10)},
+		"failure":      {"/order/a", strings.Replace(rawHead, "200 OK", "500 Failed", 1) + "\r\nno"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{})
+			for _, u := range upstreams {
+				u.SetBehavior(always(platformtest.Behavior{Raw: tc.raw}))
+			}
+			resp, body, err := in.rawCall(tc.path, "HTTP/1.1")
+			if len(resp.TransferEncoding) > 0 || resp.ContentLength >= 0 || err != nil {
+				t.Errorf("status %d, %d bytes, framed with %v, length %d, error %v", resp.StatusCode, len(body), resp.TransferEncoding, resp.ContentLength, err)
+			}
+		})
+	}
+}
+
+// Rule ORDER: guards against a response whose end only the connection can mark, as its server or
+// its caller knows nothing else, and that looks complete after the router or the server broke it off.
+func TestBreakIsAResetWhereOnlyTheConnectionMarksTheEnd(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct{ proto, raw string }{
+		"server marks no end": {"HTTP/1.1", rawUnmarked + rawEvent + "id: 3\nda"},
+		"caller of HTTP/1.0":  {"HTTP/1.0", rawChunked + fmt.Sprintf("%x\r\n%s\r\n", len(rawEvent), rawEvent)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{})
+			for _, u := range upstreams {
+				u.SetBehavior(always(platformtest.Behavior{Raw: tc.raw, RawHold: 100 * time.Millisecond}))
+			}
+			if resp, body, err := in.rawCall("/draft/a", tc.proto); !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("status %d, body %q, error %v", resp.StatusCode, body, err)
+			}
+		})
+	}
+}
+
+// Rule ORDER: guards against a stream that began in chunks and is completed by a server whose
+// answer has no marked end.
+func TestContinuationWithoutMarkedEndDoesNotCompleteAStream(t *testing.T) {
+	t.Parallel()
+	in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{Events: 10})
+	for _, u := range upstreams {
+		u.SetBehavior(func(_ int, r *http.Request) platformtest.Behavior {
+			if r.Header.Get("Last-Event-Id") != "" {
+				return platformtest.Behavior{Raw: rawUnmarked + "id: 5\ndata: 5 of s\n\n"}
+			}
+			return platformtest.Behavior{TruncateAfter: 4}
+		})
+	}
+	r := in.call(platformtest.Call{ID: "s", Path: "/outlook/a", Body: "x"})
+	if r.Complete || !strings.Contains(r.Body, "5 of s") {
+		t.Errorf("complete %v: %q", r.Complete, r.Body)
+	}
+}
--- a/ingress/connected_at.go
+++ b/ingress/connected_at.go
@@ -10,11 +10,24 @@
 // connectedAtKey is the context key of the time at which a connection was accepted.
 type connectedAtKey struct{}
 
+// callerSocketKey is the context key of the socket of a caller's connection.
+type callerSocketKey struct{}
+
+// callerSocketOf returns the socket on which a request was received, or nil.
+func callerSocketOf(ctx context.Context) *net.TCPConn {
+	c, _ := ctx.Value(callerSocketKey{}).(*net.TCPConn)
+	return c
+}
+
 // connContext is the ConnContext hook of an http.Server that records when a connection
-// was accepted, and the connection itself if its bytes are counted.
+// was accepted, its socket, and the connection itself if its bytes are counted.
 func (s *Server) connContext(ctx context.Context, c net.Conn) context.Context {
 	if counted, ok := c.(*callerConn); ok {
 		ctx = context.WithValue(ctx, callerConnKey{}, counted)
+		c = counted.tcp
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		ctx = context.WithValue(ctx, callerSocketKey{}, tcp)
 	}
 	return context.WithValue(ctx, connectedAtKey{}, s.o.Now())
 }
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -76,6 +76,8 @@
 	// answered is set once the final response has been written to its end. Without it the
 	// connection is closed within the response.
 	answered bool
+	// endsWithConnection is set if only the end of the connection marks that of the response.
+	endsWithConnection bool
 	// choice is that of the latest attempt, and waited the time that its reservation
 	// took.
 	choice placement.Choice
--- a/ingress/final_response.go
+++ b/ingress/final_response.go
@@ -36,7 +36,7 @@
 	d.extendWrite()
 	d.w.Header().Set("Content-Length", "0")
 	d.w.WriteHeader(status)
-	d.answered = true
+	d.completed()
 }
 
 // extendWrite allows writeSlack from now on, at least, for writing a response that is
--- a/ingress/relay_stream.go
+++ b/ingress/relay_stream.go
@@ -26,6 +26,10 @@
 	for {
 		e, err := events.next()
 		now := d.s.o.Now()
+		if errors.Is(err, io.EOF) && d.stream.begun && !d.endsWithConnection && response.Framing == upstreamhttp.FramingConnection {
+			// The response states that its end will be marked, and nothing shows that this is it.
+			return result{kind: outcomeBroken, err: &UnmarkedEndError{}}.withTimes(res)
+		}
 		if errors.Is(err, io.EOF) {
 			return d.streamEnded(response, res, now.Sub(begun))
 		}
@@ -71,18 +75,16 @@
 	res.took = took
 	if !d.stream.begun {
 		d.extendWrite()
-		copyHeader(d.w.Header(), response.Header)
-		d.w.WriteHeader(response.Status)
+		d.beginResponse(response.Status, response.Header, response.Framing)
 	}
-	d.answered = true
+	d.completed()
 	return res
 }
 
 // relayEvent writes and flushes one event.
 func (d *delivery) relayEvent(response *upstreamhttp.Response, e event) error {
 	if !d.stream.begun {
-		copyHeader(d.w.Header(), response.Header)
-		d.w.WriteHeader(response.Status)
+		d.beginResponse(response.Status, response.Header, response.Framing)
 		d.stream.begun = true
 		d.conn.beginStream()
 		d.streamBegun()
--- a/ingress/relay_whole.go
+++ b/ingress/relay_whole.go
@@ -33,7 +33,7 @@
 	if n == maxWholeBytes {
 		return d.relayLong(ctx, response, body.Bytes(), begun)
 	}
-	whole := &wholeResponse{status: response.Status, header: response.Header, body: body.Bytes()}
+	whole := &wholeResponse{status: response.Status, header: response.Header, framing: response.Framing, body: body.Bytes()}
 	res := result{kind: outcomeDelivered, response: whole, timeToFirstEvent: first, took: d.s.o.Now().Sub(begun)}
 	if response.Status >= http.StatusInternalServerError {
 		res.kind = outcomeFailedResponse
@@ -46,28 +46,31 @@
 func (d *delivery) sendWhole(whole *wholeResponse) {
 	d.conn.beginWhole(whole.body)
 	d.extendWrite()
-	copyHeader(d.w.Header(), whole.header)
+	// The body was received to its end, so that its length is known if the end was marked.
 	length := strconv.Itoa(len(whole.body))
-	if d.r.Method == http.MethodHead {
+	switch {
+	case d.r.Method == http.MethodHead:
 		length = whole.header.Get("Content-Length")
+	case whole.framing == upstreamhttp.FramingConnection:
+		length = ""
+	default:
+		whole.framing = upstreamhttp.FramingLength
 	}
 	if length != "" && whole.status != http.StatusNoContent && whole.status != http.StatusNotModified {
 		d.w.Header().Set("Content-Length", length)
 	}
-	d.w.WriteHeader(whole.status)
-	// A failed write leaves the response short of its length, and net/http closes the
-	// connection.
-	_, _ = d.w.Write(whole.body)
-	d.answered = true
+	d.beginResponse(whole.status, whole.header, whole.framing)
+	if _, err := d.w.Write(whole.body); err == nil {
+		d.completed()
+	}
 }
 
 // relayLong relays a response that is too long to be buffered.
 func (d *delivery) relayLong(ctx context.Context, response *upstreamhttp.Response, head []byte, begun time.Time) result {
-	copyHeader(d.w.Header(), response.Header)
 	if response.Length >= 0 {
 		d.w.Header().Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
-	d.w.WriteHeader(response.Status)
+	d.beginResponse(response.Status, response.Header, response.Framing)
 	// No other upstream can continue it, also if the caller has resumed a stream.
 	d.stream.begun, d.stream.lastID = true, ""
 	d.conn.hold(copyBufferBytes)
@@ -77,6 +80,6 @@
 	if _, err := io.Copy(d.w, response); err != nil {
 		return d.failure(ctx, err)
 	}
-	d.answered = true
+	d.completed()
 	return result{kind: outcomeDelivered, timeToFirstEvent: d.s.o.Now().Sub(begun), took: d.s.o.Now().Sub(begun)}
 }
