router, agent, wire: an upstream's unmarked end is not stated to be one

The own interface had the fault of the ingress: an upstream's answer with neither length nor chunks, which ends with its connection like that of a process that was killed, reached the caller with a length, as known to be whole.

The agent says so at the end of the response, and the router marks the end with that of the caller's connection only. Streams are left as they are: their final event shows the end.

TestUnmarkedEndIsNotStatedToBeOne fails in both cases on a copy that ends such an answer like any other (a trial), and passes here, one run each.

--- a/agent/execute.go
+++ b/agent/execute.go
@@ -14,6 +14,7 @@
 
 	"github.com/laureltally/laureltally/admission"
 	"github.com/laureltally/laureltally/response"
+	"github.com/laureltally/laureltally/upstreamhttp"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -141,6 +142,10 @@
 		return admission.Failed
 	}
 	a.recordEnd(d, true)
+	if upstreamhttp.FramingOf(resp) == upstreamhttp.FramingConnection && d.Method != http.MethodHead {
+		_ = w.EndUnmarked()
+		return admission.Succeeded
+	}
 	_ = w.End()
 	return admission.Succeeded
 }
--- a/response/assembler.go
+++ b/response/assembler.go
@@ -111,7 +111,7 @@
 		return Part{}, &LengthError{Attempt: a.attempt, Received: a.offset, Length: m.Length}
 	}
 	a.ended, a.complete = true, true
-	return Part{Complete: true}, nil
+	return Part{Complete: true, Unmarked: m.Unmarked}, nil
 }
 
 func (a *Assembler) acceptAbort(m *wire.Abort) (Part, error) {
--- a/response/writer.go
+++ b/response/writer.go
@@ -49,11 +49,17 @@
 
 // End completes the response. A response ends once; a second End, Abort or
 // Refuse returns an *EndedError.
-func (w *Writer) End() error {
+func (w *Writer) End() error { return w.end(false) }
+
+// EndUnmarked is like End for a response that may have been broken off, as only the end of the
+// upstream's connection marked its end.
+func (w *Writer) EndUnmarked() error { return w.end(true) }
+
+func (w *Writer) end(unmarked bool) error {
 	w.registry.mu.Lock()
 	length := w.buffer.written
 	w.registry.mu.Unlock()
-	return w.registry.end(w.buffer, &wire.End{Attempt: w.buffer.attempt, Length: length})
+	return w.registry.end(w.buffer, &wire.End{Attempt: w.buffer.attempt, Length: length, Unmarked: unmarked})
 }
 
 // Abort ends the response as incomplete.
--- a/router/buffered_sink.go
+++ b/router/buffered_sink.go
@@ -51,6 +51,16 @@
 	return s.flushBuffer()
 }
 
+// FinishUnmarked implements sink. The end of the caller's connection marks the end, as that of
+// the upstream's did. A response that was begun in chunks can't be ended so.
+func (s *bufferedSink) FinishUnmarked() error {
+	if s.started {
+		return &UnmarkedEndError{}
+	}
+	s.w.Header().Set("Transfer-Encoding", "identity")
+	return s.flushBuffer()
+}
+
 // Abort implements sink. A response of which a part was sent ends without its final
 // chunk, which HTTP clients report as an error.
 func (s *bufferedSink) Abort(f *Failure) {
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -180,7 +180,11 @@
 	case len(p.Data) > 0:
 		return x.forwardData(p.Data)
 	case p.Complete:
-		if err := x.d.out.Finish(); err != nil {
+		finish := x.d.out.Finish
+		if p.Unmarked {
+			finish = x.d.out.FinishUnmarked
+		}
+		if err := finish(); err != nil {
 			return callerDisconnected(err), true
 		}
 		return nil, true
--- a/router/sink.go
+++ b/router/sink.go
@@ -10,6 +10,8 @@
 	Write(data []byte) error
 	// Finish ends a complete response.
 	Finish() error
+	// FinishUnmarked ends a response of which nothing shows whether it is complete.
+	FinishUnmarked() error
 	// Abort ends a response that cannot be completed, in a way that the caller cannot
 	// mistake for the end of a complete one.
 	Abort(f *Failure)
--- a/router/sink_test.go
+++ b/router/sink_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -61,3 +62,33 @@
 		}
 	})
 }
+
+// Guards against an answer whose end only the upstream's connection marked, and that is passed on
+// with a length or in chunks: a server that was killed ends its connections in the same way.
+func TestUnmarkedEndIsNotStatedToBeOne(t *testing.T) {
+	for name, size := range map[string]int{"buffered": 4, "sent in part": maxBufferedBytes + 1} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				s := newBufferedSink(w)
+				s.Head(http.StatusOK, http.Header{})
+				if err := s.Write(make([]byte, size)); err != nil {
+					t.Error(err)
+				}
+				if s.FinishUnmarked() != nil {
+					s.Abort(aborted)
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer server.Close()
+			resp, err := http.Get(server.URL)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			marked := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+			if n, err := io.Copy(io.Discard, resp.Body); err == nil && marked {
+				t.Errorf("%d bytes, complete", n)
+			}
+		})
+	}
+}
--- a/router/stream_sink.go
+++ b/router/stream_sink.go
@@ -43,6 +43,9 @@
 	return nil
 }
 
+// FinishUnmarked implements sink. The API's final event marks the end for the caller.
+func (s *streamSink) FinishUnmarked() error { return s.Finish() }
+
 // Abort implements sink. It sends the failure as an event of the stream, which then ends
 // without the API's final event.
 func (s *streamSink) Abort(f *Failure) {
--- a/upstreamhttp/exchange.go
+++ b/upstreamhttp/exchange.go
@@ -49,7 +49,7 @@
 			match = x.request.Matches(resp.Header)
 		}
 		if match == MatchOwn || match == MatchUnknown && first && n == 0 {
-			return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp), resp: resp, x: x}, nil
+			return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: FramingOf(resp), resp: resp, x: x}, nil
 		}
 		// Nothing tells whether the request's own response follows.
 		if match == MatchUnknown || resp.Close || !x.skip(resp.Body) {
--- a/upstreamhttp/framing.go
+++ b/upstreamhttp/framing.go
@@ -16,7 +16,8 @@
 	FramingConnection Framing = "connection"
 )
 
-func framingOf(r *http.Response) Framing {
+// FramingOf returns how the end of a response's body is marked.
+func FramingOf(r *http.Response) Framing {
 	switch {
 	case r.ContentLength >= 0:
 		return FramingLength
