e2e/soak: streams against engines that are processes, under faults in series

Cause: nothing played ORDER with the kernel's own ends of connections. The engines of the soak lived in the test's process, so that a crash reset their connections.

Change: engines are processes of their own (the test binary, started again), of two software versions, with streams in chunks, with a length or without either. TestOrder plays several hundred streams a seed: callers of HTTP/1.1 and 1.0, slow ones, ones that leave or close their sending half, and resume. Faults overlap: releases, starts under the same id, kills and pauses of routers, sidecars and engines, routers cut off from the store. The checker names the first wrong event of a stream with the log lines of its attempts. TestKilledRouterResetsAnswerOfHTTP10 kills a router within eight responses.

--- a/e2e/soak/installation_test.go
+++ b/e2e/soak/installation_test.go
@@ -37,6 +37,8 @@
 	tenants bool
 	// ownStores gives each router a way of its own to the store.
 	ownStores bool
+	// engineProcesses makes the engines separate processes.
+	engineProcesses bool
 }
 
 // soakSize is the size of the installations that the soak injects faults into.
@@ -68,6 +70,8 @@
 	routers      []*process
 	sidecars     []*process
 	upstreams    []*upstream
+	// engines holds the engines that are processes.
+	engines []*engineProcess
 	// keys holds the callers' API keys, or is nil if they need none.
 	keys *apiKeys
 	// middleboxes forward UDP datagrams to the sidecars.
@@ -134,7 +138,11 @@
 	in.storeProxy.target = in.store.Address()
 	in.writeConfig()
 	for i := range n.engines + n.plainUpstreams {
-		in.addUpstream(i)
+		if n.engineProcesses && i < n.engines {
+			in.engines = append(in.engines, in.startEngineProcess(i, modelNames[i%2:i%2+2]))
+		} else {
+			in.addUpstream(i)
+		}
 	}
 	for i := range n.engines {
 		in.addMiddlebox(i)
@@ -344,6 +352,9 @@
 	for _, p := range append(in.sidecars, in.routers...) {
 		p.end()
 	}
+	for _, e := range in.engines {
+		e.end()
+	}
 	for _, b := range in.middleboxes {
 		b.Close()
 	}
--- a/e2e/soak/main_test.go
+++ b/e2e/soak/main_test.go
@@ -4,7 +4,8 @@
 //
 // SOAK_SEEDS is a seed, or a range such as 1-3. SOAK_SECONDS is the time for which
 // faults of each seed are injected, and SOAK_LANES the number of seeds that run in
-// parallel.
+// parallel. ORDER_BIN names a folder with other builds of the two programs. For
+// ORDER_SEEDS, ORDER_SECONDS and ORDER_WORKER see TestOrder.
 package soak
 
 import (
@@ -44,6 +45,12 @@
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
 func run(m *testing.M) int {
+	if file := os.Getenv(engineSettingsVariable); file != "" {
+		return runEngine(file)
+	}
+	if bin = os.Getenv("ORDER_BIN"); bin != "" {
+		return m.Run()
+	}
 	dir, err := os.MkdirTemp("", "laureltally-soak-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/e2e/soak/process_test.go
+++ b/e2e/soak/process_test.go
@@ -21,7 +21,9 @@
 type process struct {
 	t                       *testing.T
 	name, program, settings string
-	log                     *os.File
+	// env is added to the environment.
+	env []string
+	log *os.File
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -63,6 +65,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cmd = exec.Command(p.program, p.settings)
+	p.cmd.Env = append(os.Environ(), p.env...)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	// The process is killed if the test crashes.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
