ingress: over HTTP/1.0, no end of a stream is left unmarked

Callers of HTTP/1.0 saw a stream whose server states a length as complete after a break, or after the router was killed.

Cause: such a stream was taken for one that states its length to the caller too. Events are written without a length, so that over HTTP/1.0 only the connection marks the end.

Change: the connection is reset until all has been written wherever the response has no length of its own.

Evidence: TestKilledRouterResetsAnswerOfHTTP10 fails before and passes after.

--- a/ingress/response_end.go
+++ b/ingress/response_end.go
@@ -15,7 +15,7 @@
 		// net/http then marks the end with that of the connection only.
 		d.w.Header().Set("Transfer-Encoding", "identity")
 		d.endWithConnection()
-	case f == upstreamhttp.FramingChunked && !d.r.ProtoAtLeast(1, 1):
+	case !d.r.ProtoAtLeast(1, 1) && d.w.Header().Get("Content-Length") == "":
 		d.endWithConnection()
 	}
 	d.w.WriteHeader(status)
