ingress, placement: a reservation at a VM of another version is given up

Cause: while a request waits for its reservation, the engine may start anew under another id, and the sidecar grants the reservation for that one. The router took the new VM for the chosen one without a look at its version, and without comparing the starts.

Change: the new VM has to have a version that the request allows, and the start that the list states, like the chosen one.

--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -255,20 +255,22 @@
 // seconds the list has both the old id and the new one at the same address. It
 // returns nil if the list does not contain the new one yet. Where both the sidecar and the
 // list state when the server started, the times must be the same: the server's software
-// version is known only then. Zero means that it is not stated or not to be compared.
-func (c *clusterState) reservedVM(chosen *fleet.VM, id ident.VM, started int64) *fleet.VM {
+// version is known only then. Zero means that it is not stated or not to be compared. A VM with
+// another id may have a software version that the request does not allow.
+func (c *clusterState) reservedVM(chosen *fleet.VM, id ident.VM, started int64, n *placement.Requirements) *fleet.VM {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if id == "" || id == chosen.ID {
-		if started != 0 && chosen.Started != 0 && started != chosen.Started {
+	vm := chosen
+	if id != "" && id != chosen.ID {
+		vm = c.tracker.VMs()[id]
+		if vm == nil || vm.Address != chosen.Address || vm.Service != chosen.Service || !n.AllowsSoftware(vm.Software) {
 			return nil
 		}
-		return chosen
 	}
-	if vm := c.tracker.VMs()[id]; vm != nil && vm.Address == chosen.Address && vm.Service == chosen.Service {
-		return vm
+	if started != 0 && vm.Started != 0 && started != vm.Started {
+		return nil
 	}
-	return nil
+	return vm
 }
 
 // observeResponse takes what a server says of itself in a response, and reports whether
--- a/ingress/cluster_state_test.go
+++ b/ingress/cluster_state_test.go
@@ -7,6 +7,7 @@
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/fleet"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/placement"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -35,7 +36,7 @@
 	chosen := vm("old", "10.0.0.1:80")
 	for id, want := range map[ident.VM]ident.VM{"": "old", "old": "old", "new": "new", "other": "", "unknown": ""} {
 		got := ident.VM("")
-		if v := state.reservedVM(&chosen, id, 0); v != nil {
+		if v := state.reservedVM(&chosen, id, 0, &placement.Requirements{}); v != nil {
 			got = v.ID
 		}
 		if got != want {
@@ -75,7 +76,7 @@
 		usable          bool
 	}{{5, 5, true}, {5, 0, true}, {0, 7, true}, {5, 7, false}} {
 		chosen := fleet.VM{ID: "a", Address: "10.0.0.1:80", Service: "models", Started: tc.listed}
-		if got := state.reservedVM(&chosen, "a", tc.started) != nil; got != tc.usable {
+		if got := state.reservedVM(&chosen, "a", tc.started, &placement.Requirements{}) != nil; got != tc.usable {
 			t.Errorf("listed start %d, start %d: usable %v", tc.listed, tc.started, got)
 		}
 	}
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -35,7 +35,7 @@
 			if d.needsSoftware() {
 				started = rsv.started
 			}
-			if d.choice.VM = d.s.clusterState.reservedVM(choice.VM, rsv.vm, started); d.choice.VM == nil {
+			if d.choice.VM = d.s.clusterState.reservedVM(choice.VM, rsv.vm, started, &d.requirements); d.choice.VM == nil {
 				wait.Notify(d.s.listOutdated)
 			}
 		}
--- a/placement/member.go
+++ b/placement/member.go
@@ -91,7 +91,7 @@
 
 // suits reports whether the VM may serve a request.
 func (m *member) suits(n *Requirements) bool {
-	return (n.Software == "" || n.Software == m.vm.Software) && !slices.Contains(n.AvoidSoftware, m.vm.Software) && !slices.Contains(n.Exclude, m.vm.ID)
+	return n.AllowsSoftware(m.vm.Software) && !slices.Contains(n.Exclude, m.vm.ID)
 }
 
 // utilization returns the fraction of the VM's concurrency in use.
--- a/placement/requirements.go
+++ b/placement/requirements.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/laureltally/laureltally/ident"
@@ -22,3 +23,8 @@
 	// Exclude lists VMs that have refused or failed this request.
 	Exclude []ident.VM
 }
+
+// AllowsSoftware reports whether a VM with a software version may serve the request.
+func (n *Requirements) AllowsSoftware(version string) bool {
+	return (n.Software == "" || n.Software == version) && !slices.Contains(n.AvoidSoftware, version)
+}
