ingress, platform: past a silent sidecar, the engine says when it started

Callers saw streams that went on at another software version, at a router that had been paused or cut off from the store in a release.

Cause: a request that is sent without a grant has nothing to compare with the start in the list, and the server may have started again under its id with another version. A sidecar counts as silent also at a router that wakes from a pause: all its reports are old then, and so is its list.

Change: before a request of a resumable route is sent without a reservation, the engine is asked for its report, and its start has to be that of the list. Otherwise the list is read early and another VM is tried.

--- a/cmd/laureltally-ingress/main.go
+++ b/cmd/laureltally-ingress/main.go
@@ -49,6 +49,7 @@
 		regions[z.Zone] = z.Region
 	}
 	server, err := ingress.New(ingress.Options{
+		ServerStarted:  platform.ServerStarted(),
 		Settings:       s,
 		Directory:      &platform.Directory{Store: store, Regions: regions},
 		Store:          store,
--- a/e2e/hosted/installation_test.go
+++ b/e2e/hosted/installation_test.go
@@ -107,6 +107,7 @@
 	bound := make(chan [2]string, 1)
 	store := platform.NewStore(in.store.Address())
 	o := ingress.Options{
+		ServerStarted: platform.ServerStarted(),
 		Settings: config.IngressSettings{
 			VM: vm, Region: region, Zone: zone, Listen: anyPort, ReadinessListen: anyPort, SidecarPort: in.udp, RetryShare: 0.2, RetrySlack: 50,
 			ShutdownTimeout: config.Duration(4 * time.Second), MemoryMB: in.memoryMB,
--- a/ingress/options.go
+++ b/ingress/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -48,6 +49,9 @@
 	Credentials transport.Credentials
 	Logger      log.Interface
 	Metrics     tally.Scope
+	// ServerStarted asks the server at an address when it started, in Unix milliseconds. If it is
+	// nil, no stream that may be resumed is sent past a silent sidecar.
+	ServerStarted func(ctx context.Context, address string) (int64, error)
 	// MetricsHandler serves the metrics; it may be nil.
 	MetricsHandler http.Handler
 	// ReadinessPath is the path that the load balancer probes.
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -26,9 +26,20 @@
 			return nil, false
 		}
 		d.choice = choice
-		if d.requirements.Model == "" || !choice.AgentReachable {
+		if d.requirements.Model == "" {
 			return nil, true
 		}
+		if !choice.AgentReachable {
+			if d.listedServer(ctx) {
+				return nil, true
+			}
+			d.requirements.Exclude = append(d.requirements.Exclude, choice.VM.ID)
+			if !d.asksFurther(&VMLeavingError{}) {
+				d.noVM(&VMLeavingError{})
+				return nil, false
+			}
+			continue
+		}
 		rsv, err := d.reserve(ctx, choice)
 		if err == nil {
 			started := int64(0)
@@ -61,7 +72,7 @@
 			return nil, false
 		case errors.As(err, &refused):
 			d.refused(choice, refused)
-		case d.bypassSidecar(choice, d.s.o.Now().Sub(now), err):
+		case d.bypassSidecar(choice, d.s.o.Now().Sub(now), err) && d.listedServer(ctx):
 			return nil, true
 		}
 		d.requirements.Exclude = append(d.requirements.Exclude, choice.VM.ID)
