ingress: an end that only the connection marks counts if the server still runs

Cause: the kernel closes the connections of a killed process like those of one that is done. Nothing in the answer tells the two apart.

Change: at such an end an engine is asked for its report, and has to be the start that the list has; at a plain service a connection is opened. If the server has ended, the answer is broken: a stream goes on elsewhere or is cut, and an order fails as one that may have run.

Open: a server that closes its port before its last answers are written looks killed.

--- a/e2e/hosted/unmarked_end_test.go
+++ b/e2e/hosted/unmarked_end_test.go
@@ -106,3 +106,29 @@
 		t.Errorf("complete %v: %q", r.Complete, r.Body)
 	}
 }
+
+// Rules ORDER, MIXED: guards against an answer that looks complete, as its server was killed within
+// it and closed the connection like one that is done.
+func TestUnmarkedEndOfKilledServerIsABreak(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct{ path, raw string }{
+		"stream":       {"/draft/a", rawUnmarked + rawEvent},
+		"whole answer": {"/order/a", rawHead + "\r\nthe bo"},
+		"long answer":  {"/order/a", rawHead + "\r\n" + strings.Repeat("a", 300<<10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{})
+			for _, u := range upstreams {
+				u.SetBehavior(always(platformtest.Behavior{Raw: tc.raw, RawHold: 300 * time.Millisecond}))
+			}
+			time.AfterFunc(100*time.Millisecond, func() {
+				upstreams[0].Close()
+				upstreams[1].Close()
+			})
+			if resp, body, err := in.rawCall(tc.path, "HTTP/1.1"); err == nil && resp.StatusCode == http.StatusOK {
+				t.Errorf("complete answer of %d bytes", len(body))
+			}
+		})
+	}
+}
--- a/ingress/relay_stream.go
+++ b/ingress/relay_stream.go
@@ -26,12 +26,15 @@
 	for {
 		e, err := events.next()
 		now := d.s.o.Now()
-		if errors.Is(err, io.EOF) && d.stream.begun && !d.endsWithConnection && response.Framing == upstreamhttp.FramingConnection {
-			// The response states that its end will be marked, and nothing shows that this is it.
-			return result{kind: outcomeBroken, err: &UnmarkedEndError{}}.withTimes(res)
-		}
 		if errors.Is(err, io.EOF) {
-			return d.streamEnded(response, res, now.Sub(begun))
+			err = d.checkEnd(ctx, response)
+			if d.stream.begun && !d.endsWithConnection && response.Framing == upstreamhttp.FramingConnection {
+				// The caller's response states that its end will be marked.
+				err = &UnmarkedEndError{}
+			}
+			if err == nil {
+				return d.streamEnded(response, res, now.Sub(begun))
+			}
 		}
 		if err != nil {
 			return d.failure(ctx, err).withTimes(res)
--- a/ingress/relay_whole.go
+++ b/ingress/relay_whole.go
@@ -33,6 +33,9 @@
 	if n == maxWholeBytes {
 		return d.relayLong(ctx, response, body.Bytes(), begun)
 	}
+	if err := d.checkEnd(ctx, response); err != nil {
+		return d.failure(ctx, err)
+	}
 	whole := &wholeResponse{status: response.Status, header: response.Header, framing: response.Framing, body: body.Bytes()}
 	res := result{kind: outcomeDelivered, response: whole, timeToFirstEvent: first, took: d.s.o.Now().Sub(begun)}
 	if response.Status >= http.StatusInternalServerError {
@@ -80,6 +83,9 @@
 	if _, err := io.Copy(d.w, response); err != nil {
 		return d.failure(ctx, err)
 	}
+	if err := d.checkEnd(ctx, response); err != nil {
+		return d.failure(ctx, err)
+	}
 	d.completed()
 	return result{kind: outcomeDelivered, timeToFirstEvent: d.s.o.Now().Sub(begun), took: d.s.o.Now().Sub(begun)}
 }
--- /dev/null
+++ b/ingress/server_remains.go
@@ -0,0 +1,29 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/laureltally/laureltally/upstreamhttp"
+)
+
+// checkEnd returns an *UnmarkedEndError if nothing shows that the end of a response is one: only
+// the end of the connection marks it, and the server has ended. The kernel closes the connections
+// of a killed process like those of one that is done.
+func (d *delivery) checkEnd(ctx context.Context, response *upstreamhttp.Response) error {
+	if response.Framing != upstreamhttp.FramingConnection || d.r.Method == http.MethodHead || d.serverRemains(ctx) {
+		return nil
+	}
+	return &UnmarkedEndError{}
+}
+
+// serverRemains reports whether the server that sent a response still accepts connections and,
+// for engines, is the start that the list has.
+func (d *delivery) serverRemains(ctx context.Context) bool {
+	vm := d.choice.VM
+	if d.requirements.Model == "" || d.s.o.ServerStarted == nil {
+		return d.s.client.Probe(ctx, vm.Address) == nil
+	}
+	started, err := d.s.o.ServerStarted(ctx, vm.Address)
+	return err == nil && (vm.Started == 0 || started == vm.Started)
+}
