upstreamhttp: the fields of a response's head are bounded, not only its bytes

What could happen: a few hundred responses at once, each with a head of 63 KB of short fields, end the VM that forwards them, and with it the requests of all other callers.

Cause: a head was bounded at 64 KB as it arrives, but a field of six bytes takes some 100 bytes once it is parsed. Nothing counts a response's head against the budget of buffered bytes.

Change: lines are counted with the bytes, as they arrive; a head of more than 256 lines, informational responses included, is given up. Responses of upstreams have about ten fields. Bytes are only read while the head is incomplete, so that the lines of a body that arrives with the end of a head are never counted. The limits move to internal/headlimit, for the other clients.

--- a/upstreamhttp/endless_test.go
+++ b/upstreamhttp/endless_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/laureltally/laureltally/internal/headlimit"
 )
 
 // maxEndlessBytes is more than a client may read of bytes without end before it closes the
@@ -106,14 +108,14 @@
 
 // The limit counts for each header and not for bodies.
 func TestLongBodiesAreReadWhole(t *testing.T) {
-	long := strings.Repeat("b", 3*maxHeadBytes)
+	long := strings.Repeat("b", 3*headlimit.MaxBytes)
 	address := upstream(t, func(_ int, c net.Conn, in *bufio.Reader) {
 		for {
 			id, ok := readRequest(in)
 			if !ok {
 				return
 			}
-			respond(c, id, long, "X-More: "+strings.Repeat("c", maxHeadBytes/2)+"\r\n")
+			respond(c, id, long, "X-More: "+strings.Repeat("c", headlimit.MaxBytes/2)+"\r\n")
 		}
 	})
 	c := New(Options{})
--- a/upstreamhttp/exchange.go
+++ b/upstreamhttp/exchange.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/laureltally/laureltally/internal/headlimit"
 )
 
 const (
@@ -97,7 +100,10 @@
 	defer x.conn.head.end()
 	for {
 		resp, err := http.ReadResponse(x.conn.in, &http.Request{Method: x.request.Method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
+		switch {
+		case err != nil && x.conn.head.limit.Exceeded():
+			return nil, fmt.Errorf("%w: %w", &headlimit.SizeError{}, err)
+		case err != nil || resp.StatusCode >= http.StatusOK:
 			return resp, err
 		}
 	}
--- a/upstreamhttp/head_limiter.go
+++ b/upstreamhttp/head_limiter.go
@@ -1,32 +1,28 @@
 package upstreamhttp
 
-import "io"
+import (
+	"io"
 
-// maxHeadBytes bounds what is read of a connection before the header of a response is
-// complete, informational responses included.
-const maxHeadBytes = 64 << 10
+	"github.com/laureltally/laureltally/internal/headlimit"
+)
 
 // headLimiter limits what is read while a header is parsed, which net/http does not.
 type headLimiter struct {
-	in io.Reader
-	// limited is set while a header is parsed, of which left bytes may still be read.
-	limited bool
-	left    int
+	in    io.Reader
+	limit headlimit.Limiter
 }
 
 // begin starts a header, end ends it.
-func (l *headLimiter) begin() { l.limited, l.left = true, maxHeadBytes }
-func (l *headLimiter) end()   { l.limited = false }
+func (l *headLimiter) begin() { l.limit.Begin() }
+func (l *headLimiter) end()   { l.limit.End() }
 
-// Read implements io.Reader. It fails with a *HeadSizeError at the limit.
+// Read implements io.Reader. It fails with a *headlimit.SizeError at the limit.
 func (l *headLimiter) Read(b []byte) (int, error) {
-	if !l.limited {
-		return l.in.Read(b)
+	allowed, err := l.limit.Allowed(len(b))
+	if err != nil {
+		return 0, err
 	}
-	if l.left == 0 {
-		return 0, &HeadSizeError{}
-	}
-	n, err := l.in.Read(b[:min(len(b), l.left)])
-	l.left -= n
+	n, err := l.in.Read(b[:allowed])
+	l.limit.Add(b[:n])
 	return n, err
 }
