platform, agent, engine, metastore: heads of answers are bounded

What operators saw elsewhere: a faulty replica sent bytes that were no answer, without end, and the machine that had called it ran out of memory. Here one call to an engine, to the store or to a forwarded service could allocate 211 MB before it failed; a sidecar has 216 MB, and asks again.

Cause: these clients use net/http's transport, whose default limit of a head is 10 MB, informational responses included (readLimit in persistConn; it is not reset without a Got1xxResponse hook). Parsed, short fields take twenty times as much.

Change: internal/httpclient has the transport for all of them. It bounds a head with internal/headlimit as its bytes arrive, 64 KB and 256 lines, and fails with a typed error. The connection's limit begins with the request (httptrace.GotConn) and ends when the head is read, also if another request uses the connection by then. Connections with TLS have net/http's own limit, 68 KB (not played).

TestLimitEndsWithEachHead shows that bodies and later heads on the connection are not limited.

--- a/agent/http_client.go
+++ b/agent/http_client.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/laureltally/laureltally/internal/httpclient"
 )
 
 const (
@@ -17,11 +19,11 @@
 // or has an Idempotency-Key and no body.
 func newHTTPClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpclient.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: upstreamIdleConns,
 			IdleConnTimeout:     upstreamIdleTimeout,
 			DisableCompression:  true,
-		},
+		}),
 		CheckRedirect: keepRedirect,
 	}
 }
@@ -31,10 +33,10 @@
 // one.
 func newOnceClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpclient.NewTransport(&http.Transport{
 			DisableKeepAlives:  true,
 			DisableCompression: true,
-		},
+		}),
 		CheckRedirect: keepRedirect,
 	}
 }
--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/internal/httpclient"
 )
 
 // Client calls one engine. It is safe for concurrent use and does not retry.
@@ -43,10 +44,10 @@
 
 // newTransport returns a transport that keeps enough idle connections for a busy
 // process.
-func newTransport() *http.Transport {
+func newTransport() *httpclient.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxIdleConnsPerHost = maxIdleConns
-	return t
+	return httpclient.NewTransport(t)
 }
 
 // Close closes the idle connections.
--- /dev/null
+++ b/internal/httpclient/conn.go
@@ -0,0 +1,54 @@
+package httpclient
+
+import (
+	"net"
+	"sync"
+
+	"github.com/laureltally/laureltally/internal/headlimit"
+)
+
+// conn is a connection whose reads are limited while the head of a response is expected.
+type conn struct {
+	net.Conn
+
+	mu    sync.Mutex
+	limit headlimit.Limiter
+	// heads counts the heads that have begun.
+	heads uint64
+}
+
+// beginHead starts a head and returns its number.
+func (c *conn) beginHead() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heads++
+	c.limit.Begin()
+	return c.heads
+}
+
+// endHead ends a head and reports whether it exceeded the limits. It does nothing if the connection
+// is used for another request already.
+func (c *conn) endHead(head uint64) (exceeded bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if head != c.heads {
+		return false
+	}
+	c.limit.End()
+	return c.limit.Exceeded()
+}
+
+// Read implements net.Conn. It fails with a *headlimit.SizeError at a limit of the head.
+func (c *conn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	allowed, err := c.limit.Allowed(len(b))
+	c.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(b[:allowed])
+	c.mu.Lock()
+	c.limit.Add(b[:n])
+	c.mu.Unlock()
+	return n, err
+}
--- a/metastore/objecthttp/client.go
+++ b/metastore/objecthttp/client.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/laureltally/laureltally/internal/httpclient"
 	"github.com/laureltally/laureltally/metastore"
 )
 
@@ -53,10 +54,10 @@
 
 // newTransport returns a transport that keeps as many idle connections as a busy
 // process uses.
-func newTransport() *http.Transport {
+func newTransport() *httpclient.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxIdleConnsPerHost = maxIdleConns
-	return t
+	return httpclient.NewTransport(t)
 }
 
 // Close closes the idle connections.
