metastore, engine, platform: a body that is too long costs no more than its limit

Cause: a listing could have 64 MB, and io.ReadAll had allocated two and a half times the limit when the body proved too long: it joins the parts first.

Change: httpclient.ReadBody, for the three clients, fails before it joins anything. Its BodySizeError replaces three types that said the same. A listing may have 16 MB; the largest is that of the allocations, some 3 MB for 1,600 agents of 8 models (reckoned, not measured).

Evidence: TestAnswerWithoutEndIsGivenUp of objecthttp plays listings with the default limit now; it had set 8 MB itself. Before: listings without end allocate 161.5 MB (chunks of a byte: 108 MB until the time-out) of the 27 MB that the test allows. After: 16.7 MB. Other bodies without end: 8.5 MB where it was 20.9 MB (store, engine's admin API), 0.5 MB for reports. TestReadBody has the limits and truncated bodies.

--- a/engine/enginehttp/client.go
+++ b/engine/enginehttp/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -125,12 +124,9 @@
 		return 0, nil, &CallError{Path: path, Err: err}
 	}
 	defer resp.Body.Close()
-	response, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	response, err := httpclient.ReadBody(resp.Body, maxResponseBytes)
 	if err != nil {
 		return 0, nil, &CallError{Path: path, Status: resp.StatusCode, Err: err}
 	}
-	if len(response) > maxResponseBytes {
-		return 0, nil, &CallError{Path: path, Status: resp.StatusCode, Err: &SizeError{Limit: maxResponseBytes}}
-	}
 	return resp.StatusCode, response, nil
 }
--- a/platform/body_size_error.go
+++ b/internal/httpclient/body_size_error.go
@@ -1,4 +1,4 @@
-package platform
+package httpclient
 
 import "fmt"
 
--- a/metastore/objecthttp/client.go
+++ b/metastore/objecthttp/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -148,7 +147,7 @@
 		return nil, nil, err
 	}
 	defer resp.Body.Close()
-	body, err := readBounded(resp.Body, r.limit)
+	body, err := httpclient.ReadBody(resp.Body, r.limit)
 	if err != nil {
 		return nil, nil, &metastore.UnavailableError{Op: r.op, Err: err}
 	}
@@ -175,7 +174,7 @@
 // responseError returns the error for the response of a failed call.
 func responseError(resp *http.Response, r request) error {
 	var p Problem
-	body, err := readBounded(resp.Body, maxProblemBytes)
+	body, err := httpclient.ReadBody(resp.Body, maxProblemBytes)
 	if err == nil {
 		err = json.Unmarshal(body, &p)
 	}
@@ -192,14 +191,3 @@
 	}
 	return time.Duration(seconds) * time.Second
 }
-
-func readBounded(r io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, fmt.Errorf("read response: %w", err)
-	}
-	if int64(len(body)) > limit {
-		return nil, &ResponseSizeError{Limit: limit}
-	}
-	return body, nil
-}
--- a/metastore/objecthttp/client_test.go
+++ b/metastore/objecthttp/client_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/laureltally/laureltally/internal/httpclient"
 	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/metastore/memstore"
 	"github.com/laureltally/laureltally/metastore/objecthttp"
@@ -99,7 +100,7 @@
 		t.Fatal(err)
 	}
 	_, _, err := c.List(t.Context(), "")
-	wantError[*objecthttp.ResponseSizeError](t, err)
+	wantError[*httpclient.BodySizeError](t, err)
 }
 
 func TestListVMs(t *testing.T) {
--- a/metastore/objecthttp/endless_test.go
+++ b/metastore/objecthttp/endless_test.go
@@ -10,16 +10,15 @@
 )
 
 // maxSent and maxAllocated bound an answer whose body does not end: an eighth of the memory of the
-// smallest VM, with chunks that are mostly overhead. maxListBytes bounds a listing here.
+// smallest VM, with chunks that are mostly overhead.
 const (
-	maxSent      = 64 << 20
+	maxSent      = 128 << 20
 	maxAllocated = 216 << 20 / 8
-	maxListBytes = 8 << 20
 )
 
 func newEndlessClient(t *testing.T, address string) *objecthttp.Client {
 	t.Helper()
-	c, err := objecthttp.New(objecthttp.Options{BaseURL: "http://" + address, MaxListBytes: maxListBytes})
+	c, err := objecthttp.New(objecthttp.Options{BaseURL: "http://" + address})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/metastore/objecthttp/options.go
+++ b/metastore/objecthttp/options.go
@@ -9,7 +9,7 @@
 const (
 	DefaultTimeout      = 5 * time.Second
 	DefaultWatchTimeout = 10 * time.Second
-	DefaultMaxListBytes = 64 << 20
+	DefaultMaxListBytes = 16 << 20
 
 	// maxIdleConns is the maximum number of idle connections to the server.
 	maxIdleConns = 32
