internal/boundedhttp: HTTP listeners whose clients may misbehave

Needed by the listeners for probes, metrics, status and the own interface's callers: a plain http.Server bounds neither connections nor what a header costs once parsed, and reads on for the rest of a body without a deadline.

New: a listener with a number of places. When all are taken, the connection that has waited for its client longest is closed; clients that were served twice keep up to half of the places; a request that is being served is broken off only while its client does not take the response, and a connection with unread bytes not at all (admission, without I/O or clock). A body at a listener without bodies is not read: the connection is closed after the response.

--- /dev/null
+++ b/internal/boundedhttp/conn.go
@@ -0,0 +1,186 @@
+package boundedhttp
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// deadlineSlack is the divisor for the part of ProgressTimeout by which a write may be given
+// up too early, so that the deadline is not set for each write.
+const deadlineSlack = 4
+
+// conn is a connection with a place.
+type conn struct {
+	net.Conn
+	l *Listener
+	// peer is guarded by l.mu.
+	peer   peer
+	remove func()
+
+	mu sync.Mutex
+	// started is set with the first Read. receiving is set while a header is received.
+	started, receiving bool
+	// fresh is set until a part of the header has come.
+	fresh bool
+	meter headerMeter
+
+	// deadlineSet is when the write deadline was set, and wholeDeadline the one that the
+	// server has set for the whole response, or zero. They are used by the goroutine that
+	// writes.
+	deadlineSet, wholeDeadline time.Time
+}
+
+func newConn(accepted net.Conn, l *Listener) *conn {
+	c := &conn{Conn: accepted, l: l, receiving: true, fresh: true}
+	c.meter = headerMeter{maxBytes: l.limits.HeaderBytes, maxLines: l.limits.HeaderLines, bodies: l.limits.Bodies}
+	c.peer.ready, c.peer.reset = c.unread, c.reset
+	c.remove = sync.OnceFunc(func() { l.remove(c) })
+	return c
+}
+
+// Read implements net.Conn. It fails with a *HeaderError beyond the limits of a header.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.begin() {
+		c.wait()
+	}
+	n, err := c.Conn.Read(p)
+	if n <= 0 {
+		return n, err
+	}
+	within, arrived := c.measure(p[:n])
+	if !within {
+		return 0, &HeaderError{MaxBytes: c.l.limits.HeaderBytes, MaxLines: c.l.limits.HeaderLines}
+	}
+	if arrived {
+		c.wait()
+	}
+	return n, err
+}
+
+// begin reports whether this is the first Read.
+func (c *conn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := !c.started
+	c.started = true
+	return first
+}
+
+// measure reports whether the header is within its limits, and whether p is its beginning.
+func (c *conn) measure(p []byte) (within, arrived bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	arrived = c.receiving && c.fresh
+	if c.receiving {
+		c.fresh = false
+	}
+	return c.meter.add(p), arrived
+}
+
+func (c *conn) wait() {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.l.admission.wait(&c.peer, time.Now())
+}
+
+// serve notes that a header was received.
+func (c *conn) serve() {
+	c.mu.Lock()
+	c.receiving = false
+	c.mu.Unlock()
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.l.admission.serve(&c.peer)
+}
+
+// idle notes that a request has ended.
+func (c *conn) idle() {
+	c.mu.Lock()
+	c.receiving, c.fresh = true, true
+	c.meter.next()
+	c.mu.Unlock()
+	c.wait()
+}
+
+// Write implements net.Conn. It goes on as long as the client takes a part within each
+// ProgressTimeout, up to the deadline for the whole response.
+func (c *conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		now := time.Now()
+		c.peer.writing.Store(now.UnixNano())
+		if err := c.extend(now); err != nil {
+			c.peer.writing.Store(0)
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:])
+		c.peer.writing.Store(0)
+		written += n
+		if err == nil {
+			return written, nil
+		}
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.late() {
+			c.discard()
+			return written, err
+		}
+		c.deadlineSet = time.Time{}
+	}
+}
+
+// extend moves the write deadline if it has come nearer than ProgressTimeout allows.
+func (c *conn) extend(now time.Time) error {
+	limit := c.l.limits.ProgressTimeout
+	if now.Sub(c.deadlineSet) < limit/deadlineSlack {
+		return nil
+	}
+	deadline := now.Add(limit)
+	if !c.wholeDeadline.IsZero() && c.wholeDeadline.Before(deadline) {
+		deadline = c.wholeDeadline
+	}
+	c.deadlineSet = now
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// late reports whether the deadline for the whole response has passed.
+func (c *conn) late() bool {
+	return !c.wholeDeadline.IsZero() && !time.Now().Before(c.wholeDeadline)
+}
+
+// SetWriteDeadline implements net.Conn. It sets the deadline for the whole response.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	if !t.Equal(c.wholeDeadline) {
+		c.wholeDeadline, c.deadlineSet = t, time.Time{}
+	}
+	return nil
+}
+
+// CloseWrite closes the sending half, if the connection has halves.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn. It gives the place back.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.remove()
+	return err
+}
+
+// reset closes the connection, but gives the place not yet back.
+func (c *conn) reset() {
+	c.discard()
+	_ = c.Conn.Close()
+}
+
+// discard makes the kernel discard what it holds when the connection is closed.
+func (c *conn) discard() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
