ingress: a crowd at the port of readiness takes no memory and keeps no probe out

Cause: a plain http.Server with a header of up to 1 MB and without bounds on connections, bodies or idle time.

Change: the port is served with the limits of internal/boundedhttp.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/laureltally/laureltally/internal/admin"
+	"github.com/laureltally/laureltally/internal/boundedhttp"
 	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/quarantine"
 	"github.com/laureltally/laureltally/serving"
@@ -138,7 +139,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	probes, err := net.Listen("tcp4", s.o.Settings.ReadinessListen)
+	probes, err := boundedhttp.Listen("tcp4", s.o.Settings.ReadinessListen, boundedhttp.Small())
 	if err != nil {
 		_ = callers.Close()
 		return fmt.Errorf("listen for probes: %w", err)
@@ -160,7 +161,7 @@
 	g.Go(func() error { s.loadFindings(work); return nil })
 	g.Go(func() error { s.sharedFindings.writer.Run(work); return nil })
 	g.Go(func() error { s.readFindings(work); return nil })
-	readiness := &http.Server{Handler: s.readinessHandler(), ReadHeaderTimeout: headerReadTimeout}
+	readiness := probes.Server(s.readinessHandler())
 	server := s.callerServer()
 	g.Go(func() error { return serveError(readiness.Serve(probes)) })
 	g.Go(func() error { return serveError(server.Serve(callers)) })
