--- a/internal/admin/serve.go
+++ b/internal/admin/serve.go
@@ -5,17 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
-)
 
-// headerReadTimeout bounds the time to read a request header; scrapers send it
-// at once.
-const headerReadTimeout = time.Second
+	"github.com/laureltally/laureltally/internal/boundedhttp"
+)
 
 // ServeMetrics serves metrics under /metrics on address, an IP address with a TCP
 // port, until ctx ends, in goroutines of g. If metrics is nil, it does nothing. If it
@@ -24,14 +20,22 @@
 	if metrics == nil {
 		return
 	}
-	ln, err := net.Listen("tcp4", address)
+	ln, err := listen(address)
 	if err != nil {
 		logger.WithError(err).Warn("metrics are not served")
 		return
 	}
+	serveMetrics(ctx, g, ln, metrics)
+}
+
+func listen(address string) (*boundedhttp.Listener, error) {
+	return boundedhttp.Listen("tcp4", address, boundedhttp.Small())
+}
+
+func serveMetrics(ctx context.Context, g *errgroup.Group, ln *boundedhttp.Listener, metrics http.Handler) {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", metrics)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerReadTimeout}
+	server := ln.Server(mux)
 	g.Go(func() error {
 		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serve metrics: %w", err)
