--- a/agent/admin.go
+++ b/agent/admin.go
@@ -2,16 +2,12 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/gorilla/mux"
-)
 
-// readHeaderTimeout bounds how long a client of the admin address may take to
-// send its headers.
-const readHeaderTimeout = 5 * time.Second
+	"github.com/laureltally/laureltally/internal/boundedhttp"
+)
 
 // serveAdmin serves health and metrics, if an admin address is configured. The
 // returned function stops it.
@@ -19,19 +15,32 @@
 	if a.o.Settings.AdminListen == "" {
 		return func() {}, nil
 	}
-	ln, err := net.Listen("tcp", a.o.Settings.AdminListen)
+	ln, err := a.listenAdmin()
+	if err != nil {
+		return nil, err
+	}
+	server := ln.Server(a.adminRoutes())
+	go func() { _ = server.Serve(ln) }()
+	return func() { _ = server.Close() }, nil
+}
+
+func (a *Agent) listenAdmin() (*boundedhttp.Listener, error) {
+	ln, err := boundedhttp.Listen("tcp", a.o.Settings.AdminListen, boundedhttp.Small())
 	if err != nil {
 		return nil, fmt.Errorf("listen on admin address: %w", err)
 	}
+	return ln, nil
+}
+
+// adminRoutes returns the handler of the admin address.
+func (a *Agent) adminRoutes() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.HandleFunc("/readyz", a.handleReady)
 	if a.o.MetricsHandler != nil {
 		r.Handle("/metrics", a.o.MetricsHandler)
 	}
-	server := &http.Server{Handler: r, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = server.Serve(ln) }()
-	return func() { _ = server.Close() }, nil
+	return r
 }
 
 // handleReady reports whether the agent accepts requests.
