internal/boundedhttp: a client owes its body until it was read

Listeners whose handlers read bodies: a body has a time limit also if no handler reads it, and while it is owed the connection may be closed to make room. Each part that comes starts the wait anew. The half second in which net/http lingers after an early response is no place that can be freed at once, and is left to end.

TestOwedBodyCanBeClosed, and the tests of the router's listener.

--- a/internal/boundedhttp/admission.go
+++ b/internal/boundedhttp/admission.go
@@ -46,7 +46,8 @@
 	a.peers[p] = struct{}{}
 }
 
-// wait notes that the server waits for p's client from now on.
+// wait notes that the server waits for p's client from now on: for the rest of a request or
+// for the next one.
 func (a *admission) wait(p *peer, now time.Time) {
 	if p.phase == closing {
 		return
@@ -61,14 +62,24 @@
 
 // serve notes that a request of p is being served.
 func (a *admission) serve(p *peer) {
-	if p.phase == closing {
-		return
-	}
-	a.leaveQueue(p)
-	p.phase = serving
+	a.leave(p, serving)
 	p.requests++
 }
 
+// received notes that the body which p's client owed has come.
+func (a *admission) received(p *peer) { a.leave(p, serving) }
+
+// end notes that the server is about to end the connection.
+func (a *admission) end(p *peer) { a.leave(p, ending) }
+
+// leave changes p's phase to one that it can't be closed in at once.
+func (a *admission) leave(p *peer, to phase) {
+	if p.phase != closing {
+		a.leaveQueue(p)
+		p.phase = to
+	}
+}
+
 // evict notes that p was closed to make room. It keeps its place until remove.
 func (a *admission) evict(p *peer) {
 	a.leaveQueue(p)
--- a/internal/boundedhttp/admission_test.go
+++ b/internal/boundedhttp/admission_test.go
@@ -112,3 +112,21 @@
 	q.writing.Store(0)
 	c.wantVictim(p)
 }
+
+// A client that owes the rest of a body must not keep its place, nor one whose request runs
+// after that lose it.
+func TestOwedBodyCanBeClosed(t *testing.T) {
+	c := newCrowd(t, 2)
+	p, q := c.peer(0), c.peer(0)
+	c.a.serve(p)
+	c.a.wait(p, c.now)
+	c.a.serve(q)
+	c.now = c.now.Add(waitPatience)
+	c.wantVictim(p)
+	c.a.received(p)
+	c.wantVictim(nil)
+	c.a.wait(p, c.now)
+	c.a.end(p)
+	c.now = c.now.Add(time.Hour)
+	c.wantVictim(nil)
+}
--- a/internal/boundedhttp/conn.go
+++ b/internal/boundedhttp/conn.go
@@ -23,9 +23,10 @@
 	mu sync.Mutex
 	// started is set with the first Read. receiving is set while a header is received.
 	started, receiving bool
-	// fresh is set until a part of the header has come.
-	fresh bool
-	meter headerMeter
+	// fresh is set until a part of the header has come. owing is set while a body is
+	// received.
+	fresh, owing bool
+	meter        headerMeter
 
 	// deadlineSet is when the write deadline was set, and wholeDeadline the one that the
 	// server has set for the whole response, or zero. They are used by the goroutine that
@@ -35,7 +36,7 @@
 
 func newConn(accepted net.Conn, l *Listener) *conn {
 	c := &conn{Conn: accepted, l: l, receiving: true, fresh: true}
-	c.meter = headerMeter{maxBytes: l.limits.HeaderBytes, maxLines: l.limits.HeaderLines, bodies: l.limits.Bodies}
+	c.meter = headerMeter{maxBytes: l.limits.HeaderBytes, maxLines: l.limits.HeaderLines, bodies: l.limits.BodyTimeout > 0}
 	c.peer.ready, c.peer.reset = c.unread, c.reset
 	c.remove = sync.OnceFunc(func() { l.remove(c) })
 	return c
@@ -69,11 +70,12 @@
 	return first
 }
 
-// measure reports whether the header is within its limits, and whether p is its beginning.
+// measure reports whether the header is within its limits, and whether the client is to
+// be waited for anew: p is the beginning of a header or a part of a body.
 func (c *conn) measure(p []byte) (within, arrived bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	arrived = c.receiving && c.fresh
+	arrived = c.receiving && c.fresh || c.owing
 	if c.receiving {
 		c.fresh = false
 	}
@@ -96,10 +98,28 @@
 	c.l.admission.serve(&c.peer)
 }
 
+// owe notes that the client has to send a body.
+func (c *conn) owe() {
+	c.mu.Lock()
+	c.owing = true
+	c.mu.Unlock()
+	c.wait()
+}
+
+// received notes that a body has come.
+func (c *conn) received() {
+	c.mu.Lock()
+	c.owing = false
+	c.mu.Unlock()
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.l.admission.received(&c.peer)
+}
+
 // idle notes that a request has ended.
 func (c *conn) idle() {
 	c.mu.Lock()
-	c.receiving, c.fresh = true, true
+	c.receiving, c.fresh, c.owing = true, true, false
 	c.meter.next()
 	c.mu.Unlock()
 	c.wait()
@@ -157,8 +177,12 @@
 	return nil
 }
 
-// CloseWrite closes the sending half, if the connection has halves.
+// CloseWrite closes the sending half, if the connection has halves. The server calls it half
+// a second before it closes a connection whose client still sends a body.
 func (c *conn) CloseWrite() error {
+	c.l.mu.Lock()
+	c.l.admission.end(&c.peer)
+	c.l.mu.Unlock()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/internal/boundedhttp/limits.go
+++ b/internal/boundedhttp/limits.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Limits bound what the clients of a listener may use. All fields but RequestTimeout and
-// WriteTimeout have to be set.
+// Limits bound what the clients of a listener may use. All fields but RequestTimeout,
+// WriteTimeout and BodyTimeout have to be set.
 type Limits struct {
 	// Connections is the maximum number of connections.
 	Connections int
@@ -25,9 +25,10 @@
 	// ReceiveBuffer and SendBuffer are the kernel's buffers of a connection, in bytes. The
 	// kernel takes up to twice as much memory.
 	ReceiveBuffer, SendBuffer int
-	// Bodies is set if handlers read bodies. Otherwise a connection is closed after the
-	// response to a request with a body, which is not read.
-	Bodies bool
+	// BodyTimeout limits the time to receive a body, if handlers read bodies. Zero means that
+	// they don't: a connection is closed after the response to a request with a body, which
+	// is not read.
+	BodyTimeout time.Duration
 }
 
 // The limits of a listener for probes, metrics and status.
--- a/internal/boundedhttp/listener.go
+++ b/internal/boundedhttp/listener.go
@@ -57,10 +57,13 @@
 
 // Server returns a server for the listener's connections.
 func (l *Listener) Server(h http.Handler) *http.Server {
-	if !l.limits.Bodies {
+	if timeout := l.limits.BodyTimeout; timeout > 0 {
+		h = withOwedBodies(h, timeout)
+	} else {
 		h = withoutBodies(h)
 	}
 	return &http.Server{
+		ConnContext:       withConn,
 		Handler:           h,
 		ReadHeaderTimeout: l.limits.HeaderTimeout,
 		ReadTimeout:       l.limits.RequestTimeout,
