router, config: a crowd of callers neither uses up the memory nor keeps others out

Cause: the listener for callers was a plain http.Server: any number of connections, headers of up to 1 MB, an unread rest of a body waited for without a deadline, and a caller that reads nothing waited for for ever.

Change: it is served within limits (internal/boundedhttp): max_connections (4,096 by default), a header of 32 KB and 128 lines, 10 s for any body, a minute without progress for a response, and kernel buffers of 32 KB. Streams and long responses have no limit but that progress.

--- a/config/router_settings.go
+++ b/config/router_settings.go
@@ -23,6 +23,8 @@
 	// requests after /readyz reports that it isn't ready, so that the load balancer
 	// can detect it.
 	ShutdownDelay Duration `json:"balancer_notice"`
+	// MaxConnections is the maximum number of callers' connections.
+	MaxConnections int `json:"max_connections"`
 	// ShutdownTimeout is the time limit of a graceful shutdown.
 	ShutdownTimeout Duration `json:"shutdown_timeout"`
 }
--- a/config/settings_check.go
+++ b/config/settings_check.go
@@ -11,6 +11,12 @@
 	maxReportInterval = 10 * time.Second
 )
 
+// Bounds of a router's connections of callers.
+const (
+	minConnections = 16
+	maxConnections = 1 << 20
+)
+
 // Check returns an *InvalidError with all problems of the settings, or nil.
 func (s *RouterSettings) Check() error {
 	c := &checker{}
@@ -35,6 +41,7 @@
 	}
 	s.TLS.check(c)
 	s.Log.check(c)
+	within(c, "max_connections", s.MaxConnections, minConnections, maxConnections)
 	positive(c, "balancer_notice", s.ShutdownDelay)
 	positive(c, "shutdown_timeout", s.ShutdownTimeout)
 }
--- a/config/settings_defaults.go
+++ b/config/settings_defaults.go
@@ -10,6 +10,8 @@
 	DefaultShutdownDelay      = 5 * time.Second
 	DefaultShutdownTimeout    = 30 * time.Second
 	DefaultServiceConcurrency = 64
+	// DefaultMaxConnections is a router's limit of connections of callers.
+	DefaultMaxConnections = 4096
 )
 
 // The log formats.
@@ -25,6 +27,7 @@
 func (s *RouterSettings) setDefaults() {
 	s.Log.setDefaults()
 	s.ShutdownDelay = Duration(DefaultShutdownDelay)
+	s.MaxConnections = DefaultMaxConnections
 	s.ShutdownTimeout = Duration(DefaultShutdownTimeout)
 }
 
--- a/router/server.go
+++ b/router/server.go
@@ -14,6 +14,7 @@
 	"github.com/laureltally/laureltally/catalog"
 	"github.com/laureltally/laureltally/document"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/boundedhttp"
 	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/wire"
@@ -80,14 +81,8 @@
 	return rand.New(rand.NewPCG(s.rand.Uint64(), s.rand.Uint64()))
 }
 
-const (
-	// readHeaderTimeout limits the time for receiving the headers of a request.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is the time after which idle connections of callers are closed.
-	idleTimeout = 120 * time.Second
-	// defaultShutdownTimeout limits the duration of a graceful shutdown.
-	defaultShutdownTimeout = 60 * time.Second
-)
+// defaultShutdownTimeout limits the duration of a graceful shutdown.
+const defaultShutdownTimeout = 60 * time.Second
 
 // Run serves the API and the admin endpoints until ctx ends, and then shuts down
 // gracefully: requests in progress are completed.
@@ -104,9 +99,13 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	s.start(work)
-	server := s.httpServer(s.callerRoutes())
+	bounded, err := boundedhttp.New(callers, callerLimits(s.o))
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	server := bounded.Server(s.callerRoutes())
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(callers) }()
+	go func() { failed <- server.Serve(bounded) }()
 	admin, err := s.serveAdmin()
 	if err != nil {
 		return err
@@ -123,10 +122,6 @@
 	return nil
 }
 
-func (s *Server) httpServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-}
-
 func (s *Server) start(ctx context.Context) {
 	s.background.Go(func() { s.fleet.run(ctx) })
 	for _, env := range s.environments {
