router, config: the bodies that are held at once have a budget

Cause: each caller could make the router hold a body of max_body_bytes, and a buffered response of 1 MB, for as long as its request lasts; nothing bounded the sum.

Change: bodies are counted as they grow, beyond the first 64 KB of each request, within body_memory_mb (256 by default, at least 16, so that the largest legal request always fits in calm). A body that does not fit is refused as overloaded, not run, with Retry-After 1 s; a response that does not fit is relayed as it arrives. What is allocated follows what has come, not the stated length.

--- a/config/router_settings.go
+++ b/config/router_settings.go
@@ -25,6 +25,9 @@
 	ShutdownDelay Duration `json:"balancer_notice"`
 	// MaxConnections is the maximum number of callers' connections.
 	MaxConnections int `json:"max_connections"`
+	// BodyMemoryMB limits the bodies of requests and responses that are held at the same
+	// time, in MiB, without the first 64 KiB of each request.
+	BodyMemoryMB int64 `json:"body_memory_mb"`
 	// ShutdownTimeout is the time limit of a graceful shutdown.
 	ShutdownTimeout Duration `json:"shutdown_timeout"`
 }
--- a/config/settings_check.go
+++ b/config/settings_check.go
@@ -11,10 +11,13 @@
 	maxReportInterval = 10 * time.Second
 )
 
-// Bounds of a router's connections of callers.
+// Bounds of what a router holds for callers. A request with the largest body and its
+// response always fit.
 const (
-	minConnections = 16
-	maxConnections = 1 << 20
+	minConnections  = 16
+	maxConnections  = 1 << 20
+	minBodyMemoryMB = 16
+	maxBodyMemoryMB = 1 << 20
 )
 
 // Check returns an *InvalidError with all problems of the settings, or nil.
@@ -42,6 +45,7 @@
 	s.TLS.check(c)
 	s.Log.check(c)
 	within(c, "max_connections", s.MaxConnections, minConnections, maxConnections)
+	within(c, "body_memory_mb", s.BodyMemoryMB, minBodyMemoryMB, maxBodyMemoryMB)
 	positive(c, "balancer_notice", s.ShutdownDelay)
 	positive(c, "shutdown_timeout", s.ShutdownTimeout)
 }
--- a/config/settings_defaults.go
+++ b/config/settings_defaults.go
@@ -10,8 +10,9 @@
 	DefaultShutdownDelay      = 5 * time.Second
 	DefaultShutdownTimeout    = 30 * time.Second
 	DefaultServiceConcurrency = 64
-	// DefaultMaxConnections is a router's limit of connections of callers.
+	// DefaultMaxConnections and DefaultBodyMemoryMB bound what a router holds for callers.
 	DefaultMaxConnections = 4096
+	DefaultBodyMemoryMB   = 256
 )
 
 // The log formats.
@@ -28,6 +29,7 @@
 	s.Log.setDefaults()
 	s.ShutdownDelay = Duration(DefaultShutdownDelay)
 	s.MaxConnections = DefaultMaxConnections
+	s.BodyMemoryMB = DefaultBodyMemoryMB
 	s.ShutdownTimeout = Duration(DefaultShutdownTimeout)
 }
 
--- a/router/buffered_sink.go
+++ b/router/buffered_sink.go
@@ -12,17 +12,29 @@
 const maxBufferedBytes = 1 << 20
 
 // bufferedSink buffers a response until it is complete, so that an aborted attempt can be
-// retried or result in an error status.
+// retried or result in an error status. If the budget for bodies has no room, it is sent as
+// it arrives.
 type bufferedSink struct {
 	w       http.ResponseWriter
 	status  int
 	buffer  bytes.Buffer
 	started bool
 	aborted bool
+	// held counts the buffer; it may be nil. counted is what it counts, in bytes.
+	held    *heldBodies
+	counted int
 }
 
 func newBufferedSink(w http.ResponseWriter) *bufferedSink { return &bufferedSink{w: w} }
 
+// newBudgetedSink returns a bufferedSink for the response to a request that counts what it
+// holds.
+func newBudgetedSink(w http.ResponseWriter, r *http.Request) *bufferedSink {
+	s := newBufferedSink(w)
+	s.held = heldBy(r.Context())
+	return s
+}
+
 // Head implements sink.
 func (s *bufferedSink) Head(status int, header http.Header) {
 	s.buffer.Reset()
@@ -32,7 +44,7 @@
 
 // Write implements sink.
 func (s *bufferedSink) Write(data []byte) error {
-	if !s.started && s.buffer.Len()+len(data) <= maxBufferedBytes {
+	if !s.started && s.buffer.Len()+len(data) <= maxBufferedBytes && s.count(s.buffer.Len()+len(data)) {
 		s.buffer.Write(data)
 		return nil
 	}
@@ -42,6 +54,19 @@
 	return s.send(data)
 }
 
+// count reports whether a number of bytes may be buffered. A buffer grows by doubling.
+func (s *bufferedSink) count(size int) bool {
+	more := 2*size - s.counted
+	if more <= 0 {
+		return true
+	}
+	if !s.held.add(more) {
+		return false
+	}
+	s.counted += more
+	return true
+}
+
 // Finish implements sink.
 func (s *bufferedSink) Finish() error {
 	if s.started {
--- a/router/model_handler.go
+++ b/router/model_handler.go
@@ -14,7 +14,7 @@
 		s.refuse(w, r, failure)
 		return
 	}
-	var out sink = newBufferedSink(w)
+	var out sink = newBudgetedSink(w, r)
 	if req.Stream {
 		out = newStreamSink(w)
 	}
--- a/router/routes.go
+++ b/router/routes.go
@@ -20,7 +20,7 @@
 	r.HandleFunc("/readyz", s.handleReady).Methods(http.MethodGet)
 	r.NotFoundHandler = http.HandlerFunc(s.handleNotFound)
 	r.MethodNotAllowedHandler = http.HandlerFunc(s.handleMethod)
-	return withRequestID(r)
+	return withRequestID(withBodyBudget(s.bodies, r))
 }
 
 func (s *Server) handleNotFound(w http.ResponseWriter, r *http.Request) {
--- a/router/server.go
+++ b/router/server.go
@@ -27,6 +27,7 @@
 	pool         *transport.Pool
 	fleet        *fleet
 	environments map[ident.Environment]*environment
+	bodies       *bodyBudget
 	draining     atomic.Bool
 	background   sync.WaitGroup
 
@@ -42,6 +43,7 @@
 		attemptNames: attempt.NewNameGenerator(o.Settings.VM, o.Incarnation),
 		environments: make(map[ident.Environment]*environment),
 		rand:         o.Rand,
+		bodies:       newBodyBudget(o.Settings),
 	}
 	s.pool = transport.NewPool(transport.Options{
 		Hello:       s.hello(),
--- a/router/service_handler.go
+++ b/router/service_handler.go
@@ -31,7 +31,7 @@
 	req.Priority = priority
 	req.Path = path
 	req.NonIdempotent = catalog.NonIdempotent(service, r.Method, strings.SplitN(path, "?", 2)[0])
-	s.serve(w, r, env, req, newBufferedSink(w))
+	s.serve(w, r, env, req, newBudgetedSink(w, r))
 }
 
 // servicePath returns the escaped path below the service's prefix, with the query.
