internal/boundedhttp: a flood of connections is accepted as fast as the process can

Cause: with 10 ms until a connection can be closed, a process that runs for 30 ms of each 100 ms accepts at most some hundred connections in that time; what waits beyond the backlog is dropped by the kernel. All ready connections were looked at for each new one.

Change: 1 ms, and 8 connections are looked at. A request that has arrived protects its connection in any case.

--- a/internal/boundedhttp/admission.go
+++ b/internal/boundedhttp/admission.go
@@ -8,9 +8,11 @@
 const (
 	// waitPatience is how long a connection may wait for its client before it can be closed
 	// to make room.
-	waitPatience = 10 * time.Millisecond
+	waitPatience = time.Millisecond
 	// writePatience is the same for a client that does not take its response.
 	writePatience = 250 * time.Millisecond
+	// maxScanned is the number of waiting connections that are considered at a time.
+	maxScanned = 8
 	// regularRequests is the number of served requests that make a client a regular one.
 	regularRequests = 2
 	// regularShare is the divisor for the part of the places that regular clients keep
@@ -121,9 +123,14 @@
 }
 
 // longestWaiting leaves out connections whose client has sent something: the server is just
-// not there yet.
+// not there yet. If the first ones are all of that kind, it returns nil to let the server go
+// on.
 func longestWaiting(queue *list.List, now time.Time) *peer {
-	for e := queue.Front(); e != nil; e = e.Next() {
+	e := queue.Front()
+	for range maxScanned {
+		if e == nil {
+			return nil
+		}
 		p := e.Value.(*peer)
 		if now.Sub(p.since) < waitPatience {
 			return nil
@@ -131,6 +138,7 @@
 		if !p.ready() {
 			return p
 		}
+		e = e.Next()
 	}
 	return nil
 }
--- a/internal/boundedhttp/admission_test.go
+++ b/internal/boundedhttp/admission_test.go
@@ -25,7 +25,7 @@
 		c.a.serve(p)
 		c.a.wait(p, c.now)
 	}
-	c.now = c.now.Add(time.Millisecond)
+	c.now = c.now.Add(waitPatience / 100)
 	return p
 }
 
@@ -130,3 +130,19 @@
 	c.now = c.now.Add(time.Hour)
 	c.wantVictim(nil)
 }
+
+// When the server has not read what many clients have sent, it must get on with that rather
+// than look at them all again for each new connection.
+func TestServerGetsOnWithReadyConnections(t *testing.T) {
+	c := newCrowd(t, 4*maxScanned)
+	looked := 0
+	for range 2 * maxScanned {
+		c.peer(0).ready = func() bool { looked++; return true }
+	}
+	c.peer(0)
+	c.now = c.now.Add(time.Second)
+	c.wantVictim(nil)
+	if looked > maxScanned {
+		t.Fatalf("looked at %d connections", looked)
+	}
+}
--- a/internal/boundedhttp/conn.go
+++ b/internal/boundedhttp/conn.go
@@ -86,6 +86,7 @@
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
 	c.l.admission.wait(&c.peer, time.Now())
+	c.l.changed.Signal()
 }
 
 // serve notes that a header was received.
--- a/internal/boundedhttp/listener.go
+++ b/internal/boundedhttp/listener.go
@@ -17,7 +17,8 @@
 
 	mu        sync.Mutex
 	admission *admission
-	// changed is signalled when a place was given back or when the listener is closed.
+	// changed is signalled when a place was given back, when a client is waited for, and when
+	// the listener is closed.
 	changed sync.Cond
 	closed  bool
 }
