config: a router's limits may be left out of settings that a program writes

Cause: settings that were written from the struct had max_connections and body_memory_mb as 0, which the check refuses: TestSeparateProcesses failed since the two settings exist (no router started).

Change: zero is not written, so that the defaults apply.

--- a/config/router_settings.go
+++ b/config/router_settings.go
@@ -24,10 +24,10 @@
 	// can detect it.
 	ShutdownDelay Duration `json:"balancer_notice"`
 	// MaxConnections is the maximum number of callers' connections.
-	MaxConnections int `json:"max_connections"`
+	MaxConnections int `json:"max_connections,omitempty"`
 	// BodyMemoryMB limits the bodies of requests and responses that are held at the same
 	// time, in MiB, without the first 64 KiB of each request.
-	BodyMemoryMB int64 `json:"body_memory_mb"`
+	BodyMemoryMB int64 `json:"body_memory_mb,omitempty"`
 	// ShutdownTimeout is the time limit of a graceful shutdown.
 	ShutdownTimeout Duration `json:"shutdown_timeout"`
 }
