internal/boundedhttp, router: a single large header of a caller is legal

What does not fit is refused with 400, nothing has run. Probes, metrics and status keep their fixed limit. The tests' bound for callers is 64 KB for each place, as before, and this budget; the plain http.Server (64 MB) exceeds it as well.

--- a/internal/boundedhttp/boundedhttptest/crowds.go
+++ b/internal/boundedhttp/boundedhttptest/crowds.go
@@ -13,6 +13,8 @@
 	"testing"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/laureltally/laureltally/internal/boundedhttp"
 )
 
 const (
@@ -44,18 +46,19 @@
 
 // Crowds checks that the listener at an address still serves an ordinary GET of path with
 // the wanted status while more clients than it has places owe something or are idle, that
-// it holds no more connections than its limit, and how much memory they take.
-func Crowds(t *testing.T, address string, places int, path string, want int) {
+// it holds no more connections than its limit, and that these take no more than 64 KB each
+// beside the budget for large headers.
+func Crowds(t *testing.T, address string, l boundedhttp.Limits, path string, want int) {
 	t.Helper()
 	for name, sent := range crowds() {
-		t.Run(name, func(t *testing.T) { crowd(t, address, places, sent, path, want) })
+		t.Run(name, func(t *testing.T) { crowd(t, address, l, sent, path, want) })
 	}
 }
 
-func crowd(t *testing.T, address string, places int, sent, path string, want int) {
+func crowd(t *testing.T, address string, l boundedhttp.Limits, sent, path string, want int) {
 	t.Helper()
 	before := inUse()
-	clients := make([]net.Conn, crowdFactor*places)
+	clients := make([]net.Conn, crowdFactor*l.Connections)
 	for i := range clients {
 		c, err := net.Dial("tcp4", address)
 		if err != nil {
@@ -67,10 +70,10 @@
 		clients[i] = c
 	}
 	Get(t, address, path, want)
-	if n := open(t, clients); n > places {
+	if n := open(t, clients); n > l.Connections {
 		t.Errorf("%d connections are open", n)
 	}
-	if held := inUse() - before; held > int64(places*heldBytes+len(clients)*clientBytes) {
+	if held := inUse() - before; held > int64(l.Connections*heldBytes+l.LargeHeaderBudget+len(clients)*clientBytes) {
 		t.Errorf("%d bytes are held", held)
 	}
 }
--- a/internal/boundedhttp/conn.go
+++ b/internal/boundedhttp/conn.go
@@ -27,6 +27,8 @@
 	// received.
 	fresh, owing bool
 	meter        headerMeter
+	// headerHeld is what is held of the budget for large headers.
+	headerHeld int
 
 	// deadlineSet is when the write deadline was set, and wholeDeadline the one that the
 	// server has set for the whole response, or zero. They are used by the goroutine that
@@ -36,9 +38,14 @@
 
 func newConn(accepted net.Conn, l *Listener) *conn {
 	c := &conn{Conn: accepted, l: l, receiving: true, fresh: true}
-	c.meter = headerMeter{maxBytes: l.limits.HeaderBytes, maxLines: l.limits.HeaderLines, bodies: l.limits.BodyTimeout > 0}
+	c.meter = headerMeter{freeBytes: l.limits.HeaderBytes, freeLines: l.limits.HeaderLines, bodies: l.limits.BodyTimeout > 0}
 	c.peer.ready, c.peer.reset = c.unread, c.reset
-	c.remove = sync.OnceFunc(func() { l.remove(c) })
+	c.remove = sync.OnceFunc(func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.releaseHeader()
+		l.remove(c)
+	})
 	return c
 }
 
@@ -51,9 +58,9 @@
 	if n <= 0 {
 		return n, err
 	}
-	within, arrived := c.measure(p[:n])
-	if !within {
-		return 0, &HeaderError{MaxBytes: c.l.limits.HeaderBytes, MaxLines: c.l.limits.HeaderLines}
+	arrived, tooLarge := c.measure(p[:n])
+	if tooLarge != nil {
+		return 0, tooLarge
 	}
 	if arrived {
 		c.wait()
@@ -70,16 +77,32 @@
 	return first
 }
 
-// measure reports whether the header is within its limits, and whether the client is to
-// be waited for anew: p is the beginning of a header or a part of a body.
-func (c *conn) measure(p []byte) (within, arrived bool) {
+// measure reports whether the client is to be waited for anew: p is the beginning of a header
+// or a part of a body. It fails if the header exceeds its limits.
+func (c *conn) measure(p []byte) (arrived bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	arrived = c.receiving && c.fresh || c.owing
 	if c.receiving {
 		c.fresh = false
 	}
-	return c.meter.add(p), arrived
+	more := c.meter.add(p) - c.headerHeld
+	if more <= 0 {
+		return arrived, nil
+	}
+	if c.meter.bytes > max(c.l.limits.HeaderBytes, c.l.limits.LargeHeaderBytes) || !c.l.reserveHeader(more) {
+		return arrived, &HeaderError{Bytes: c.meter.bytes, Lines: c.meter.lines}
+	}
+	c.headerHeld += more
+	return arrived, nil
+}
+
+// releaseHeader gives back what is held of the budget for large headers. The caller holds mu.
+func (c *conn) releaseHeader() {
+	if c.headerHeld > 0 {
+		c.l.releaseHeader(c.headerHeld)
+		c.headerHeld = 0
+	}
 }
 
 func (c *conn) wait() {
@@ -122,6 +145,7 @@
 	c.mu.Lock()
 	c.receiving, c.fresh, c.owing = true, true, false
 	c.meter.next()
+	c.releaseHeader()
 	c.mu.Unlock()
 	c.wait()
 }
--- a/internal/boundedhttp/header_error.go
+++ b/internal/boundedhttp/header_error.go
@@ -2,13 +2,14 @@
 
 import "fmt"
 
-// HeaderError reports a header beyond the limits. The server responds to it with status 400.
+// HeaderError reports a header beyond the limits, or beyond the budget for large ones. The
+// server responds to it with status 400.
 type HeaderError struct {
-	// MaxBytes and MaxLines are the limits.
-	MaxBytes, MaxLines int
+	// Bytes and Lines have been received.
+	Bytes, Lines int
 }
 
 // Error implements error.
 func (e *HeaderError) Error() string {
-	return fmt.Sprintf("header exceeds %d bytes or %d lines", e.MaxBytes, e.MaxLines)
+	return fmt.Sprintf("header of %d bytes and %d lines or more exceeds the limits", e.Bytes, e.Lines)
 }
--- a/internal/boundedhttp/limits.go
+++ b/internal/boundedhttp/limits.go
@@ -2,14 +2,20 @@
 
 import "time"
 
-// Limits bound what the clients of a listener may use. All fields but RequestTimeout,
-// WriteTimeout and BodyTimeout have to be set.
+// Limits bound what the clients of a listener may use. The times and LargeHeaderBytes
+// may be zero where that is said.
 type Limits struct {
 	// Connections is the maximum number of connections.
 	Connections int
 	// HeaderBytes and HeaderLines limit the header of a request with its request line. Each
 	// field costs memory beyond its bytes.
 	HeaderBytes, HeaderLines int
+	// LargeHeaderBytes limits a header that is beyond these limits as long as LargeHeaderBudget
+	// has room. Zero means that there are none.
+	LargeHeaderBytes int
+	// LargeHeaderBudget limits what all large headers cost beyond HeaderBytes and HeaderLines
+	// at the same time, in bytes of memory.
+	LargeHeaderBudget int
 	// HeaderTimeout limits the time to receive a header.
 	HeaderTimeout time.Duration
 	// RequestTimeout limits the time to receive a request and to run its handler. Zero means
--- a/internal/boundedhttp/listener.go
+++ b/internal/boundedhttp/listener.go
@@ -21,6 +21,8 @@
 	// the listener is closed.
 	changed sync.Cond
 	closed  bool
+	// headerHeld is what large headers cost.
+	headerHeld int
 }
 
 // Listen listens at a TCP address.
@@ -70,7 +72,7 @@
 		ReadTimeout:       l.limits.RequestTimeout,
 		WriteTimeout:      l.limits.WriteTimeout,
 		IdleTimeout:       l.limits.IdleTimeout,
-		MaxHeaderBytes:    l.limits.HeaderBytes,
+		MaxHeaderBytes:    max(l.limits.HeaderBytes, l.limits.LargeHeaderBytes),
 		ConnState:         connState,
 	}
 }
@@ -124,6 +126,23 @@
 	return true
 }
 
+// reserveHeader reports whether large headers may cost n more bytes, and holds them.
+func (l *Listener) reserveHeader(n int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.headerHeld+n > l.limits.LargeHeaderBudget {
+		return false
+	}
+	l.headerHeld += n
+	return true
+}
+
+func (l *Listener) releaseHeader(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.headerHeld -= n
+}
+
 // awaitChange waits until a place was given back, but not longer than until another
 // connection may be closed. The caller holds mu.
 func (l *Listener) awaitChange() {
--- a/router/caller_limits.go
+++ b/router/caller_limits.go
@@ -10,9 +10,12 @@
 
 // Limits of a caller's connection.
 const (
-	// headerBytes and headerLines limit the header of a request.
-	headerBytes = 32 << 10
-	headerLines = 128
+	// headerBytes and headerLines limit the header of a request. A larger one, up to
+	// largeHeaderBytes, needs room in largeHeaderBudget.
+	headerBytes       = 16 << 10
+	headerLines       = 128
+	largeHeaderBytes  = 128 << 10
+	largeHeaderBudget = 16 << 20
 	// readHeaderTimeout limits the time for receiving the header of a request.
 	readHeaderTimeout = 10 * time.Second
 	// progressTimeout is how long a caller may take nothing of a response.
@@ -30,6 +33,7 @@
 	return boundedhttp.Limits{
 		Connections: cmp.Or(o.Settings.MaxConnections, config.DefaultMaxConnections),
 		HeaderBytes: headerBytes, HeaderLines: headerLines,
+		LargeHeaderBytes: largeHeaderBytes, LargeHeaderBudget: largeHeaderBudget,
 		HeaderTimeout: readHeaderTimeout, BodyTimeout: o.BodyTimeout,
 		ProgressTimeout: progressTimeout, IdleTimeout: idleTimeout,
 		ReceiveBuffer: receiveBuffer, SendBuffer: sendBuffer,
