router, config: bodies are held within a VM's memory by default

A body whose stated length exceeds max_body_bytes was read up to it.

Change: body_memory_mb is 64 by default, 16 KB of each request are free, and max_connections is 2,048. A body that is stated too large is refused before it is read.

--- a/config/router_settings.go
+++ b/config/router_settings.go
@@ -26,7 +26,7 @@
 	// MaxConnections is the maximum number of callers' connections.
 	MaxConnections int `json:"max_connections,omitempty"`
 	// BodyMemoryMB limits the bodies of requests and responses that are held at the same
-	// time, in MiB, without the first 64 KiB of each request.
+	// time, in MiB, without the first 16 KiB of each request.
 	BodyMemoryMB int64 `json:"body_memory_mb,omitempty"`
 	// ShutdownTimeout is the time limit of a graceful shutdown.
 	ShutdownTimeout Duration `json:"shutdown_timeout"`
--- a/config/settings_defaults.go
+++ b/config/settings_defaults.go
@@ -11,8 +11,8 @@
 	DefaultShutdownTimeout    = 30 * time.Second
 	DefaultServiceConcurrency = 64
 	// DefaultMaxConnections and DefaultBodyMemoryMB bound what a router holds for callers.
-	DefaultMaxConnections = 4096
-	DefaultBodyMemoryMB   = 256
+	DefaultMaxConnections = 2048
+	DefaultBodyMemoryMB   = 64
 )
 
 // The log formats.
--- a/router/body.go
+++ b/router/body.go
@@ -23,6 +23,9 @@
 // readBody reads a request's body within maxBytes, the body timeout and the budget for all
 // bodies.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, *Failure) {
+	if r.ContentLength > maxBytes {
+		return nil, notRun(wire.CodeBodyTooLarge, "the body is larger than %d bytes", maxBytes)
+	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.o.BodyTimeout))
 	body, fits, err := readWithin(http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength, heldBy(r.Context()))
--- a/router/body_budget.go
+++ b/router/body_budget.go
@@ -14,7 +14,7 @@
 const (
 	// freeBodyBytes is what a request may hold of its bodies without the budget, so that
 	// ordinary requests are served while large ones use it up.
-	freeBodyBytes = 64 << 10
+	freeBodyBytes = 16 << 10
 	// noRoomRetryAfter is the Retry-After of a request whose body does not fit.
 	noRoomRetryAfter = time.Second
 )
