ingress: a late grant does not vouch for a server's start

Callers could see a stream go on at another software version at a router that was paused while the request waited for its reservation.

Cause: the grant was in the socket's buffer during the pause. Its start fits the router's list, which is as old, and the server may have started anew under its id.

--- a/e2e/soak/order_version_test.go
+++ b/e2e/soak/order_version_test.go
@@ -101,3 +101,24 @@
 	v.resume()
 	all.Wait()
 }
+
+// Rule ORDER: guards against a stream that goes on at another version, as its router was paused
+// while the request waited, and the grant is from before the server started anew under its id.
+func TestStreamIsNotJoinedByLateGrant(t *testing.T) {
+	v := newVersionTest(t)
+	defer v.close()
+	var all sync.WaitGroup
+	v.begun = v.begun[:min(6, len(v.begun))]
+	e := v.engines[0]
+	id := e.current().ID
+	e.setLoadTime(1700 * time.Millisecond)
+	e.replace(id, softwareVersions[0], 0, 0)
+	time.Sleep(1100 * time.Millisecond)
+	all.Go(func() { v.resume() })
+	time.Sleep(100 * time.Millisecond)
+	all.Go(func() { v.routers[0].pause(1700 * time.Millisecond) })
+	time.Sleep(700 * time.Millisecond)
+	e.setLoadTime(20 * time.Millisecond)
+	e.replace(id, softwareVersions[1], 0, 0)
+	all.Wait()
+}
--- a/ingress/reservation.go
+++ b/ingress/reservation.go
@@ -13,6 +13,8 @@
 	stream *transport.Stream
 	// waited is how long the request was queued for it.
 	waited time.Duration
+	// late is set if the grant took much longer to arrive than the request was queued.
+	late bool
 	// vm is the id of the VM that the reservation is at, or empty if the sidecar does
 	// not know it.
 	vm ident.VM
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -33,9 +33,13 @@
 			if d.listedServer(ctx) {
 				return nil, true
 			}
+			if d.r.Context().Err() != nil {
+				d.callerGoneWhileWaiting()
+				return nil, false
+			}
 			d.requirements.Exclude = append(d.requirements.Exclude, choice.VM.ID)
-			if !d.asksFurther(&VMLeavingError{}) {
-				d.noVM(&VMLeavingError{})
+			if err := new(StartUnknownError); !d.asksFurther(err) {
+				d.noVM(err)
 				return nil, false
 			}
 			continue
@@ -50,7 +54,9 @@
 				wait.Notify(d.s.listOutdated)
 			}
 		}
-		err = checkUsable(err, d.choice.VM != nil && d.s.clusterState.usable(d.s.o.Now(), d.choice.VM))
+		// The server may have started anew since a late grant, which then fits an old list.
+		usable := d.choice.VM != nil && (err != nil || !rsv.late || d.listedServer(ctx))
+		err = checkUsable(err, usable && d.s.clusterState.usable(d.s.o.Now(), d.choice.VM))
 		var (
 			refused *RefusedError
 			leaving *VMLeavingError
@@ -64,8 +70,7 @@
 			d.logEvent("reservation released", err)
 			rsv.release(result{})
 		case d.r.Context().Err() != nil:
-			d.log(stepNone, 0, log.Fields{"outcome": outcomeCallerGone})
-			d.s.metrics.countRequest(string(outcomeCallerGone))
+			d.callerGoneWhileWaiting()
 			return nil, false
 		case d.s.forceStop.Err() != nil:
 			d.noVM(&StoppingError{})
@@ -83,6 +88,11 @@
 	}
 }
 
+func (d *delivery) callerGoneWhileWaiting() {
+	d.log(stepNone, 0, log.Fields{"outcome": outcomeCallerGone})
+	d.s.metrics.countRequest(string(outcomeCallerGone))
+}
+
 // asksFurther counts a VM that gave no reservation and reports whether another one is asked. One
 // that is gone says nothing about the load of the others: right after a crash in a release, the
 // VMs that a router knows best are such ones.
--- a/ingress/sidecar_link.go
+++ b/ingress/sidecar_link.go
@@ -29,6 +29,9 @@
 	// the longest round trip of 90 ms, to allow for the retransmission of a lost
 	// packet.
 	replyTimeout = 450 * time.Millisecond
+	// maxGrantDelay is how much longer than it waited at the sidecar a reservation may take
+	// before it counts as late: this process was paused, or the network held it up.
+	maxGrantDelay = 500 * time.Millisecond
 )
 
 // sidecarLink maintains the connection to the sidecar beside one engine, across restarts
@@ -135,6 +138,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.MaxWait+reserveSlack)
 	defer cancel()
+	asked := time.Now()
 	stream, err := conn.Open(ctx, r)
 	if err != nil {
 		return nil, err
@@ -146,7 +150,7 @@
 	}
 	switch m := m.(type) {
 	case *wire.Reserved:
-		return &reservation{stream: stream, waited: m.Waited, vm: m.VM, started: m.Started, load: m.Load}, nil
+		return &reservation{stream: stream, waited: m.Waited, late: time.Since(asked)-m.Waited > maxGrantDelay, vm: m.VM, started: m.Started, load: m.Load}, nil
 	case *wire.Refusal:
 		stream.Reset()
 		return nil, &RefusedError{RetryAfter: m.RetryAfter, Reason: m.Detail, Gone: m.Code == wire.CodeDraining, Load: m.Load}
