ingress: a comment before repeated events does not break a stream

Cause: since events are compared, the first event that is relayed ended the time in which repeats are left out, also a comment, which has no id; the next repeat then broke a sound continuation. Only an event with an id ends it now.

--- a/e2e/hosted/event_order_test.go
+++ b/e2e/hosted/event_order_test.go
@@ -71,3 +71,30 @@
 		})
 	}
 }
+
+// Rule ORDER: guards against a sound continuation that is cut, as a comment comes before the events
+// that the caller has already.
+func TestCommentBeforeRepeatsDoesNotBreakAStream(t *testing.T) {
+	t.Parallel()
+	const events = 10
+	in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{Events: events})
+	for _, u := range upstreams {
+		u.SetBehavior(func(_ int, r *http.Request) platformtest.Behavior {
+			if r.Header.Get("Last-Event-Id") == "" {
+				return platformtest.Behavior{TruncateAfter: 4}
+			}
+			var body strings.Builder
+			for i := range events + 1 {
+				event := ": alive\n\n"
+				if i > 0 {
+					event = fmt.Sprintf("id: %d\ndata: %d of s\n\n", i, i)
+				}
+				fmt.Fprintf(&body, "%x\r\n%s\r\n", len(event), event)
+			}
+			return platformtest.Behavior{Raw: rawChunked + body.String() + "0\r\n\r\n"}
+		})
+	}
+	if r := in.call(platformtest.Call{ID: "s", Path: "/outlook/a", Body: "x"}); !r.Complete || !strings.Contains(r.Body, "10 of s") {
+		t.Errorf("complete %v: %q", r.Complete, r.Body)
+	}
+}
--- a/ingress/relay_stream.go
+++ b/ingress/relay_stream.go
@@ -21,7 +21,7 @@
 	res := result{kind: outcomeDelivered}
 	last := begun
 	eventBytes := freeEventBytes
-	// relaying is set once an event of this response has been relayed.
+	// relaying is set once an event of this response that has an id has been relayed.
 	relaying := false
 	for {
 		e, err := events.next()
@@ -57,7 +57,7 @@
 			d.stream.skipped++
 			continue
 		}
-		relaying = true
+		relaying = relaying || e.id != ""
 		if !d.stream.begun && now.After(d.deadline.Add(responseSlack)) {
 			// The process was paused: the time for writing to the connection is over, and
 			// only a final response gets more.
