ingress: an unmarked end counts where the server is leaving

Callers of a leaving server could get 502 for an order that ran and whose answer was whole: a server that shuts down closes its port before it writes its last answers.

Where the list or the server says that it leaves, a refused connection shows nothing, and an end that only the connection marks is passed on as it came.

A server that leaves without a word is still taken for killed.

--- a/e2e/hosted/unmarked_end_test.go
+++ b/e2e/hosted/unmarked_end_test.go
@@ -132,3 +132,22 @@
 		})
 	}
 }
+
+// Rules LOST, REFUSED: guards against a whole answer without a marked end that counts as broken, as
+// its server leaves and has closed its port before its last answers were written.
+func TestUnmarkedEndOfLeavingServerCounts(t *testing.T) {
+	t.Parallel()
+	in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{})
+	for _, u := range upstreams {
+		u.SetBehavior(always(platformtest.Behavior{Raw: rawHead + "\r\nthe body", RawHold: time.Second}))
+	}
+	time.AfterFunc(200*time.Millisecond, func() {
+		for _, u := range upstreams {
+			u.Register(in.store, "draining")
+			u.Close()
+		}
+	})
+	if resp, body, err := in.rawCall("/order/a", "HTTP/1.1"); resp.StatusCode != http.StatusOK || body != "the body" || err != nil {
+		t.Errorf("status %d, body %q, error %v", resp.StatusCode, body, err)
+	}
+}
--- a/ingress/server_remains.go
+++ b/ingress/server_remains.go
@@ -18,9 +18,13 @@
 }
 
 // serverRemains reports whether the server that sent a response still accepts connections and,
-// for engines, is the start that the list has.
+// for engines, is the start that the list has. One that leaves closes its port before it writes
+// its last answers, so that nothing can be concluded there.
 func (d *delivery) serverRemains(ctx context.Context) bool {
 	vm := d.choice.VM
+	if !d.s.clusterState.staying(vm) {
+		return true
+	}
 	if d.requirements.Model == "" || d.s.o.ServerStarted == nil {
 		return d.s.client.Probe(ctx, vm.Address) == nil
 	}
