heldbytes: idle peers make room, and what is admitted has a bound

Only peers that owed some of a body or left a response unread could be disconnected, and connections, requests and small bodies were taken however much was held: 1,500 idle connections held 35 MB of a budget of 6.4 MB.

A peer is now also idle (no request, or a part of a header). Idle ones are disconnected first among equally urgent ones. Admit refuses what begins beyond the budget and a quarter once nobody is left to disconnect, and bounds the descriptors. A peer that sends less than 32 KB a second counts as stalled although it sends.

--- a/heldbytes/budget.go
+++ b/heldbytes/budget.go
@@ -16,11 +16,17 @@
 // Draining. On a busy machine they held 40 MB beside a full budget of 64 MB.
 const drainingShare = 0.1
 
-// Budget is the number of bytes that may be held for all peers together.
+// minSendRate is the rate, in bytes a second, at which a peer has to send what it owes so as not
+// to be stalled. A peer that sends a byte now and then would otherwise never be disconnected.
+const minSendRate = 32 << 10
+
+// Budget is the number of bytes, and of descriptors, that may be held for all peers together.
 type Budget struct {
 	limit, held int64
 	// leaving is the part of held that belongs to peers being disconnected.
 	leaving int64
+	// maxFiles is the number of descriptors that may be held; zero means any.
+	maxFiles, files, filesLeaving int
 	// stalled holds the peers that are stalled and not being disconnected, each at its
 	// Holder.index. It is scanned when the budget is used up.
 	stalled []*Holder
@@ -31,6 +37,9 @@
 	return &Budget{limit: limit}
 }
 
+// SetMaxFiles sets how many descriptors may be held; zero means any number.
+func (b *Budget) SetMaxFiles(n int) { b.maxFiles = n }
+
 // Limit returns the size of the budget.
 func (b *Budget) Limit() int64 { return b.limit }
 
@@ -48,7 +57,8 @@
 	excess := b.excess() + n
 	if excess > 0 {
 		var freed int64
-		disconnect, freed = b.choose(now, h, excess, MinStall, &h.urgency)
+		c := choice{self: h, bytes: excess, minStall: MinStall, most: &h.urgency}
+		disconnect, freed = b.choose(now, c)
 		if freed < excess {
 			return nil, false
 		}
@@ -66,29 +76,56 @@
 	return b.trim(now, h)
 }
 
+// Admit takes n bytes and descriptors for something that a peer begins: a connection, a request.
+// They may exceed the limit of bytes by hardShare, but not that of descriptors. Beyond that, when
+// nobody is left to disconnect, nothing is taken and ok is false. It returns the stalled peers
+// that the caller must disconnect in any case.
+func (b *Budget) Admit(now time.Time, h *Holder, n int64, files int) (disconnect []*Holder, ok bool) {
+	b.add(h, n)
+	b.addFiles(h, files)
+	disconnect = b.trim(now, h)
+	if b.beyond() > 0 || b.filesExcess() > 0 {
+		b.add(h, -n)
+		b.addFiles(h, -files)
+		return disconnect, false
+	}
+	return disconnect, true
+}
+
 // Trim returns the stalled peers that the caller must disconnect because the budget is
 // exceeded: those that Hold found to be stalled for too short a time.
 func (b *Budget) Trim(now time.Time) (disconnect []*Holder) { return b.trim(now, nil) }
 
 // Draining reports whether peers being disconnected still hold a good part of the budget.
 // Nothing new should be begun until their connections have ended.
-func (b *Budget) Draining() bool { return float64(b.leaving) > drainingShare*float64(b.limit) }
+func (b *Budget) Draining() bool {
+	return float64(b.leaving) > drainingShare*float64(b.limit) || float64(b.filesLeaving) > drainingShare*float64(b.maxFiles)
+}
+
+// Files returns the number of descriptors held.
+func (b *Budget) Files() int { return b.files }
+
+// MaxFiles returns how many descriptors may be held; zero means any number.
+func (b *Budget) MaxFiles() int { return b.maxFiles }
 
 // Exceeded reports whether more is held than the limit, not counting peers being
 // disconnected.
 func (b *Budget) Exceeded() bool { return b.excess() > 0 }
 
 func (b *Budget) trim(now time.Time, self *Holder) (disconnect []*Holder) {
-	excess := b.excess()
-	if excess <= 0 {
-		return nil
-	}
-	disconnect, _ = b.choose(now, self, excess, MinStall, nil)
-	b.leave(disconnect)
-	if beyond := b.excess() - int64(hardShare*float64(b.limit)); beyond > 0 {
-		more, _ := b.choose(now, self, beyond, 0, nil)
-		b.leave(more)
-		disconnect = append(disconnect, more...)
+	for _, c := range []choice{
+		{self: self, bytes: b.excess(), files: b.filesExcess(), minStall: MinStall},
+		{self: self, bytes: b.beyond(), files: b.filesExcess(), any: true},
+	} {
+		if c.any {
+			// The first choice may have made room.
+			c.bytes, c.files = b.beyond(), b.filesExcess()
+		}
+		if c.bytes > 0 || c.files > 0 {
+			chosen, _ := b.choose(now, c)
+			b.leave(chosen)
+			disconnect = append(disconnect, chosen...)
+		}
 	}
 	return disconnect
 }
@@ -96,15 +133,38 @@
 // Release gives n bytes back.
 func (b *Budget) Release(h *Holder, n int64) { b.add(h, -n) }
 
-// Remove gives all bytes of a peer back.
+// ReleaseFiles gives n descriptors back.
+func (b *Budget) ReleaseFiles(h *Holder, n int) { b.addFiles(h, -n) }
+
+// Remove gives everything of a peer back.
 func (b *Budget) Remove(h *Holder) {
 	b.add(h, -h.bytes)
+	b.addFiles(h, -h.files)
 	b.Progress(h)
 }
 
-// Stall records that a peer has not made progress since the given time.
-func (b *Budget) Stall(h *Holder, since time.Time) {
-	h.stalledSince = since
+// Stall records that a peer has not made progress since the given time: it leaves a response
+// unread, or owes the rest of a request's body.
+func (b *Budget) Stall(h *Holder, since time.Time) { b.stall(h, since, false) }
+
+// Idle records that a peer has no request since the given time. Disconnecting it loses none: it
+// has sent nothing, or owes the rest of a header.
+func (b *Budget) Idle(h *Holder, since time.Time) { b.stall(h, since, true) }
+
+// Received records that a stalled peer has sent n bytes of what it owes. At minSendRate it
+// counts as if it had not been stalled at all.
+func (b *Budget) Received(now time.Time, h *Holder, n int) {
+	if !h.stalled {
+		return
+	}
+	h.stalledSince = h.stalledSince.Add(time.Duration(n) * time.Second / minSendRate)
+	if h.stalledSince.After(now) {
+		h.stalledSince = now
+	}
+}
+
+func (b *Budget) stall(h *Holder, since time.Time, idle bool) {
+	h.stalledSince, h.idle = since, idle
 	if !h.stalled && !h.leaving {
 		h.index = len(b.stalled)
 		b.stalled = append(b.stalled, h)
@@ -121,7 +181,7 @@
 }
 
 // SetUrgency sets the urgency of the request that a peer's bytes are held for.
-func (b *Budget) SetUrgency(h *Holder, u Urgency) { h.urgency = u }
+func (b *Budget) SetUrgency(h *Holder, u Urgency) { h.urgency, h.known = u, true }
 
 func (b *Budget) add(h *Holder, n int64) {
 	h.bytes += n
@@ -131,21 +191,40 @@
 	}
 }
 
+func (b *Budget) addFiles(h *Holder, n int) {
+	h.files += n
+	b.files += n
+	if h.leaving {
+		b.filesLeaving += n
+	}
+}
+
 // excess returns by how much the budget is exceeded, not counting peers being
 // disconnected; negative if bytes are free.
 func (b *Budget) excess() int64 { return b.held - b.leaving - b.limit }
 
-// choose returns the peers to disconnect so that need bytes are given back, and how many
-// they give. They have been stalled for minStall. It chooses neither self nor, if most is
-// set, peers more urgent than that.
-func (b *Budget) choose(now time.Time, self *Holder, need int64, minStall time.Duration, most *Urgency) (chosen []*Holder, freed int64) {
-	for freed < need {
+// beyond returns by how much the budget is exceeded by more than hardShare.
+func (b *Budget) beyond() int64 { return b.excess() - int64(hardShare*float64(b.limit)) }
+
+// filesExcess returns by how much the limit of descriptors is exceeded, not counting peers being
+// disconnected.
+func (b *Budget) filesExcess() int {
+	if b.maxFiles == 0 {
+		return 0
+	}
+	return b.files - b.filesLeaving - b.maxFiles
+}
+
+// choose returns the peers to disconnect, and how many bytes they give.
+func (b *Budget) choose(now time.Time, c choice) (chosen []*Holder, freed int64) {
+	files := 0
+	for freed < c.bytes || files < c.files {
 		var first *Holder
 		for _, h := range b.stalled {
-			if h == self || h.chosen || now.Sub(h.stalledSince) < minStall || most != nil && h.urgency.Compare(*most) < 0 {
+			if h.chosen || !c.allows(now, h) {
 				continue
 			}
-			if first == nil || h.before(first) {
+			if first == nil || h.before(first, c.any) {
 				first = h
 			}
 		}
@@ -155,6 +234,7 @@
 		first.chosen = true
 		chosen = append(chosen, first)
 		freed += first.bytes
+		files += first.files
 	}
 	for _, h := range chosen {
 		h.chosen = false
@@ -167,6 +247,7 @@
 		b.unlist(h)
 		h.leaving = true
 		b.leaving += h.bytes
+		b.filesLeaving += h.files
 	}
 }
 
--- a/heldbytes/budget_test.go
+++ b/heldbytes/budget_test.go
@@ -180,6 +180,7 @@
 func TestSumOfHoldersIsHeld(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := NewBudget(1000)
+		b.SetMaxFiles(5)
 		all := map[*Holder]bool{}
 		var list []*Holder
 		now := start
@@ -201,7 +202,7 @@
 			}
 			h := rapid.SampledFrom(list).Draw(t, "peer")
 			n := int64(rapid.IntRange(0, 400).Draw(t, "bytes"))
-			switch rapid.IntRange(0, 5).Draw(t, "operation") {
+			switch rapid.IntRange(0, 9).Draw(t, "operation") {
 			case 0:
 				check(b.Hold(now, h, n))
 			case 1:
@@ -219,9 +220,25 @@
 			case 5:
 				b.Remove(h)
 				list = slices.DeleteFunc(list, func(o *Holder) bool { return o == h })
+			case 6:
+				b.Idle(h, now)
+			case 7:
+				b.Received(now, h, int(n))
+			case 8:
+				chosen, ok := b.Admit(now, h, n, 1)
+				check(chosen)
+				if ok && (b.beyond() > 0 || b.filesExcess() > 0) {
+					t.Fatalf("admitted beyond the hard limit by %d, %d", b.beyond(), b.filesExcess())
+				}
+			case 9:
+				b.ReleaseFiles(h, min(1, h.files))
 			}
-			sum, leaving := int64(0), int64(0)
+			sum, leaving, files, filesLeaving := int64(0), int64(0), 0, 0
 			for _, o := range list {
+				files += o.files
+				if o.leaving {
+					filesLeaving += o.files
+				}
 				sum += o.bytes
 				if o.leaving {
 					leaving += o.bytes
@@ -230,6 +247,9 @@
 			if b.held != sum || b.leaving != leaving {
 				t.Fatalf("held %d of %d, leaving %d of %d", b.held, sum, b.leaving, leaving)
 			}
+			if b.files != files || b.filesLeaving != filesLeaving {
+				t.Fatalf("%d descriptors of %d, leaving %d of %d", b.files, files, b.filesLeaving, filesLeaving)
+			}
 		}
 	})
 }
