--- a/config/ingress_settings.go
+++ b/config/ingress_settings.go
@@ -49,7 +49,10 @@
 	ShutdownTimeout Duration `json:"shutdown_timeout"`
 	// MemoryMB is the memory of the VM in MB. A share of it may be buffered for callers.
 	// Zero means that nothing limits what is buffered.
-	MemoryMB float64     `json:"memory_mb"`
+	MemoryMB float64 `json:"memory_mb"`
+	// MaxFiles is the number of descriptors of the VM, a share of which callers may use. Zero
+	// stands for the limit of the process. It has an effect only with MemoryMB.
+	MaxFiles int         `json:"max_files"`
 	Log      LogSettings `json:"log"`
 }
 
@@ -94,6 +97,9 @@
 	if s.MemoryMB != 0 {
 		within(c, "memory_mb", s.MemoryMB, minMemoryMB, maxMemoryMB)
 	}
+	if s.MaxFiles != 0 {
+		within(c, "max_files", s.MaxFiles, minMaxFiles, maxMaxFiles)
+	}
 	s.Log.check(c)
 }
 
@@ -106,3 +112,9 @@
 	minMemoryMB = 16
 	maxMemoryMB = 16 << 20
 )
+
+// Bounds of MaxFiles. Files, the store, sidecars and upstreams need some.
+const (
+	minMaxFiles = 512
+	maxMaxFiles = 1 << 30
+)
