ingress: one account of what callers hold, and an end for what they owe

Change: a header is counted with 256 bytes a field, as long as its request lives. A connection is idle, owing, unread or working, and all but working ones can be disconnected. Beyond the budget and a quarter, connections are closed and requests refused with 503. A body ends with its request's time, with 408. A refusal is sent at once; its connection is kept only if the body had arrived, and otherwise closed after up to 0.5 s in which the rest is discarded. A header ends with 431 where it would hold more than any within the configured limit. Receive buffers are 64 KB, counted once a caller sends ahead. Descriptors are bounded by max_files. The size of a header no longer counts spaces that it may not have.

--- a/ingress/caller_conn.go
+++ b/ingress/caller_conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/laureltally/laureltally/heldbytes"
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/sockopt"
 )
 
 const (
@@ -20,8 +22,10 @@
 	// idle one and 31 KB with a request, without the buffers below, which are a part.
 	idleConnectionBytes = 24 << 10
 	activeRequestBytes  = 16 << 10
-	// freeHeaderBytes, freePendingBytes and freeEventBytes need no reservation.
+	// freeHeaderBytes, freeHeaderFields, freePendingBytes and freeEventBytes need no
+	// reservation.
 	freeHeaderBytes  = 4 << 10
+	freeHeaderFields = 24
 	freePendingBytes = 4 << 10
 	freeEventBytes   = 4 << 10
 
@@ -34,6 +38,15 @@
 	// reserveStep is the step in which buffers are reserved as they grow.
 	reserveStep = 4 << 10
 
+	// headerFieldBytes is the memory of one field of a parsed header, with the copy for the
+	// attempt, beside its bytes. TestHeaderFieldsAreCountedAsHeld measures the dearest ones.
+	headerFieldBytes = 256
+	// headerReadAhead is how much net/http may read beyond a header.
+	headerReadAhead = 4 << 10
+
+	// callerReceiveBuffer is the kernel's receive buffer for callers. A body of 4 MB takes 4 s
+	// over a round trip of 60 ms.
+	callerReceiveBuffer = 64 << 10
 	// callerSendBuffer is the kernel's send buffer for callers, streamSendBuffer the one
 	// for streams, which consist of small events.
 	callerSendBuffer = 32 << 10
@@ -47,6 +60,12 @@
 	// progressTimeout is how long a caller may leave a response unread before it is
 	// disconnected while the budget is not used up.
 	progressTimeout = time.Minute
+	// lastBytesGrace is how long a slow caller may take for the end of a response that only the
+	// kernel still holds, which shows no progress.
+	lastBytesGrace = 10 * time.Second
+	// lastBytesTimeout is how long the kernel keeps what a disconnected idle caller has not
+	// taken.
+	lastBytesTimeout = 2 * time.Second
 )
 
 // callerConn is the connection of a caller. While the caller reads in time, writes go to
@@ -72,9 +91,12 @@
 	// holder is guarded by held.mu.
 	holder heldbytes.Holder
 	// requestBytes is what is held for the current request, and responseBytes the part of it
-	// that is reserved for a whole response. They are used by the goroutine that serves the
-	// connection.
-	requestBytes, responseBytes int
+	// that is reserved for a whole response; requestFiles is the same in descriptors. They are
+	// used by the goroutine that serves the connection.
+	requestBytes, responseBytes, requestFiles int
+	// awaitsBody is set while the body of a request is being read, but has not been read from
+	// the socket yet. Most bodies arrive with their header.
+	awaitsBody atomic.Bool
 
 	mu   sync.Mutex
 	room sync.Cond
@@ -82,9 +104,16 @@
 	request string
 	tenant  ident.Tenant
 	// active is set while a request is being served. header counts what has been received
-	// of the next one before, and headerReserved what was reserved for it.
-	active                 bool
-	header, headerReserved int
+	// of the next one before, headerLines the line ends in it, and headerReserved what was
+	// reserved for it.
+	active                              bool
+	header, headerLines, headerReserved int
+	// owing is set while the rest of a body is read from the socket, until readBy.
+	owing  bool
+	readBy time.Time
+	// ahead is set while the allowance for a caller is held that has sent a request before the
+	// response to the one before.
+	ahead bool
 	// body is the body of a response that was received to its end. It does not change any
 	// more, so that pending can be a part of it.
 	body []byte
@@ -125,34 +154,10 @@
 		held.closed(c)
 		return tcp.Close()
 	})
-	held.opened(c)
-	return c, nil
-}
-
-// Read implements net.Conn. Bytes outside of a request belong to the header of the next
-// one; beyond freeHeaderBytes they are reserved.
-func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.tcp.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closing {
-		return 0, net.ErrClosed
-	}
-	if c.active || n <= 0 {
-		return n, err
-	}
-	c.header += n
-	for c.header > freeHeaderBytes+c.headerReserved {
-		if !c.held.reserve(c, reserveStep) {
-			c.logDisconnected("caller disconnected, no room for its header", log.Fields{"bytes": c.header})
-			return 0, &NoRoomError{Bytes: reserveStep}
-		}
-		c.headerReserved += reserveStep
-	}
-	if c.headerReserved > 0 && !c.flushing {
-		c.held.stalled(c, c.held.now())
+	if !held.opened(c) {
+		return nil, &NoRoomError{Bytes: idleConnectionBytes}
 	}
-	return n, err
+	return c, nil
 }
 
 // SetWriteDeadline implements net.Conn.
@@ -163,17 +168,6 @@
 	return nil
 }
 
-// SetReadDeadline implements net.Conn. A closing connection keeps the one in the past that
-// ends the server's read.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closing {
-		return nil
-	}
-	return c.tcp.SetReadDeadline(t)
-}
-
 // SetDeadline implements net.Conn.
 func (c *callerConn) SetDeadline(t time.Time) error {
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
@@ -204,15 +198,20 @@
 }
 
 // disconnect ends the connection at once. The kernel discards what it has not sent, so
-// that its buffer is free as well. A waiting Write ends with flush.
-func (c *callerConn) disconnect(reason string, f log.Fields) {
+// that its buffer is free as well, unless the caller is idle: the end of its last response may
+// still be on its way. A waiting Write ends with flush.
+func (c *callerConn) disconnect(reason string, f log.Fields, idle bool) {
 	c.mu.Lock()
 	if c.err == nil {
 		c.err = net.ErrClosed
 		c.logDisconnected(reason, f)
 	}
 	c.mu.Unlock()
-	_ = c.tcp.SetLinger(0)
+	if idle {
+		_ = sockopt.UserTimeout(lastBytesTimeout)("", "", c.raw)
+	} else {
+		_ = c.tcp.SetLinger(0)
+	}
 	_ = c.tcp.Close()
 }
 
--- a/ingress/caller_conn_test.go
+++ b/ingress/caller_conn_test.go
@@ -40,7 +40,7 @@
 		t.Fatal(err)
 	}
 	c := accepted.(*callerConn)
-	t.Cleanup(func() { c.disconnect("", nil); c.Close() })
+	t.Cleanup(func() { c.disconnect("", nil, false); c.Close() })
 	return c, caller, held
 }
 
@@ -177,7 +177,7 @@
 		ended <- err
 	}()
 	time.Sleep(50 * time.Millisecond)
-	c.disconnect("test", log.Fields{})
+	c.disconnect("test", log.Fields{}, false)
 	select {
 	case err := <-ended:
 		if err == nil {
--- a/ingress/caller_listener.go
+++ b/ingress/caller_listener.go
@@ -21,7 +21,7 @@
 		if !ok {
 			return accepted, nil
 		}
-		// It fails only if the caller has disconnected.
+		// It fails if the caller has disconnected, or if there is no room for it.
 		if c, err := newCallerConn(tcp, l.held); err == nil {
 			return c, nil
 		}
--- a/ingress/caller_request.go
+++ b/ingress/caller_request.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/laureltally/laureltally/heldbytes"
 	"github.com/laureltally/laureltally/ident"
@@ -46,20 +47,31 @@
 	c.wakeAt = -1
 	c.request, c.tenant, c.active = id, "", c.err == nil
 	c.pendingLimit, c.whole, c.backpressure, c.body = streamBufferBytes, false, false, nil
-	if c.headerReserved > 0 {
-		c.held.release(c, c.headerReserved)
-		if !c.flushing {
-			c.held.progressed(c)
-		}
+	n := c.headerReserved
+	if c.ahead {
+		n += kernelOverhead * callerReceiveBuffer
 	}
-	c.header, c.headerReserved = 0, 0
+	c.held.release(c, n)
+	c.header, c.headerLines, c.headerReserved, c.ahead, c.owing = 0, 0, 0, false, false
 	if c.err != nil {
 		return false
 	}
-	c.held.hold(c, activeRequestBytes)
+	if c.held.begun(c, !c.flushing) {
+		c.requestBytes, c.requestFiles = activeRequestBytes, 1
+	}
 	return true
 }
 
+// admits reports whether there was room for the request, and reserves what its header takes as
+// long as it lives. What has been counted while it was read may have been a part of it only, or
+// a part of the body as well.
+func (c *callerConn) admits(headerBytes, fields int) bool {
+	if c == nil {
+		return true
+	}
+	return c.requestFiles > 0 && c.reserve(headerCost(headerBytes, fields))
+}
+
 // end gives back what is held for the request.
 func (c *callerConn) end() {
 	if c == nil {
@@ -67,12 +79,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := c.requestBytes + activeRequestBytes
+	n, files := c.requestBytes, c.requestFiles
 	if c.backpressure {
 		n += kernelOverhead * upstreamReceiveBuffer
 	}
-	c.requestBytes, c.responseBytes, c.active, c.backpressure, c.body = 0, 0, false, false, nil
-	c.held.release(c, n)
+	c.requestBytes, c.responseBytes, c.requestFiles, c.active, c.backpressure, c.body = 0, 0, 0, false, false, nil
+	c.awaitsBody.Store(false)
+	c.owing = false
+	c.held.ended(c, n, files, !c.flushing)
 }
 
 // hold takes bytes for the request, also beyond the budget.
@@ -83,6 +97,16 @@
 	}
 }
 
+// admitMore takes bytes for a request that has not been sent to an upstream, also beyond the
+// budget, but not without a bound.
+func (c *callerConn) admitMore(n int) bool {
+	if !c.held.admit(c, n) {
+		return false
+	}
+	c.requestBytes += n
+	return true
+}
+
 // reserve takes bytes for the request if they fit into the budget.
 func (c *callerConn) reserve(n int) bool {
 	if c == nil || n <= 0 {
@@ -129,14 +153,30 @@
 
 // readBody reads a request body of the given length, or -1 if unknown, of at most limit
 // bytes unless that is zero. It fails with a *NoRoomError if the body is not small and
-// does not fit into the budget. A caller that sends slowly is stalled meanwhile.
-func (c *callerConn) readBody(body io.Reader, length, limit int64) ([]byte, error) {
+// does not fit into the budget, and with os.ErrDeadlineExceeded if it is not complete at a
+// time. A caller that sends slowly is stalled meanwhile.
+func (c *callerConn) readBody(body io.Reader, length, limit int64, by time.Time) ([]byte, error) {
+	if limit > 0 && length > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
 	if c == nil {
 		return io.ReadAll(body)
 	}
-	if limit > 0 && length > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
+	if length == 0 {
+		return nil, nil
 	}
+	before := c.requestBytes
+	c.awaitBody(by)
+	b, err := c.collectBody(body, length)
+	if err = c.bodyEnded(err); err != nil {
+		c.held.release(c, c.requestBytes-before)
+		c.requestBytes = before
+		return nil, err
+	}
+	return b, nil
+}
+
+func (c *callerConn) collectBody(body io.Reader, length int64) ([]byte, error) {
 	b := make([]byte, 0, firstBodyBytes)
 	switch {
 	case length > smallBodyBytes:
@@ -144,9 +184,10 @@
 			return nil, &NoRoomError{Bytes: length}
 		}
 	case length > firstBodyBytes:
-		c.hold(int(length))
+		if !c.admitMore(int(length)) {
+			return nil, &NoRoomError{Bytes: length}
+		}
 	}
-	defer c.held.progressed(c)
 	for {
 		if len(b) == cap(b) {
 			grown := c.growBody(b, length)
@@ -163,7 +204,6 @@
 		if err != nil {
 			return nil, err
 		}
-		c.held.stalled(c, c.held.now())
 	}
 }
 
@@ -176,7 +216,9 @@
 		// One byte more lets the end of the body be read without growing once more.
 		size = max(min(size, int(length)+1), cap(b)+1)
 	case size <= smallBodyBytes:
-		c.hold(size - cap(b))
+		if !c.admitMore(size - cap(b)) {
+			return nil
+		}
 	case !c.reserve(size - cap(b)):
 		return nil
 	}
--- a/ingress/caller_write.go
+++ b/ingress/caller_write.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sys/unix"
 )
 
 // Write implements net.Conn. It is called by one goroutine at a time.
@@ -149,9 +150,18 @@
 		c.err = err
 	}
 	_ = c.tcp.SetWriteDeadline(time.Time{})
-	c.held.progressed(c)
 	c.held.release(c, kernelOverhead*streamSendBuffer+c.pendingReserved)
 	c.pending, c.offset, c.pendingReserved, c.flushing = nil, 0, 0, false
+	switch {
+	case !c.active && c.unsent() > 0:
+		c.held.idle(c, lastBytesGrace)
+	case !c.active:
+		c.held.idle(c, 0)
+	case c.owing:
+		c.held.stalled(c, c.held.now())
+	default:
+		c.held.progressed(c)
+	}
 	c.room.Broadcast()
 	if c.err != nil {
 		// The server's read fails, and it closes the connection.
@@ -162,6 +172,16 @@
 	}
 }
 
+// unsent returns how many bytes the kernel holds that the caller has not taken.
+func (c *callerConn) unsent() (n int) {
+	_ = c.raw.Control(func(fd uintptr) {
+		if v, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err == nil {
+			n = v
+		}
+	})
+	return n
+}
+
 // writePending writes what the socket takes of pending, and reports false if it takes
 // nothing, which makes raw.Write wait.
 func (c *callerConn) writePending(fd uintptr) bool {
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -45,9 +45,13 @@
 	route  *serving.Route
 	info   serving.RequestInfo
 	// conn is the caller's connection, or nil if there is no budget of buffered bytes.
-	conn  *callerConn
-	body  []byte
-	start time.Time
+	conn *callerConn
+	body []byte
+	// bodyOwed is set while the body has not been read to its end, and headerBytes is the size
+	// of the header.
+	bodyOwed    bool
+	headerBytes int
+	start       time.Time
 	// authenticated is set if the configuration has tenants, and tenant is the request's
 	// tenant, or nil for none.
 	authenticated bool
@@ -131,7 +135,8 @@
 	}
 }
 
-func (d *delivery) prepare() {
+// timeLimit returns how long after its start the request is useful.
+func (d *delivery) timeLimit() time.Duration {
 	limit := d.route.Timeout
 	if d.info.Timeout > 0 && (limit == 0 || d.info.Timeout < limit) {
 		limit = d.info.Timeout
@@ -139,7 +144,11 @@
 	if limit == 0 {
 		limit = maxRequestTime
 	}
-	d.deadline = d.start.Add(limit)
+	return limit
+}
+
+func (d *delivery) prepare() {
+	d.deadline = d.start.Add(d.timeLimit())
 	d.requirements = placement.Requirements{
 		Service: d.route.Pick(d.info.ID), Model: d.info.Model, Adapter: d.info.Adapter,
 		Priority: d.snap.Priorities.Of(d.tenant, d.route),
--- a/ingress/final_response.go
+++ b/ingress/final_response.go
@@ -34,9 +34,15 @@
 		d.s.metrics.countRequest("over_allotment")
 	}
 	d.extendWrite()
+	if d.bodyOwed = d.bodyOwed && !d.takeBufferedBody(); d.bodyOwed {
+		d.w.Header().Set("Connection", "close")
+	}
 	d.w.Header().Set("Content-Length", "0")
 	d.w.WriteHeader(status)
 	d.completed()
+	if d.bodyOwed {
+		d.discardBody()
+	}
 }
 
 // extendWrite allows writeSlack from now on, at least, for writing a response that is
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -31,12 +32,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	d := &delivery{
-		s: s, w: w, r: r, conn: conn, start: now, info: info,
+		s: s, w: w, r: r, conn: conn, start: now, info: info, bodyOwed: r.ContentLength != 0,
 	}
 	if d.config = s.configRead.Load(); d.config != nil {
 		d.snap = d.config.snap
 	}
-	if d.admit() {
+	if d.admitBytes() && d.admit() {
 		d.run()
 	}
 	if !d.answered {
@@ -46,6 +47,19 @@
 	}
 }
 
+// admitBytes refuses a request for which the budget of held bytes has no room.
+func (d *delivery) admitBytes() bool {
+	var fields int
+	d.headerBytes, fields = headerSize(d.r)
+	if d.conn.admits(d.headerBytes, fields) {
+		return true
+	}
+	d.s.metrics.requestsRefused.Inc(1)
+	d.w.Header().Set("Connection", "close")
+	d.finish(stepRefuse, http.StatusServiceUnavailable, "no room for the request", bodiesRetryAfter)
+	return false
+}
+
 // admit finds the route and reads the body. If that fails, it responds to the caller
 // itself.
 func (d *delivery) admit() bool {
@@ -63,7 +77,7 @@
 		return false
 	}
 	limits := d.snap.Config.Limits
-	if limits.HeaderBytes > 0 && headerBytes(d.r) > limits.HeaderBytes {
+	if limits.HeaderBytes > 0 && d.headerBytes > limits.HeaderBytes {
 		d.finish(stepRefuse, http.StatusRequestHeaderFieldsTooLarge, "header too large", 0)
 		return false
 	}
@@ -91,12 +105,19 @@
 	stop := d.endReadAtForceStop()
 	defer stop()
 	var err error
-	d.body, err = d.conn.readBody(io.TeeReader(body, hash), d.r.ContentLength, limits.BodyBytes)
+	by := time.Now().Add(d.start.Add(d.timeLimit()).Sub(d.s.o.Now()))
+	if d.conn == nil && d.bodyOwed {
+		// It fails only on a closed connection.
+		_ = http.NewResponseController(d.w).SetReadDeadline(by)
+	}
+	d.body, err = d.conn.readBody(io.TeeReader(body, hash), d.r.ContentLength, limits.BodyBytes, by)
 	d.traits = requestTraits(d.info.Prefix, hash.trait())
 	var large *http.MaxBytesError
 	var noRoom *NoRoomError
 	switch {
 	case err == nil:
+		d.bodyOwed = false
+		d.conn.hold(len(d.r.Trailer) * headerFieldBytes)
 		return true
 	case errors.As(err, &large):
 		d.finish(stepRefuse, http.StatusRequestEntityTooLarge, "body too large", 0)
@@ -106,6 +127,9 @@
 	case d.s.forceStop.Err() != nil:
 		t, _ := d.s.stopTimes()
 		d.refuseWhileStopping(d.s.o.Now(), t)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		_ = http.NewResponseController(d.w).SetWriteDeadline(d.s.o.Now().Add(writeSlack))
+		d.finish(stepRefuse, http.StatusRequestTimeout, "body not complete in time", 0)
 	default:
 		d.log(stepNone, 0, log.Fields{"reason": "body not read", "error": err.Error()})
 	}
--- a/ingress/header.go
+++ b/ingress/header.go
@@ -35,13 +35,15 @@
 	}
 }
 
-// headerBytes returns the approximate size of a request's header on the wire.
-func headerBytes(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n\r\n")
+// headerSize returns the approximate size of a request's header on the wire, which may be larger
+// by the spaces around values, and the number of its fields.
+func headerSize(r *http.Request) (n, fields int) {
+	n = len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n\r\n")
 	for name, values := range r.Header {
 		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
+			n += len(name) + len(v) + len(":\r\n")
 		}
+		fields += len(values)
 	}
-	return n
+	return n, fields
 }
--- a/ingress/held_bytes.go
+++ b/ingress/held_bytes.go
@@ -28,6 +28,9 @@
 	logger  log.Interface
 	metrics *metrics
 	now     func() time.Time
+	// headerLimit returns the configured limit of a header in bytes, or zero while it is not
+	// known. It may be nil.
+	headerLimit func() int
 
 	mu     sync.Mutex
 	budget *heldbytes.Budget
@@ -42,16 +45,58 @@
 		return nil
 	}
 	budget := heldbytes.NewBudget(heldbytes.LimitFor(o.Settings.MemoryMB))
+	budget.SetMaxFiles(callerFiles(o.Settings.MaxFiles))
 	m.heldBytesBudget.Update(float64(budget.Limit()))
+	m.heldFilesBudget.Update(float64(budget.MaxFiles()))
 	return &heldBytes{logger: o.Logger, metrics: m, now: o.Now, budget: budget, conns: make(map[*heldbytes.Holder]*callerConn)}
 }
 
-// opened registers a connection.
-func (b *heldBytes) opened(c *callerConn) {
+// opened registers a connection, and reports false if there is no room for it.
+func (b *heldBytes) opened(c *callerConn) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.conns[&c.holder] = c
-	b.disconnect(b.budget.Hold(b.now(), &c.holder, idleConnectionBytes))
+	now := b.now()
+	list, ok := b.budget.Admit(now, &c.holder, idleConnectionBytes, 1)
+	if ok {
+		b.conns[&c.holder] = c
+		b.budget.Idle(&c.holder, now)
+	} else {
+		b.metrics.connectionsRefused.Inc(1)
+	}
+	b.disconnect(list)
+	return ok
+}
+
+// begun takes the allowance for a request, and one for the descriptor of its attempt, and reports
+// false if there is no room for it. If working is set, the caller owes nothing.
+func (b *heldBytes) begun(c *callerConn, working bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.conns[&c.holder] == nil || c.holder.Leaving() {
+		return false
+	}
+	if working {
+		b.budget.Progress(&c.holder)
+	}
+	list, ok := b.budget.Admit(b.now(), &c.holder, activeRequestBytes, 1)
+	b.disconnect(list)
+	return ok
+}
+
+// ended gives back what was held for a request. If idle is set, nothing is expected from the
+// caller but another request.
+func (b *heldBytes) ended(c *callerConn, n, files int, idle bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.conns[&c.holder] == nil {
+		return
+	}
+	b.budget.Release(&c.holder, int64(n))
+	b.budget.ReleaseFiles(&c.holder, files)
+	if idle {
+		b.budget.Idle(&c.holder, b.now())
+	}
+	b.observe()
 }
 
 // closed gives all bytes of a connection back.
@@ -72,6 +117,19 @@
 	}
 }
 
+// admit takes bytes for a request that has not been sent to an upstream, also beyond the budget,
+// but by a bounded part of it.
+func (b *heldBytes) admit(c *callerConn, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.conns[&c.holder] == nil {
+		return false
+	}
+	list, ok := b.budget.Admit(b.now(), &c.holder, int64(n), 0)
+	b.disconnect(list)
+	return ok
+}
+
 // reserve takes bytes if they fit into the budget.
 func (b *heldBytes) reserve(c *callerConn, n int) bool {
 	b.mu.Lock()
@@ -104,6 +162,23 @@
 	}
 }
 
+// idle records that a caller has no request from now on: it has sent nothing, or a part of a
+// header. It counts as stalled after the grace.
+func (b *heldBytes) idle(c *callerConn, grace time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.conns[&c.holder] != nil {
+		b.budget.Idle(&c.holder, b.now().Add(grace))
+	}
+}
+
+// received records that a stalled caller has sent some of what it owes.
+func (b *heldBytes) received(c *callerConn, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Received(b.now(), &c.holder, n)
+}
+
 func (b *heldBytes) progressed(c *callerConn) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -136,9 +211,9 @@
 // goroutine of its own, since the caller may hold the lock of another connection.
 func (b *heldBytes) disconnect(list []*heldbytes.Holder) {
 	for _, h := range list {
-		f := log.Fields{"bytes": h.Bytes(), "stalled_ms": ms(h.StalledFor(b.now())), "held_bytes": b.budget.Held(), "budget_bytes": b.budget.Limit()}
+		f := log.Fields{"bytes": h.Bytes(), "stalled_ms": ms(h.StalledFor(b.now())), "held_bytes": b.budget.Held(), "budget_bytes": b.budget.Limit(), "held_files": b.budget.Files()}
 		b.metrics.readersDisconnected.Inc(1)
-		go b.conns[h].disconnect("caller disconnected, budget of buffered bytes used up", f)
+		go b.conns[h].disconnect("caller disconnected, budget of buffered bytes used up", f, h.Idle())
 	}
 	b.observe()
 	b.trim()
@@ -167,7 +242,27 @@
 	return len(b.conns) > 0
 }
 
+// maxHeaderCost returns the most that a header within the configured limit can hold.
+func (b *heldBytes) maxHeaderCost() int {
+	limit := maxHeaderBytes
+	if b.headerLimit != nil {
+		if n := b.headerLimit(); n > 0 {
+			limit = min(n, maxHeaderBytes)
+		}
+	}
+	limit += headerReadAhead
+	return headerCost(limit, limit/minFieldBytes)
+}
+
+// leaving reports whether a caller is being disconnected.
+func (b *heldBytes) leaving(c *callerConn) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return c.holder.Leaving()
+}
+
 // observe updates the metrics. The caller holds mu.
 func (b *heldBytes) observe() {
 	b.metrics.heldBytes.Update(float64(b.budget.Held()))
+	b.metrics.heldFiles.Update(float64(b.budget.Files()))
 }
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -42,6 +42,11 @@
 	// that did not fit.
 	heldBytes, heldBytesBudget         tally.Gauge
 	readersDisconnected, bodiesRefused tally.Counter
+	// heldFiles is the number of descriptors held for callers, heldFilesBudget its limit.
+	// connectionsRefused counts the connections that were closed when they were accepted,
+	// requestsRefused the requests for which there was no room.
+	heldFiles, heldFilesBudget          tally.Gauge
+	connectionsRefused, requestsRefused tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -62,6 +67,8 @@
 
 		heldBytes: scope.Gauge("held_bytes"), heldBytesBudget: scope.Gauge("held_bytes_budget"),
 		readersDisconnected: scope.Counter("readers_disconnected"), bodiesRefused: scope.Counter("bodies_refused"),
+		heldFiles: scope.Gauge("held_files"), heldFilesBudget: scope.Gauge("held_files_budget"),
+		connectionsRefused: scope.Counter("connections_refused"), requestsRefused: scope.Counter("requests_refused_no_room"),
 	}
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/laureltally/laureltally/internal/admin"
 	"github.com/laureltally/laureltally/internal/boundedhttp"
+	"github.com/laureltally/laureltally/internal/sockopt"
 	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/quarantine"
 	"github.com/laureltally/laureltally/serving"
@@ -102,7 +103,9 @@
 	}
 	s.allotments = newAllotments(s)
 	s.software, s.origins = newSoftwareVersions(s), newOrigins(s)
-	s.heldBytes = newHeldBytes(o, s.metrics)
+	if s.heldBytes = newHeldBytes(o, s.metrics); s.heldBytes != nil {
+		s.heldBytes.headerLimit = s.headerLimit
+	}
 	s.quarantine.detector = quarantine.NewDetector(s.epoch, quarantine.Options{Stagger: quarantine.StaggerOf(o.Settings.VM)})
 	s.quarantine.readOnce = make(chan struct{})
 	s.sharedFindings.writer = newFindingWriter(s)
@@ -135,7 +138,7 @@
 
 // Run serves until ctx ends and then shuts down gracefully.
 func (s *Server) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp4", s.o.Settings.Listen)
+	callers, err := s.listenForCallers(context.WithoutCancel(ctx))
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
@@ -148,9 +151,6 @@
 		s.o.OnListening(callers.Addr(), probes.Addr())
 	}
 	s.o.Logger.WithField("listen", s.o.Settings.Listen).Info("started")
-	if s.heldBytes != nil {
-		callers = callerListener{Listener: callers, held: s.heldBytes}
-	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, work := errgroup.WithContext(work)
@@ -180,6 +180,20 @@
 	return err
 }
 
+// listenForCallers listens for callers. If the memory is limited, their bytes are counted, and
+// the kernel's receive buffers are bounded from the handshake on.
+func (s *Server) listenForCallers(ctx context.Context) (net.Listener, error) {
+	if s.heldBytes == nil {
+		return new(net.ListenConfig).Listen(ctx, "tcp4", s.o.Settings.Listen)
+	}
+	lc := net.ListenConfig{Control: sockopt.ReceiveBuffer(callerReceiveBuffer)}
+	ln, err := lc.Listen(ctx, "tcp4", s.o.Settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	return callerListener{Listener: ln, held: s.heldBytes}, nil
+}
+
 // callerServer returns the server for callers. Their idle time is bounded by
 // idleTracker because the limit changes with the configuration.
 func (s *Server) callerServer() *http.Server {
@@ -200,6 +214,14 @@
 	return 0
 }
 
+// headerLimit returns the configured limit of a header in bytes, or zero.
+func (s *Server) headerLimit() int {
+	if snap := s.currentConfig.Get(); snap != nil {
+		return snap.Config.Limits.HeaderBytes
+	}
+	return 0
+}
+
 func serveError(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
