ingress: the end of a response that is held for a slow caller is not lost unseen

Callers of HTTP/1.0, and of servers that mark no end, saw a stream as complete after a part of it, when the router was killed, or reached the end of its shutdown, while it held the rest for a caller that reads slowly.

Cause: the connection was allowed to end without a reset once the response had been given to the connection, which buffers up to 32 KB of a stream and whole responses, and writes them later.

Change: a counted connection ends without a reset only once it has written all of such a response itself and no write has failed. Without a budget the response is flushed first.

--- a/ingress/caller_conn.go
+++ b/ingress/caller_conn.go
@@ -141,6 +141,9 @@
 	writeDeadline time.Time
 	closing       bool
 	err           error
+	// resets is set if the connection ends with a reset unless its response was written to its
+	// end, given is set once all of that has been given to Write, and cut if a Write failed.
+	resets, given, cut bool
 	// written and writeErr are the result of direct or drain, and toWrite the argument of
 	// direct.
 	toWrite  []byte
@@ -193,6 +196,31 @@
 	return c.tcp.CloseWrite()
 }
 
+// resetUnlessWritten makes the connection end with a reset, also by the end of this process, unless
+// the response that begins is written to its end, and the kernel has taken all of it.
+func (c *callerConn) resetUnlessWritten() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resets = true
+	// It fails only on a closed connection.
+	_ = c.tcp.SetLinger(0)
+}
+
+// responseGiven records that the response has been given to Write to its end.
+func (c *callerConn) responseGiven() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.given = true
+}
+
+// endWritten lets the connection end without a reset if nothing of the response is missing. The
+// caller holds mu, and nothing is pending.
+func (c *callerConn) endWritten() {
+	if c.resets && c.given && !c.cut && c.err == nil {
+		_ = c.tcp.SetLinger(-1)
+	}
+}
+
 // Close implements net.Conn. What is pending is written before the connection is closed.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
@@ -202,6 +230,7 @@
 		c.mu.Unlock()
 		return nil
 	}
+	c.endWritten()
 	c.mu.Unlock()
 	return c.finish()
 }
--- a/ingress/caller_write.go
+++ b/ingress/caller_write.go
@@ -14,6 +14,13 @@
 func (c *callerConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	n, err := c.write(p)
+	c.cut = c.cut || err != nil
+	return n, err
+}
+
+// write writes p or buffers it. The caller holds mu.
+func (c *callerConn) write(p []byte) (int, error) {
 	n := 0
 	if c.err == nil && !c.flushing {
 		c.toWrite = p
@@ -168,6 +175,7 @@
 		_ = c.tcp.Close()
 	}
 	if c.closing {
+		c.endWritten()
 		_ = c.finish()
 	}
 }
--- a/ingress/response_end.go
+++ b/ingress/response_end.go
@@ -26,7 +26,9 @@
 // so that the response does not look complete.
 func (d *delivery) endWithConnection() {
 	d.endsWithConnection = true
-	if c := callerSocketOf(d.r.Context()); c != nil {
+	if d.conn != nil {
+		d.conn.resetUnlessWritten()
+	} else if c := callerSocketOf(d.r.Context()); c != nil {
 		// It fails only on a closed connection.
 		_ = c.SetLinger(0)
 	}
@@ -35,7 +37,16 @@
 // completed records that the final response has been written to its end.
 func (d *delivery) completed() {
 	d.answered = true
-	if c := callerSocketOf(d.r.Context()); d.endsWithConnection && c != nil {
+	if !d.endsWithConnection {
+		return
+	}
+	if d.conn != nil {
+		d.conn.responseGiven()
+		return
+	}
+	// Without a budget, nothing is buffered beyond this.
+	d.answered = http.NewResponseController(d.w).Flush() == nil
+	if c := callerSocketOf(d.r.Context()); d.answered && c != nil {
 		_ = c.SetLinger(-1)
 	}
 }
