router, internal/boundedhttp: an aborted answer over HTTP/1.0 is reset

A caller of the own interface saw an answer of over 1 MiB that was aborted as complete over HTTP/1.0, where only the end of the connection marks that of a response without a length. The connection is reset there.

--- a/internal/boundedhttp/conn.go
+++ b/internal/boundedhttp/conn.go
@@ -221,6 +221,14 @@
 	return err
 }
 
+// SetLinger sets how a TCP connection is closed, like the method of net.TCPConn.
+func (c *conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
+
 // reset closes the connection, but gives the place not yet back.
 func (c *conn) reset() {
 	c.discard()
--- a/router/serve.go
+++ b/router/serve.go
@@ -26,14 +26,15 @@
 	if r.Context().Err() != nil {
 		// The caller may have closed only its sending half and read on; the response of a
 		// handler that returns is complete.
-		panic(http.ErrAbortHandler)
+		abort(w, r)
+		return
 	}
 	started := out.Started()
 	out.Abort(failure)
 	if buffered, ok := out.(*bufferedSink); ok && started && buffered.aborted {
 		// The connection is aborted, since a part of the response has been sent and
 		// a clean end would make it look complete.
-		panic(http.ErrAbortHandler)
+		abort(w, r)
 	}
 }
 
