--- a/e2e/hosted/unmarked_end_test.go
+++ b/e2e/hosted/unmarked_end_test.go
@@ -151,3 +151,22 @@
 		t.Errorf("status %d, body %q, error %v", resp.StatusCode, body, err)
 	}
 }
+
+// Rule ORDER: guards against the end of a killed server that counts, as the server is not listed any
+// more: another one has taken its address.
+func TestUnmarkedEndOfReplacedServerIsABreak(t *testing.T) {
+	t.Parallel()
+	in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{})
+	for _, u := range upstreams {
+		u.SetBehavior(always(platformtest.Behavior{Raw: rawUnmarked + rawEvent, RawHold: 1500 * time.Millisecond}))
+	}
+	time.AfterFunc(200*time.Millisecond, func() {
+		for _, u := range upstreams {
+			in.store.RemoveServer(u.ID())
+			u.Close()
+		}
+	})
+	if _, body, err := in.rawCall("/draft/a", "HTTP/1.1"); err == nil {
+		t.Errorf("complete stream of %d bytes", len(body))
+	}
+}
--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -369,6 +369,13 @@
 	return c.balancer.Staying(vm)
 }
 
+// leaving reports whether a VM is listed and has announced that it stops.
+func (c *clusterState) leaving(vm *fleet.VM) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.balancer.Leaving(vm)
+}
+
 // usable reports whether a VM chosen earlier still accepts new requests.
 func (c *clusterState) usable(now time.Time, vm *fleet.VM) bool {
 	c.mu.Lock()
--- a/ingress/server_remains.go
+++ b/ingress/server_remains.go
@@ -22,7 +22,7 @@
 // its last answers, so that nothing can be concluded there.
 func (d *delivery) serverRemains(ctx context.Context) bool {
 	vm := d.choice.VM
-	if !d.s.clusterState.staying(vm) {
+	if d.s.clusterState.leaving(vm) {
 		return true
 	}
 	if d.requirements.Model == "" || d.s.o.ServerStarted == nil {
