--- a/config/ingress_settings.go
+++ b/config/ingress_settings.go
@@ -51,7 +51,7 @@
 	// Zero means that nothing limits what is buffered.
 	MemoryMB float64 `json:"memory_mb"`
 	// MaxFiles is the number of descriptors of the VM, a share of which callers may use. Zero
-	// stands for the limit of the process. It has an effect only with MemoryMB.
+	// means the limit of the process. It has an effect only with MemoryMB.
 	MaxFiles int         `json:"max_files"`
 	Log      LogSettings `json:"log"`
 }
--- a/e2e/crowd/route_test.go
+++ b/e2e/crowd/route_test.go
@@ -71,7 +71,7 @@
 	endure(t, startRouter(t, l), callersPort, 2000, &clients{send: func(c net.Conn, _ int) { write(c, post+fields+shortOfBody) }, reads: true})
 }
 
-// Guards against headers without an end: half of the clients stop, half go on.
+// Guards against headers without an end: half of the clients stop, half continue.
 func TestRouteHeadersWithoutEnd(t *testing.T) {
 	fields := shortFields(smallHeaderBytes - headRoom)
 	endure(t, startRouter(t, usualLimits), callersPort, 1000, &clients{send: func(c net.Conn, n int) {
--- a/e2e/soak/order_version_test.go
+++ b/e2e/soak/order_version_test.go
@@ -41,7 +41,7 @@
 	return v
 }
 
-// resume resumes the streams at the first router and checks that none goes on at another version.
+// resume resumes the streams at the first router and checks that none continues at another version.
 func (v *versionTest) resume() {
 	version := softwareVersions[0]
 	var all sync.WaitGroup
@@ -49,14 +49,14 @@
 		all.Go(func() {
 			a := c.do(v.routerAddress(0))
 			if len(a.events) > 0 && a.events[len(a.events)-1].version != version {
-				v.t.Errorf("%s, which began at %s, goes on:%s", c.id, version, runsOf(a.events))
+				v.t.Errorf("%s, which began at %s, continues:%s", c.id, version, runsOf(a.events))
 			}
 		})
 	}
 	all.Wait()
 }
 
-// Rule ORDER: guards against streams that go on at another version at a router that wakes from a
+// Rule ORDER: guards against streams that continue at another version at a router that wakes from a
 // pause. All sidecars seem silent then, and the list is from before the engine started anew.
 func TestStreamIsNotJoinedAtRouterThatWakes(t *testing.T) {
 	v := newVersionTest(t)
@@ -70,7 +70,7 @@
 	all.Wait()
 }
 
-// Rule ORDER: guards against streams that go on at another version past a sidecar that is silent
+// Rule ORDER: guards against streams that continue at another version past a sidecar that is silent
 // after it has ordered the load, by a router that is cut off from the store.
 func TestStreamIsNotJoinedPastSilentSidecar(t *testing.T) {
 	v := newVersionTest(t)
@@ -87,7 +87,7 @@
 	all.Wait()
 }
 
-// Rule ORDER: guards against streams that go on at another version because the list changes while
+// Rule ORDER: guards against streams that continue at another version because the list changes while
 // they wait for their reservation: the engine has started as another VM, which loads a model.
 func TestStreamIsNotJoinedAtVMThatReplacesItsOwn(t *testing.T) {
 	v := newVersionTest(t)
@@ -102,7 +102,7 @@
 	all.Wait()
 }
 
-// Rule ORDER: guards against a stream that goes on at another version, as its router was paused
+// Rule ORDER: guards against a stream that continues at another version, as its router was paused
 // while the request waited, and the grant is from before the server started anew under its id.
 func TestStreamIsNotJoinedByLateGrant(t *testing.T) {
 	v := newVersionTest(t)
--- a/ingress/caller_files.go
+++ b/ingress/caller_files.go
@@ -18,7 +18,7 @@
 )
 
 // callerFiles returns how many descriptors may be used for callers on a VM that has a number of
-// them. Zero stands for the limit of the process.
+// them. Zero means the limit of the process.
 func callerFiles(maxFiles int) int {
 	if maxFiles == 0 {
 		var l syscall.Rlimit
--- a/internal/boundedhttp/boundedhttptest/crowds.go
+++ b/internal/boundedhttp/boundedhttptest/crowds.go
@@ -120,7 +120,7 @@
 	return n
 }
 
-// isOpen reads what has arrived and reports whether the connection goes on after it.
+// isOpen reads what has arrived and reports whether the connection is still open after it.
 func isOpen(fd int) bool {
 	p := make([]byte, clientBytes)
 	for {
--- a/internal/boundedhttp/conn.go
+++ b/internal/boundedhttp/conn.go
@@ -150,7 +150,7 @@
 	c.wait()
 }
 
-// Write implements net.Conn. It goes on as long as the client takes a part within each
+// Write implements net.Conn. It continues as long as the client takes a part within each
 // ProgressTimeout, up to the deadline for the whole response.
 func (c *conn) Write(p []byte) (int, error) {
 	written := 0
--- a/router/held_bodies.go
+++ b/router/held_bodies.go
@@ -6,7 +6,7 @@
 type heldKey struct{}
 
 // heldBodies is what one request holds of the budget. Its methods do nothing on nil, which
-// stands for a request without a budget. It is used by one goroutine at a time.
+// means a request without a budget. It is used by one goroutine at a time.
 type heldBodies struct {
 	budget *bodyBudget
 	// bytes is what the request holds, and reserved the part of it that the budget counts.
