--- a/internal/boundedhttp/conn.go
+++ b/internal/boundedhttp/conn.go
@@ -235,9 +235,6 @@
 	_ = c.Conn.Close()
 }
 
-// discard makes the kernel discard what it holds when the connection is closed.
-func (c *conn) discard() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-}
+// discard makes the kernel discard what it holds when the connection is closed. It fails only on
+// a closed connection.
+func (c *conn) discard() { _ = c.SetLinger(0) }
