--- a/review/standin-2/engines.go
+++ b/review/standin-2/engines.go
@@ -93,13 +93,13 @@
 func lateLoad(w *world) bool {
 	w.store.put("config", "main", map[string]any{
 		"version": 3, "limits": limits,
-		"routes":   []map[string]any{{"name": "draft", "host": host, "path_prefix": "/draft/", "route_kind": "streaming", "timeout_ms": 15000, "aim_ms": 800, "gap_aim_ms": 300, "priority": 1, "service": "models", "max_attempts": 1, "sticky": true, "resumable": false}},
-		"services": []map[string]any{{"name": "models", "health_path": "/health", "max_conns": 610, "engine": engineSpec(83000, 34300, "m1", "m2", "m3")}},
+		"routes":   []map[string]any{{"name": "draft", "host": host, "path_prefix": "/draft/", "route_kind": "streaming", "timeout_ms": 20000, "aim_ms": 2500, "gap_aim_ms": 250, "priority": 1, "service": "models", "max_attempts": 1, "sticky": true, "resumable": false}},
+		"services": []map[string]any{{"name": "models", "health_path": "/health", "max_conns": 610, "engine": engineSpec(200000, 72700, "m1", "m2", "m3")}},
 	})
 	disk := filepath.Join(w.dir, "disk")
 	check(os.WriteFile(disk, []byte("m1\nm2\nm3"), 0o644))
 	late := startLateOrders(w, w.app(2), 11*time.Second)
-	engine := []string{"-memory", "83000", "-disk", disk}
+	engine := []string{"-memory", "200000", "-disk", disk}
 	first := append([]string{"-models", "m1"}, engine...)
 	if w.trouble {
 		first = append(first, "-late", late.url, "-late-model", "m3")
@@ -149,17 +149,17 @@
 	w.store.put("config", "main", map[string]any{
 		"version": 3, "limits": limits,
 		"routes": []map[string]any{
-			{"name": "draft", "host": host, "path_prefix": "/draft/", "route_kind": "streaming", "timeout_ms": 15000, "aim_ms": 800, "gap_aim_ms": 300, "priority": 1, "service": "models", "max_attempts": 1, "sticky": true, "resumable": false},
+			{"name": "draft", "host": host, "path_prefix": "/draft/", "route_kind": "streaming", "timeout_ms": 20000, "aim_ms": 2500, "gap_aim_ms": 250, "priority": 1, "service": "models", "max_attempts": 1, "sticky": true, "resumable": false},
 			{"name": "order", "host": host, "path_prefix": "/order/", "route_kind": "non_idempotent", "timeout_ms": 1500, "aim_ms": 300, "priority": 2, "service": "portal", "max_attempts": 1},
 		},
 		"services": []map[string]any{
-			{"name": "models", "health_path": "/health", "max_conns": 610, "engine": engineSpec(83000, 34300, "m0")},
+			{"name": "models", "health_path": "/health", "max_conns": 610, "engine": engineSpec(200000, 72700, "m0")},
 			{"name": "portal", "health_path": "/health", "max_conns": 96},
 		},
 	})
 	names := []string{w.startIngress(1)}
 	for n := 2; n < 2+engines; n++ {
-		w.startServer(n, fmt.Sprintf("i-%d", n), "models", "-memory", "83000", "-models", "m0", "-gap", "30ms")
+		w.startServer(n, fmt.Sprintf("i-%d", n), "models", "-memory", "200000", "-models", "m0", "-gap", "30ms")
 		names = append(names, w.startSidecar(n, "models", true))
 	}
 	for n := 2 + engines; n < 2+engines+plain; n++ {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -77,7 +77,7 @@
 	f.IntVar(&s.rate, "rate", 400<<10, "bytes of a long answer in a second")
 	f.Int64Var(&s.leavesMS, "leaves-ms", 2000, "")
 	f.Float64Var(&s.memoryMB, "memory", 0, "")
-	f.Float64Var(&s.modelMB, "model-mb", 34300, "")
+	f.Float64Var(&s.modelMB, "model-mb", 72700, "")
 	f.DurationVar(&s.load, "load", time.Second, "time of a load from the disk")
 	f.StringVar(&s.disk, "disk", "", "")
 	f.StringVar(&s.late, "late", "", "")
@@ -166,7 +166,7 @@
 	defer s.mu.Unlock()
 	body := map[string]any{
 		"stage": "both", "models": s.models(), "busy": s.busy, "seq": s.seq, "waiting": 0, "running": s.runs,
-		"kv_used": 0, "kv_total": 138793, "handles": 0, "coming": []string{}, "state": s.state(), "born": s.born,
+		"kv_used": 0, "kv_total": 124398, "handles": 0, "coming": []string{}, "state": s.state(), "born": s.born,
 		"at_hand": map[string]any{"in_memory": []string{}, "on_disk": s.onDisk()},
 	}
 	if s.draining {
--- a/review/standin-2/slow.go
+++ b/review/standin-2/slow.go
@@ -140,23 +140,23 @@
 	c.w.note("client has for %s: %s, %d of %d %s, in order %v, then %v", id, result, got, total, what, ordered, err)
 }
 
-// slowReaders has clients that stop reading their answers for three seconds: streams as long as the
-// longest of the site, and long answers of a plain service. Rule MIXED.
+// slowReaders has clients that stop reading their answers for three seconds: streams twice as long as
+// the longest of the site, and long answers of a plain service. Rule MIXED.
 func slowReaders(w *world) bool {
 	const engines, servers = 3, 3
 	w.store.put("config", "main", map[string]any{
 		"version": 3, "limits": limits,
 		"routes": []map[string]any{
-			{"name": "draft", "host": host, "path_prefix": "/draft/", "route_kind": "streaming", "timeout_ms": 20000, "aim_ms": 800, "gap_aim_ms": 300, "priority": 1, "service": "models", "max_attempts": 1, "sticky": true, "resumable": false},
+			{"name": "draft", "host": host, "path_prefix": "/draft/", "route_kind": "streaming", "timeout_ms": 20000, "aim_ms": 2500, "gap_aim_ms": 250, "priority": 1, "service": "models", "max_attempts": 1, "sticky": true, "resumable": false},
 			{"name": "archive", "host": host, "path_prefix": "/archive/", "route_kind": "idempotent", "timeout_ms": 20000, "aim_ms": 2500, "priority": 2, "service": "portal", "max_attempts": 2},
 		},
 		"services": []map[string]any{
-			{"name": "models", "health_path": "/health", "max_conns": 610, "engine": engineSpec(83000, 34300, "m0")},
+			{"name": "models", "health_path": "/health", "max_conns": 610, "engine": engineSpec(200000, 72700, "m0")},
 			{"name": "portal", "health_path": "/health", "max_conns": 96},
 		},
 	})
 	for n := 2; n < 2+engines; n++ {
-		w.startServer(n, fmt.Sprintf("i-%d", n), "models", "-memory", "83000", "-models", "m0", "-gap", "10ms", "-pad", "240")
+		w.startServer(n, fmt.Sprintf("i-%d", n), "models", "-memory", "200000", "-models", "m0", "-gap", "10ms", "-pad", "310")
 		w.startSidecar(n, "models", true)
 	}
 	for n := 11; n < 11+servers; n++ {
@@ -177,7 +177,7 @@
 		g.Go(func() {
 			time.Sleep(time.Duration(i) * 71 * time.Millisecond)
 			for n := 0; ctx.Err() == nil; n++ {
-				streams.stream(fmt.Sprintf("%02x%04x", 0x10+i, n), 260)
+				streams.stream(fmt.Sprintf("%02x%04x", 0x10+i, n), 320)
 			}
 		})
 	}
--- a/review/standin-2/streams.go
+++ b/review/standin-2/streams.go
@@ -121,17 +121,17 @@
 	const engines, victimNotice = 7, 2 * time.Second
 	w.store.put("config", "main", map[string]any{
 		"version": 3, "limits": limits,
-		"routes":   []map[string]any{{"name": "draft", "host": host, "path_prefix": "/draft/", "route_kind": "streaming", "timeout_ms": 15000, "aim_ms": 800, "gap_aim_ms": 300, "priority": 1, "service": "models", "max_attempts": 1, "sticky": true, "resumable": false}},
-		"services": []map[string]any{{"name": "models", "health_path": "/health", "max_conns": 610, "engine": engineSpec(83000, 34300, "m0")}},
+		"routes":   []map[string]any{{"name": "draft", "host": host, "path_prefix": "/draft/", "route_kind": "streaming", "timeout_ms": 20000, "aim_ms": 2500, "gap_aim_ms": 250, "priority": 1, "service": "models", "max_attempts": 1, "sticky": true, "resumable": false}},
+		"services": []map[string]any{{"name": "models", "health_path": "/health", "max_conns": 610, "engine": engineSpec(200000, 72700, "m0")}},
 	})
 	for n := 2; n < 2+engines; n++ {
-		w.startServer(n, fmt.Sprintf("i-%d", n), "models", "-memory", "83000", "-models", "m0", "-unframed")
+		w.startServer(n, fmt.Sprintf("i-%d", n), "models", "-memory", "200000", "-models", "m0", "-unframed")
 		w.startSidecar(n, "models", true)
 	}
 	w.startIngress(1)
 	w.awaitReady(1)
 	time.Sleep(2 * time.Second)
-	c := &streamClients{w: w, addresses: []string{w.front(1)}, path: "/draft/x", model: "m0", total: 60, tries: 1, limit: 15 * time.Second}
+	c := &streamClients{w: w, addresses: []string{w.front(1)}, path: "/draft/x", model: "m0", total: 60, tries: 1, limit: 20 * time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	wait := c.run(ctx, 28)
 	time.Sleep(8 * time.Second)
@@ -171,7 +171,7 @@
 	)
 	w.store.put("config", "main", map[string]any{
 		"version": 3, "limits": limits,
-		"routes":   []map[string]any{{"name": "digest", "host": host, "path_prefix": "/digest/", "route_kind": "streaming", "timeout_ms": 25000, "aim_ms": 2500, "gap_aim_ms": 300, "priority": 2, "service": "portal", "max_attempts": 1, "resumable": true}},
+		"routes":   []map[string]any{{"name": "digest", "host": host, "path_prefix": "/digest/", "route_kind": "streaming", "timeout_ms": 12000, "aim_ms": 500, "gap_aim_ms": 250, "priority": 2, "service": "portal", "max_attempts": 1, "resumable": true}},
 		"services": []map[string]any{{"name": "portal", "health_path": "/health", "max_conns": 96}},
 	})
 	for n := 11; n < 11+servers; n++ {
@@ -186,7 +186,7 @@
 		w.awaitReady(n)
 	}
 	time.Sleep(2 * time.Second)
-	c := &streamClients{w: w, addresses: fronts, path: "/digest/x", total: 80, tries: 4, limit: 25 * time.Second}
+	c := &streamClients{w: w, addresses: fronts, path: "/digest/x", total: 80, tries: 4, limit: 12 * time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	wait := c.run(ctx, clients)
 	time.Sleep(8 * time.Second)
@@ -210,7 +210,7 @@
 
 // backoff is how long a client waits before each further attempt at a stream, if the answer does
 // not ask for a longer time.
-var backoff = []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second}
+var backoff = []time.Duration{500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2500 * time.Millisecond}
 
 // takeUps counts, at machines in touch, the attempts that take a stream up again and the new
 // streams, and how many of each were begun.
@@ -227,8 +227,8 @@
 	const engines, stable = 6, 4 * time.Second
 	w.store.put("config", "main", map[string]any{
 		"version": 3, "limits": limits,
-		"routes":   []map[string]any{{"name": "outlook", "host": host, "path_prefix": "/outlook/", "route_kind": "streaming", "timeout_ms": 25000, "aim_ms": 2500, "gap_aim_ms": 300, "priority": 2, "service": "models", "max_attempts": 2, "sticky": true, "resumable": true}},
-		"services": []map[string]any{{"name": "models", "health_path": "/health", "max_conns": 610, "engine": engineSpec(83000, 34300, "m0")}},
+		"routes":   []map[string]any{{"name": "outlook", "host": host, "path_prefix": "/outlook/", "route_kind": "streaming", "timeout_ms": 12000, "aim_ms": 500, "gap_aim_ms": 250, "priority": 2, "service": "models", "max_attempts": 2, "sticky": true, "resumable": true}},
+		"services": []map[string]any{{"name": "models", "health_path": "/health", "max_conns": 610, "engine": engineSpec(200000, 72700, "m0")}},
 	})
 	start := func(first bool) (names []string) {
 		for n := 1; n <= 2; n++ {
@@ -244,7 +244,7 @@
 		if n%2 == 0 {
 			version = "v2"
 		}
-		w.startServer(n, fmt.Sprintf("i-%d", n), "models", "-memory", "83000", "-models", "m0", "-version", version)
+		w.startServer(n, fmt.Sprintf("i-%d", n), "models", "-memory", "200000", "-models", "m0", "-version", version, "-gap", "50ms")
 	}
 	names := start(true)
 	w.awaitReady(1)
@@ -294,7 +294,7 @@
 	return resumed >= 12 && float64(continued)/float64(resumed) < float64(t.begun)/float64(t.new)/2
 }
 
-// one plays one stream of ten seconds.
+// one plays one stream of five seconds.
 func (t *takeUps) one(w *world, id string, client int, touched func(time.Time) bool) {
 	const total = 100
 	last, first, begun := 0, "", time.Now()
@@ -305,7 +305,7 @@
 		if taking {
 			h["Last-Event-Id"], h["Resumes"] = strconv.Itoa(last), first
 		}
-		left := 25*time.Second - time.Since(begun)
+		left := 12*time.Second - time.Since(begun)
 		if left < time.Second {
 			return
 		}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -254,5 +254,5 @@
 	for _, m := range models {
 		list = append(list, map[string]any{"name": m, "weights_mb": modelMB, "load_s": 6.0, "disk_s": 1.0, "warm_s": 0.78, "adapters": 0, "adapter_mb": 40.0})
 	}
-	return map[string]any{"slots": 64, "kv_tokens": 138793, "weights_mb": memoryMB, "adapter_slots": 8, "loads_per_s": 4.8, "models": list}
+	return map[string]any{"slots": 32, "kv_tokens": 124398, "weights_mb": memoryMB, "adapter_slots": 8, "loads_per_s": 11, "models": list}
 }
