ingress, fleet: a server at short notice is asked after an unmarked end

Cause: after an end that only the connection marks, the router asked whether the server still runs, but not for servers that leave, since one that drains closes its port before its last responses. One that is removed at a set time is ended under them, and leaves_ms was read by sidecars only.

The list's entries carry the removal. The tracker bounds the moment from below by the listing before the notice; the exception holds only while that lies ahead, or without a notice.

TestUnmarkedEndOfRemovedServerIsABreak: four of four cases fail before and pass now.

--- a/e2e/hosted/unmarked_end_test.go
+++ b/e2e/hosted/unmarked_end_test.go
@@ -152,6 +152,76 @@
 	}
 }
 
+// Rules ORDER, MIXED: guards against a response that looks complete, as its server is known to leave:
+// it was removed at short notice within the response, and closed the connection like one that is
+// done. The same holds if the notice is listed only after the removal.
+func TestUnmarkedEndOfRemovedServerIsABreak(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		path, raw string
+		// notice is the stated time, and listed when the store has it.
+		notice, listed time.Duration
+	}{
+		"stream":       {"/draft/a", rawUnmarked + rawEvent, 400 * time.Millisecond, 200 * time.Millisecond},
+		"resumable":    {"/outlook/a", rawUnmarked + rawEvent, 400 * time.Millisecond, 200 * time.Millisecond},
+		"whole answer": {"/order/a", rawHead + "\r\nthe bo", 400 * time.Millisecond, 200 * time.Millisecond},
+		"late notice":  {"/draft/a", rawUnmarked + rawEvent, 0, 800 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{})
+			for _, u := range upstreams {
+				u.SetBehavior(always(platformtest.Behavior{Raw: tc.raw, RawHold: 1200 * time.Millisecond}))
+			}
+			time.AfterFunc(tc.listed, func() {
+				for _, u := range upstreams {
+					u.RegisterRemoval(in.store, tc.notice)
+				}
+			})
+			time.AfterFunc(700*time.Millisecond, func() {
+				for _, u := range upstreams {
+					u.Close()
+				}
+			})
+			if resp, body, err := in.rawCall(tc.path, "HTTP/1.1"); err == nil && resp.StatusCode == http.StatusOK {
+				t.Errorf("complete answer of %d bytes", len(body))
+			}
+		})
+	}
+}
+
+// Rules LOST, REFUSED: guards against a whole response that counts as broken though its server
+// completed it ahead of its announced removal, or still accepts connections.
+func TestUnmarkedEndAheadOfTheRemovalCounts(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		notice time.Duration
+		closed bool
+	}{
+		"port closed":    {10 * time.Second, true},
+		"removal is due": {100 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{})
+			for _, u := range upstreams {
+				u.SetBehavior(always(platformtest.Behavior{Raw: rawHead + "\r\nthe body", RawHold: time.Second}))
+			}
+			time.AfterFunc(200*time.Millisecond, func() {
+				for _, u := range upstreams {
+					u.RegisterRemoval(in.store, tc.notice)
+					if tc.closed {
+						u.Close()
+					}
+				}
+			})
+			if resp, body, err := in.rawCall("/order/a", "HTTP/1.1"); resp.StatusCode != http.StatusOK || body != "the body" || err != nil {
+				t.Errorf("status %d, body %q, error %v", resp.StatusCode, body, err)
+			}
+		})
+	}
+}
+
 // Rule ORDER: guards against the end of a killed server that counts, as the server is not listed any
 // more: another one has taken its address.
 func TestUnmarkedEndOfReplacedServerIsABreak(t *testing.T) {
--- a/fleet/tracker.go
+++ b/fleet/tracker.go
@@ -49,6 +49,8 @@
 	holdEnd  time.Time
 	// gone holds the instances that were removed, with the times of their removal.
 	gone map[instance]time.Time
+	// removals holds the announced removals of the known VMs.
+	removals map[instance]removal
 }
 
 // instance identifies one start of a server.
@@ -68,7 +70,7 @@
 	if o.RestoreHold == 0 {
 		o.RestoreHold = DefaultRestoreHold
 	}
-	return &Tracker{opts: o, vms: make(map[ident.VM]*VM), absent: make(map[ident.VM]time.Time), gone: make(map[instance]time.Time)}
+	return &Tracker{opts: o, vms: make(map[ident.VM]*VM), absent: make(map[ident.VM]time.Time), gone: make(map[instance]time.Time), removals: make(map[instance]removal)}
 }
 
 // HasListing reports whether Update has been called.
@@ -115,6 +117,7 @@
 		t.graceEnd = begun.Add(t.opts.ReturnGrace)
 		t.holdEnd = begun.Add(t.opts.RestoreHold)
 	}
+	previous := t.listedAt
 	t.listedAt, t.restores = begun, l.Restores
 	var changes []Change
 	seen := make(map[ident.VM]bool, len(l.VMs))
@@ -124,6 +127,7 @@
 		if begun.Before(t.holdEnd) && t.outdated(&v) {
 			continue
 		}
+		t.observeRemoval(previous, &v)
 		if kind, changed := t.classify(&v); changed {
 			if kind == Restarted {
 				t.markGone(begun, t.vms[v.ID])
@@ -178,7 +182,9 @@
 			delete(t.gone, i)
 		}
 	}
-	t.gone[instance{v.ID, v.Started}] = now
+	id := instance{v.ID, v.Started}
+	t.gone[id] = now
+	delete(t.removals, id)
 }
 
 func (t *Tracker) classify(v *VM) (ChangeKind, bool) {
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/laureltally/laureltally/ident"
 )
@@ -20,6 +21,10 @@
 	Concurrency int
 	// Leaving VMs take no new requests.
 	Leaving bool
+	// RemovalAnnounced is set if the VM is taken away at a set time, whatever it still runs.
+	// RemovedIn is the time until then as of the registration, or zero if that is unknown.
+	RemovalAnnounced bool
+	RemovedIn        time.Duration
 	// Started is the server's start time by its own clock, in Unix milliseconds.
 	Started int64
 	// Software is the version of the server's software. Streams can only be resumed at
@@ -35,7 +40,7 @@
 }
 
 // equal reports whether o is the same instance as v and has the same Leaving,
-// Concurrency and Models.
+// Concurrency and Models. RemovedIn changes with each registration; the Tracker keeps it.
 func (v *VM) equal(o *VM) bool {
 	return v.SameInstance(o) && v.Leaving == o.Leaving && v.Software == o.Software && v.Concurrency == o.Concurrency && slices.Equal(v.Models, o.Models)
 }
--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -369,11 +369,12 @@
 	return c.balancer.Staying(vm)
 }
 
-// leaving reports whether a VM is listed and has announced that it stops.
-func (c *clusterState) leaving(vm *fleet.VM) bool {
+// drains reports whether a VM is listed as leaving and is given the time to complete its
+// responses.
+func (c *clusterState) drains(now time.Time, vm *fleet.VM) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.balancer.Leaving(vm)
+	return c.tracker.Drains(now, vm)
 }
 
 // usable reports whether a VM chosen earlier still accepts new requests.
--- a/ingress/server_remains.go
+++ b/ingress/server_remains.go
@@ -18,11 +18,12 @@
 }
 
 // serverRemains reports whether the server that sent a response still accepts connections and,
-// for engines, is the start that the list has. One that leaves closes its port before it writes
-// its last answers, so that nothing can be concluded there.
+// for engines, is the start that the list has. One that drains closes its port before it writes
+// its last responses, so that nothing can be concluded there; one whose announced removal may
+// have come is ended under its responses.
 func (d *delivery) serverRemains(ctx context.Context) bool {
 	vm := d.choice.VM
-	if d.s.clusterState.leaving(vm) {
+	if d.s.clusterState.drains(d.s.o.Now(), vm) {
 		return true
 	}
 	if d.requirements.Model == "" || d.s.o.ServerStarted == nil {
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -316,12 +316,6 @@
 	return m != nil && m.vm.SameInstance(vm) && !m.leaving()
 }
 
-// Leaving reports whether a VM is listed and has announced that it stops.
-func (b *Balancer) Leaving(vm *fleet.VM) bool {
-	m := b.members[vm.ID]
-	return m != nil && m.vm.SameInstance(vm) && m.leaving()
-}
-
 // RequestStarted counts a request that is sent to a VM.
 func (b *Balancer) RequestStarted(now time.Time, vm ident.VM, p ident.Priority) {
 	m := b.members[vm]
