ingress: suspended time counts toward an announced removal

A router whose machine was suspended within a notice would take the removal for one that lies ahead, and an unmarked end of the removed server for complete: the steady clock does not count that time.

internal/suspend reads it from the two clocks, and all of it counts as passed since the notice: the router asks the server sooner than it has to, never later.

Case "suspend" of TestUnmarkedEndOfRemovedServerIsABreak fails without the change and passes with it; found by reading, not seen by callers.

--- a/cmd/laureltally-ingress/main.go
+++ b/cmd/laureltally-ingress/main.go
@@ -13,6 +13,7 @@
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/daemon"
 	"github.com/laureltally/laureltally/ingress"
+	"github.com/laureltally/laureltally/internal/suspend"
 	"github.com/laureltally/laureltally/keys"
 	"github.com/laureltally/laureltally/platform"
 )
@@ -48,7 +49,12 @@
 	for _, z := range s.Zones {
 		regions[z.Zone] = z.Region
 	}
+	clock, err := suspend.NewClock()
+	if err != nil {
+		return fmt.Errorf("clock of suspended time: %w", err)
+	}
 	server, err := ingress.New(ingress.Options{
+		Suspended:      clock.Suspended,
 		ServerStarted:  platform.ServerStarted(),
 		Settings:       s,
 		Directory:      &platform.Directory{Store: store, Regions: regions},
--- a/e2e/hosted/rules_test.go
+++ b/e2e/hosted/rules_test.go
@@ -16,14 +16,19 @@
 // newPlainInstallation returns an installation with two upstreams without models.
 func newPlainInstallation(t *testing.T, o platformtest.UpstreamOptions) (*installation, [2]*platformtest.Upstream) {
 	in := newInstallation(t)
+	return in, startPlain(in, o)
+}
+
+// startPlain starts two plain upstreams with options, and a router.
+func startPlain(in *installation, o platformtest.UpstreamOptions) (upstreams [2]*platformtest.Upstream) {
+	in.t.Helper()
 	writePlainConfig(in, 1)
-	var upstreams [2]*platformtest.Upstream
 	for i := range upstreams {
 		o.ID, o.Service = fmt.Sprintf("i-%d", i), "portal"
 		upstreams[i] = in.upstream(o)
 	}
 	in.startRouter()
-	return in, upstreams
+	return upstreams
 }
 
 func countRuns(upstreams [2]*platformtest.Upstream, id string) int {
--- a/e2e/hosted/unmarked_end_test.go
+++ b/e2e/hosted/unmarked_end_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/laureltally/laureltally/ingress"
 	"github.com/laureltally/laureltally/platform/platformtest"
 )
 
@@ -161,15 +162,22 @@
 		path, raw string
 		// notice is the stated time, and listed when the store has it.
 		notice, listed time.Duration
+		// suspended is how long the router's machine is suspended meanwhile.
+		suspended time.Duration
 	}{
-		"stream":       {"/draft/a", rawUnmarked + rawEvent, 400 * time.Millisecond, 200 * time.Millisecond},
-		"resumable":    {"/outlook/a", rawUnmarked + rawEvent, 400 * time.Millisecond, 200 * time.Millisecond},
-		"whole answer": {"/order/a", rawHead + "\r\nthe bo", 400 * time.Millisecond, 200 * time.Millisecond},
-		"late notice":  {"/draft/a", rawUnmarked + rawEvent, 0, 800 * time.Millisecond},
+		"stream":       {"/draft/a", rawUnmarked + rawEvent, 400 * time.Millisecond, 200 * time.Millisecond, 0},
+		"resumable":    {"/outlook/a", rawUnmarked + rawEvent, 400 * time.Millisecond, 200 * time.Millisecond, 0},
+		"whole answer": {"/order/a", rawHead + "\r\nthe bo", 400 * time.Millisecond, 200 * time.Millisecond, 0},
+		"late notice":  {"/draft/a", rawUnmarked + rawEvent, 0, 800 * time.Millisecond, 0},
+		"suspend":      {"/draft/a", rawUnmarked + rawEvent, 3 * time.Second, 200 * time.Millisecond, 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{})
+			in := newInstallation(t)
+			in.adjust = func(o *ingress.Options) {
+				o.Suspended = func() time.Duration { return tc.suspended }
+			}
+			upstreams := startPlain(in, platformtest.UpstreamOptions{})
 			for _, u := range upstreams {
 				u.SetBehavior(always(platformtest.Behavior{Raw: tc.raw, RawHold: 1200 * time.Millisecond}))
 			}
--- a/ingress/options.go
+++ b/ingress/options.go
@@ -69,6 +69,9 @@
 	ShutdownDelay  time.Duration
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
+	// Suspended returns how long the machine has been suspended since the process started, which
+	// Now does not count; nil means never.
+	Suspended func() time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -88,6 +91,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Suspended == nil {
+		o.Suspended = func() time.Duration { return 0 }
+	}
 	if o.Logger == nil {
 		o.Logger = log.Log
 	}
--- a/ingress/server_remains.go
+++ b/ingress/server_remains.go
@@ -23,7 +23,8 @@
 // have come is ended under its responses.
 func (d *delivery) serverRemains(ctx context.Context) bool {
 	vm := d.choice.VM
-	if d.s.clusterState.drains(d.s.o.Now(), vm) {
+	// All suspended time counts as if it had passed since the removal was announced.
+	if d.s.clusterState.drains(d.s.o.Now().Add(d.s.o.Suspended()), vm) {
 		return true
 	}
 	if d.requirements.Model == "" || d.s.o.ServerStarted == nil {
