agent: an unmarked end counts only if the upstream still runs

A whole response of the own interface without a length looked complete to callers if the upstream was killed within it: the agent took the end of the connection for the end of the response.

The agent now asks whether the upstream accepts connections, unless it is drained. Streams end with the API's final event and are left as they are.

Found by reading, not seen by callers.

--- a/agent/execute.go
+++ b/agent/execute.go
@@ -14,7 +14,6 @@
 
 	"github.com/laureltally/laureltally/admission"
 	"github.com/laureltally/laureltally/response"
-	"github.com/laureltally/laureltally/upstreamhttp"
 	"github.com/laureltally/laureltally/wire"
 )
 
@@ -135,6 +134,10 @@
 	if err == nil {
 		err = copyBody(ctx, w, resp.Body, onData)
 	}
+	marked := endMarked(d, resp)
+	if err == nil && !marked {
+		err = a.checkEnd(ctx, d)
+	}
 	if err != nil {
 		a.recordEnd(d, false)
 		a.o.Logger.WithError(err).WithField("request", d.Request).WithField("attempt", d.Attempt).Warn("response aborted")
@@ -142,7 +145,7 @@
 		return admission.Failed
 	}
 	a.recordEnd(d, true)
-	if upstreamhttp.FramingOf(resp) == upstreamhttp.FramingConnection && d.Method != http.MethodHead {
+	if !marked {
 		_ = w.EndUnmarked()
 		return admission.Succeeded
 	}
