resume, ingress, sidecar: streams are archived while several versions serve

Cause: the version of a stream was known in memory only, to its router and two sidecars; the store knows the versions of a service, not of a stream.

--- a/e2e/hosted/resume_test.go
+++ b/e2e/hosted/resume_test.go
@@ -127,7 +127,8 @@
 // Rules ORDER and LOST: all routers are killed around a release, and callers resume their
 // streams at new routers, which saw neither the streams nor the old version. A stream
 // continues at its version or not at all, and it continues if a VM has its version and the
-// store or a sidecar knows which one that is.
+// store or a sidecar knows which one that is. The second one guards against streams that nobody
+// can continue as all routers and sidecars have ended while two versions serve.
 func TestStreamsAfterAllRoutersWereKilled(t *testing.T) {
 	t.Parallel()
 	for name, tc := range map[string]struct {
@@ -142,7 +143,16 @@
 		"one version":                  {versions: []string{"v1", "v1"}, resumed: resumedStreams},
 		"one version, homes killed":    {versions: []string{"v1", "v1"}, homes: true, resumed: resumedStreams},
 		"two versions":                 {versions: []string{"v1", "v2"}, resumed: resumedStreams},
-		"two versions, homes killed":   {versions: []string{"v1", "v2"}, homes: true},
+		"two versions, homes killed":   {versions: []string{"v1", "v2"}, homes: true, resumed: resumedStreams},
+		"two versions, killed again":   {versions: []string{"v1", "v2"}, homes: true, after: func(r *resumption) { r.killRouters(true); r.startRouter() }, resumed: resumedStreams},
+		"two versions, third joins":    {versions: []string{"v1", "v2"}, homes: true, during: func(r *resumption) { r.add("v3") }, resumed: resumedStreams},
+		"two versions, store restored": {versions: []string{"v1", "v2"}, homes: true, during: func(r *resumption) { r.store.Restore(r.store.Copy()) }, resumed: resumedStreams},
+		"archive lost with a restore": {versions: []string{"v1", "v2"}, homes: true, during: func(r *resumption) {
+			for _, name := range r.store.Names("streams") {
+				r.store.Remove("streams", name)
+			}
+			r.store.Restore(r.store.Copy())
+		}},
 		"old version gone while down":  {versions: []string{"v1"}, during: func(r *resumption) { r.add("v2"); r.remove("v1") }},
 		"the same, homes killed":       {versions: []string{"v1"}, homes: true, during: func(r *resumption) { r.add("v2"); r.remove("v1") }},
 		"old version gone afterwards":  {versions: []string{"v1"}, homes: true, before: func(r *resumption) { r.add("v2"); time.Sleep(time.Second) }, after: func(r *resumption) { r.remove("v1"); time.Sleep(time.Second) }},
@@ -273,6 +283,31 @@
 	}
 }
 
+// Rule LOST: guards against streams that nobody can continue since they began while their version
+// was the only one: another one joins while they run, and then all routers and sidecars are killed.
+func TestRunningStreamIsArchivedOnceAnotherVersionJoins(t *testing.T) {
+	t.Parallel()
+	r := newResumption(t, "v1")
+	r.upstreams[0].SetStream(100, 50*time.Millisecond)
+	r.upstreams[0].SetBehavior(always(platformtest.Behavior{}))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.call(platformtest.Call{ID: first(0), Path: "/outlook/a", Body: "x"})
+	}()
+	r.eventually("the stream has begun", func() bool { return len(ranAt(r.upstreams, first(0))) == 1 })
+	r.add("v2")
+	time.Sleep(2 * time.Second)
+	r.killRouters(true)
+	<-done
+	r.startRouter()
+	r.upstreams[0].SetStream(100, time.Millisecond)
+	reply := r.call(platformtest.Call{ID: second(0), Path: "/outlook/a", Body: "x", Header: http.Header{"Last-Event-Id": {"3"}, "Resumes": {first(0)}}})
+	if to := ranAt(r.upstreams, second(0)); reply.Status != http.StatusOK || len(to) != 1 || to[0] != 0 {
+		t.Errorf("continues at %v: %+v", to, reply)
+	}
+}
+
 // unwritable is a store that accepts no writes.
 type unwritable struct{ metastore.Store }
 
--- a/e2e/soak/main_test.go
+++ b/e2e/soak/main_test.go
@@ -113,7 +113,7 @@
 	check.checkRecovery()
 	check.checkMetrics()
 	stopCallers()
-	check.checkResumption()
+	check.checkResumption("all routers", in.killRouters)
 	check.checkUpstreams()
 	t.Logf("seed %d: %s", seed, check.summary())
 }
--- a/e2e/soak/resume_test.go
+++ b/e2e/soak/resume_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/laureltally/laureltally/platform/platformtest"
@@ -15,6 +17,8 @@
 var softwareVersions = [2]string{"v1", "v2"}
 
 const (
+	// allKilledWorker selects the addresses of TestStreamsGoOnAfterAllProcessesWereKilled.
+	allKilledWorker = 70
 	// resumeAttempts bounds the attempts to resume one stream.
 	resumeAttempts = 3
 	// resumedStreams is the number of streams of checkResumption, and resumedEventInterval
@@ -115,9 +119,28 @@
 	return version
 }
 
-// checkResumption kills all routers while streams run at two software versions. Of those
-// that are resumed, at least half continue, as their engines and sidecars are still there.
-func (ch *checker) checkResumption() {
+// killAll kills all processes of the system at once.
+func (in *installation) killAll(downtime time.Duration) {
+	var all sync.WaitGroup
+	for _, p := range slices.Concat(in.routers, in.sidecars) {
+		all.Go(func() { p.kill(downtime) })
+	}
+	all.Wait()
+}
+
+// Rule LOST: guards against streams that nobody can continue after all processes were killed while
+// two software versions serve.
+func TestStreamsGoOnAfterAllProcessesWereKilled(t *testing.T) {
+	in := newInstallation(t, allKilledWorker, soakSize)
+	defer in.close()
+	check := newChecker(in)
+	check.checkResumption("all processes", in.killAll)
+	check.checkUpstreams()
+}
+
+// checkResumption kills processes while streams run at two software versions. Of those that are
+// resumed, at least half continue, as their engines are still there.
+func (ch *checker) checkResumption(killed string, kill func(downtime time.Duration)) {
 	in := ch.in
 	for i, u := range in.upstreams[:in.size.engines] {
 		u.SetSoftware(softwareVersions[i%len(softwareVersions)])
@@ -150,7 +173,7 @@
 		})
 	}
 	time.Sleep(events * resumedEventInterval / 2)
-	in.killRouters(0)
+	kill(0)
 	for i := range in.ready {
 		in.ready[i].set(probeFailures)
 	}
@@ -158,7 +181,7 @@
 	close(back)
 	all.Wait()
 	if 2*continued < resumed {
-		ch.violation("resume", "%d of %d streams continue after all routers were killed", continued, resumed)
+		ch.violation("resume", "%d of %d streams continue after %s were killed", continued, resumed, killed)
 	}
-	ch.in.t.Logf("%d of %d streams continue after all routers were killed", continued, resumed)
+	ch.in.t.Logf("%d of %d streams continue after %s were killed", continued, resumed, killed)
 }
--- a/ingress/origins.go
+++ b/ingress/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,8 +44,15 @@
 // runningStream is a stream that is being relayed.
 type runningStream struct {
 	origin origin
-	// told holds the connections to the sidecars that were told, by the sidecar's name.
-	told map[ident.VM]*transport.Conn
+	// told holds what the sidecars were told, by the sidecar's name.
+	told map[ident.VM]telling
+}
+
+// telling is how a sidecar was told of a stream: over which connection, and whether it was
+// asked to archive it.
+type telling struct {
+	conn    *transport.Conn
+	archive bool
 }
 
 func newOrigins(s *Server) *origins {
@@ -67,7 +75,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.records.Put(now, of.service, of.request, of.software)
-	r := &runningStream{origin: of, told: make(map[ident.VM]*transport.Conn)}
+	r := &runningStream{origin: of, told: make(map[ident.VM]telling)}
 	o.running[streamID{of.service, of.request}] = r
 	o.tellHomes(r, agents, conns)
 }
@@ -102,19 +110,26 @@
 // tellHomes tells the homes of a stream that have not been told over their present
 // connection; a sidecar that restarted has a new one. The caller holds mu.
 func (o *origins) tellHomes(r *runningStream, agents []resume.Agent, conns map[ident.VM]*transport.Conn) {
-	for _, home := range resume.RecordHomes(r.origin.request, agents) {
-		if r.told[home] == conns[home] {
+	homes := resume.RecordHomes(r.origin.request, agents)
+	archiver, archive := resume.Archiver(r.origin.request, agents)
+	archive = archive && o.s.software.several(r.origin.service)
+	if archive && !slices.Contains(homes, archiver) {
+		homes = append(homes, archiver)
+	}
+	for _, home := range homes {
+		t := telling{conns[home], archive && home == archiver}
+		if told := r.told[home]; told.conn == t.conn && (told.archive || !t.archive) {
 			continue
 		}
-		r.told[home] = conns[home]
-		go o.tell(conns[home], r.origin)
+		r.told[home] = t
+		go o.tell(t, r.origin)
 	}
 }
 
-func (o *origins) tell(c *transport.Conn, of origin) {
+func (o *origins) tell(t telling, of origin) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	stream, err := c.Open(ctx, &wire.StreamBegun{Upstream: of.service, Request: of.request, Software: of.software})
+	stream, err := t.conn.Open(ctx, &wire.StreamBegun{Upstream: of.service, Request: of.request, Software: of.software, Archive: t.archive})
 	if err != nil {
 		o.s.metrics.originsNotRecorded.Inc(1)
 		return
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -79,6 +79,7 @@
 
 	software *softwareVersions
 	origins  *origins
+	archive  *streamArchive
 
 	// linkUpdate orders updates of links, so that the last one is by the newest state.
 	linkUpdate sync.Mutex
@@ -104,6 +105,7 @@
 	}
 	s.allotments = newAllotments(s)
 	s.software, s.origins = newSoftwareVersions(s), newOrigins(s)
+	s.archive = &streamArchive{s: s}
 	if s.heldBytes = newHeldBytes(o, s.metrics); s.heldBytes != nil {
 		s.heldBytes.headerLimit = s.headerLimit
 	}
@@ -159,6 +161,7 @@
 	g.Go(func() error { s.pollVMs(work); return nil })
 	g.Go(func() error { s.software.run(work); return nil })
 	g.Go(func() error { s.origins.run(work); return nil })
+	g.Go(func() error { s.archive.run(work); return nil })
 	g.Go(func() error { s.loadFindings(work); return nil })
 	g.Go(func() error { s.sharedFindings.writer.Run(work); return nil })
 	g.Go(func() error { s.readFindings(work); return nil })
--- a/ingress/software_versions.go
+++ b/ingress/software_versions.go
@@ -57,6 +57,15 @@
 	v.history.Listed(begun, l)
 	v.mu.Unlock()
 	wait.Notify(v.listed)
+	// Running streams are archived once there is another version.
+	wait.Notify(v.s.origins.homesChanged)
+}
+
+// several reports whether streams of a service may run at more than one version.
+func (v *softwareVersions) several(service ident.Upstream) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.history.Several(service)
 }
 
 // unrecorded returns the versions of a service at which no resumable stream may begin yet.
--- a/ingress/stream_origin.go
+++ b/ingress/stream_origin.go
@@ -20,6 +20,9 @@
 	service := d.requirements.Service
 	software, source := d.s.findOrigin(ctx, service, d.info.Resumes)
 	if source == originUnknown {
+		if !d.s.archive.hasBeenRead() {
+			d.retryAfter = archiveRetryAfter
+		}
 		d.refuseResume("software version of the stream unknown", software)
 		return false
 	}
@@ -105,6 +108,8 @@
 	originOwn originSource = "own"
 	// originHome means that a sidecar was told.
 	originHome originSource = "home"
+	// originArchive means that it is in the archive in the store.
+	originArchive originSource = "archive"
 	// originOnly means that the service has had one version.
 	originOnly originSource = "only version"
 )
@@ -114,11 +119,17 @@
 	if software, ok := s.origins.get(service, request); ok {
 		return software, originOwn
 	}
+	if software, ok := s.archive.get(service, request); ok {
+		return software, originArchive
+	}
 	if software, ok := s.lookupOrigin(ctx, service, request); ok {
 		return software, originHome
 	}
 	if software, ok := s.software.only(ctx, service); ok {
 		return software, originOnly
 	}
+	if software, ok := s.archive.lookup(ctx, service, request); ok {
+		return software, originArchive
+	}
 	return "", originUnknown
 }
--- a/resume/history.go
+++ b/resume/history.go
@@ -118,6 +118,15 @@
 	return n > 0 && len(h.Unrecorded(service)) == n
 }
 
+// Several reports whether streams of a service may run at more than one version, so that the
+// Record does not say which one began a stream.
+func (h *History) Several(service ident.Upstream) bool {
+	listed := h.listed[service]
+	return len(listed)+len(h.stored.Versions[service]) > 0 &&
+		(!h.stored.completeAt(h.restores) || len(h.stored.Versions[service]) != 1 || len(listed) > 1 ||
+			len(listed) == 1 && listed[0] != h.stored.Versions[service][0])
+}
+
 // SyncNeeded reports whether the Record has to be read, and perhaps written.
 func (h *History) SyncNeeded(now time.Time) bool {
 	if h.listedAt.IsZero() {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -19,6 +19,7 @@
 	"github.com/laureltally/laureltally/requestlimit"
 	"github.com/laureltally/laureltally/residency"
 	"github.com/laureltally/laureltally/resume"
+	"github.com/laureltally/laureltally/resume/originstore"
 	"github.com/laureltally/laureltally/serving"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/wire"
@@ -38,6 +39,8 @@
 	streamsMu sync.Mutex
 	// streams holds the software versions that began streams, as told by routers.
 	streams resume.Records
+	// streamArchive stores those that routers ask it to.
+	streamArchive *originstore.Writer
 
 	allotments *allotments
 
@@ -90,6 +93,8 @@
 		allotments:  newAllotments(o.Now()),
 		newsChanged: newSignal(),
 		crashWriter: crashes,
+
+		streamArchive: newStreamArchive(o),
 	}
 }
 
@@ -117,6 +122,7 @@
 	g.Go(func() error { s.ownEngine(ctx); return nil })
 	g.Go(func() error { s.publish(ctx); return nil })
 	g.Go(func() error { s.crashWriter.Run(ctx); return nil })
+	g.Go(func() error { s.streamArchive.Run(ctx); return nil })
 	admin.ServeMetrics(ctx, g, s.o.Settings.AdminListen, s.o.MetricsHandler, s.o.Logger)
 	err = g.Wait()
 	_ = listener.Close()
--- a/wire/stream_begun.go
+++ b/wire/stream_begun.go
@@ -9,6 +9,8 @@
 	// Request is the id of the caller's attempt that got the first event.
 	Request  string `cbor:"2,keyasint"`
 	Software string `cbor:"3,keyasint"`
+	// Archive asks the agent to keep this in the metadata store too.
+	Archive bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Kind implements Message.
