ingress: what remains of a write is written once the buffer is flushed

Cause: a Write that waits for room went on to buffer after the flush had ended in the meantime. Nobody wrote that part, the next Write passed it, and a part above the limit made the loop spin. The use of the socket or the buffer was decided once, before the loop.

It is now decided each time: nothing is buffered without a flush that runs.

--- a/ingress/caller_conn_test.go
+++ b/ingress/caller_conn_test.go
@@ -21,6 +21,12 @@
 // callerPair returns a counted connection and its caller's end, whose receive buffer is
 // small. The VM has 160 MB.
 func callerPair(t testing.TB) (*callerConn, net.Conn, *heldBytes) {
+	t.Helper()
+	return callerPairWithBuffer(t, 4<<10)
+}
+
+// callerPairWithBuffer is like callerPair with a size of the caller's receive buffer, in bytes.
+func callerPairWithBuffer(t testing.TB, receiveBuffer int) (*callerConn, net.Conn, *heldBytes) {
 	t.Helper()
 	o := Options{Settings: config.IngressSettings{MemoryMB: 160}, Logger: &log.Logger{Handler: discard.New()}, Metrics: tally.NoopScope}.withDefaults()
 	held := newHeldBytes(o, newMetrics(o.Metrics))
@@ -29,7 +35,7 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	d := net.Dialer{Control: sockopt.ReceiveBuffer(4 << 10)}
+	d := net.Dialer{Control: sockopt.ReceiveBuffer(receiveBuffer)}
 	caller, err := d.Dial("tcp4", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/ingress/caller_write.go
+++ b/ingress/caller_write.go
@@ -19,28 +19,21 @@
 	return n, err
 }
 
-// write writes p or buffers it. The caller holds mu.
+// write writes p or buffers it. Whenever nothing is pending, what remains of p goes to the socket
+// directly, and a new flush begins if that takes only a part. The caller holds mu.
 func (c *callerConn) write(p []byte) (int, error) {
 	n := 0
-	if c.err == nil && !c.flushing {
-		c.toWrite = p
-		err := c.raw.Write(c.direct)
-		c.toWrite = nil
-		if err == nil {
-			err = c.writeErr
-		}
-		if n = c.written; err != nil || n == len(p) {
-			return n, err
-		}
-		c.flushing = true
-		c.held.hold(c, kernelOverhead*streamSendBuffer)
-		c.held.stalled(c, c.held.now())
-		go c.flush()
-	}
 	for n < len(p) {
 		if c.err != nil {
 			return n, c.err
 		}
+		if !c.flushing {
+			written, err := c.writeToSocket(p[n:])
+			if n += written; err != nil || n == len(p) {
+				return n, err
+			}
+			c.startFlush()
+		}
 		taken := c.buffer(p[n:])
 		if n += taken; taken == 0 && !c.waitForRoom() {
 			return n, os.ErrDeadlineExceeded
@@ -49,6 +42,27 @@
 	return n, nil
 }
 
+// writeToSocket writes what the socket takes of p, without waiting. The caller holds mu, and
+// nothing is pending.
+func (c *callerConn) writeToSocket(p []byte) (int, error) {
+	c.toWrite = p
+	err := c.raw.Write(c.direct)
+	c.toWrite = nil
+	if err == nil {
+		err = c.writeErr
+	}
+	return c.written, err
+}
+
+// startFlush starts the goroutine that writes what is added to pending. The caller holds mu until
+// it has added something.
+func (c *callerConn) startFlush() {
+	c.flushing = true
+	c.held.hold(c, kernelOverhead*streamSendBuffer)
+	c.held.stalled(c, c.held.now())
+	go c.flush()
+}
+
 // writeDirect writes toWrite until all is written or the socket is full. It never waits.
 func (c *callerConn) writeDirect(fd uintptr) bool {
 	c.written, c.writeErr = 0, nil
