sidecar, residency: a sidecar that starts knows of orders without an answer

Cause: loads without an answer were remembered in memory, and the new sidecar filled the engine to the count of orders at which the late one is valid.

They are stored as soon as the answer is missing, and the next sidecar recalls them before its first order. For 20 s an order is withheld after which the late one would not fit.

--- a/e2e/hosted/engines_test.go
+++ b/e2e/hosted/engines_test.go
@@ -143,6 +143,70 @@
 	e.checkLimit()
 }
 
+// Rule LIMIT: guards against an engine that is overloaded by an order of a sidecar that has ended
+// since: it got no answer, the VM restarted, and the order is carried out when the engine, under
+// the same id, has accepted as many orders again.
+func TestLateOrderOfAnEndedSidecarFits(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	e := newFaultyEngines(t, 1, 200*time.Millisecond, platformtest.EngineFaults{UnansweredLoad: "m2", Release: release})
+	call := func(model string, timeout time.Duration) bool {
+		return e.call(platformtest.Call{Path: "/outlook/a", Body: "x", Model: model, Timeout: timeout}).Status == http.StatusOK
+	}
+	u := e.upstreams[0]
+	var late *platformtest.Order
+	// Each of these needs room first.
+	for _, model := range []string{"m3", "m2"} {
+		call(model, 2*time.Second)
+	}
+	e.eventually("a load gets no answer", func() bool {
+		for _, o := range u.Orders() {
+			if o.Op == "model_load" && o.Model == "m2" {
+				late = &o
+				return true
+			}
+		}
+		return false
+	})
+	time.Sleep(1500 * time.Millisecond)
+	e.stops[0]()
+	before := len(u.Orders())
+	u.Restart(u.ID())
+	u.Register(e.store, "ready")
+	e.awaitPort("127.0.0.11")
+	e.startSidecar(u, "models", "side-0")
+	accepted := func() (n uint64) {
+		for _, o := range u.Orders()[before:] {
+			if o.Status == http.StatusAccepted || o.Status == http.StatusOK {
+				n++
+			}
+		}
+		return n
+	}
+	// The late order is carried out as soon as the engine has accepted as many orders again.
+	asked, released := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(released)
+		defer close(release)
+		for accepted() < *late.Precondition {
+			select {
+			case <-asked:
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}()
+	for _, model := range []string{"m0", "m1", "m0/a1", "m1/a2"} {
+		for end := time.Now().Add(2 * time.Second); !call(model, time.Second) && time.Now().Before(end); {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	close(asked)
+	<-released
+	e.eventually("the late order arrives", func() bool { return u.LateOrders() >= 1 })
+	e.checkLimit()
+}
+
 // Rule ONE: each start of a sidecar has a higher fence, and a sidecar on another VM
 // waits until the order lease of the previous one has expired.
 func TestFenceRisesWithEachStart(t *testing.T) {
--- a/residency/config_sim_test.go
+++ b/residency/config_sim_test.go
@@ -126,6 +126,16 @@
 	s.observe()
 }
 
+// restartSidecar replaces the scheduler by a new one, which is told what got no answer.
+func (s *configSim) restartSidecar() {
+	unanswered := s.scheduler.Unanswered(s.now)
+	s.scheduler = New(Options{})
+	s.scheduler.RecallUnanswered(s.now, unanswered)
+	s.apply(s.scheduler.Configure(s.spec))
+	s.scheduler.AllowOrders()
+	s.observe()
+}
+
 func (s *configSim) usedMB() float64 {
 	used := 0.0
 	for name, size := range s.sizes {
--- a/residency/scheduler.go
+++ b/residency/scheduler.go
@@ -32,7 +32,7 @@
 	runTimes int
 	inFlight *inFlightOrder
 	// unanswered holds the loads that may be carried out late.
-	unanswered []unansweredOrder
+	unanswered []expiringOrder
 	order      queueOrder
 	// nextOrder is the earliest time of the next order, after one that was not
 	// accepted.
--- a/residency/unanswered_order.go
+++ b/residency/unanswered_order.go
@@ -5,21 +5,30 @@
 	"time"
 
 	"github.com/laureltally/laureltally/engine"
+	"github.com/laureltally/laureltally/ident"
 )
 
 // lateOrderTimeout is how long after it was submitted an order without an answer may still be
 // carried out. The platform says seconds.
 const lateOrderTimeout = 20 * time.Second
 
-// unansweredOrder is a load of a model or adapter that got no answer. Within one start of the
+// UnansweredOrder is a load of a model or adapter that got no answer. Within one start of the
 // engine it can't overload it: it is valid only while no other order has been accepted. After a
 // restart the count of orders begins anew, and the order is valid again when the count is the same.
-type unansweredOrder struct {
-	Submit
-	// started identifies the start of the engine for which it was submitted.
-	started int64
-	// sizeMB is the memory that it takes.
-	sizeMB  float64
+type UnansweredOrder struct {
+	Kind             engine.OrderKind
+	Model            ident.Model
+	Adapter          ident.Adapter
+	ExpectedAccepted uint64
+	// Started identifies the start of the engine for which it was submitted.
+	Started int64
+	// SizeMB is the memory that it takes.
+	SizeMB float64
+}
+
+// expiringOrder is an UnansweredOrder that may still be carried out until it expires.
+type expiringOrder struct {
+	UnansweredOrder
 	expires time.Time
 }
 
@@ -29,30 +38,52 @@
 	if spec == nil {
 		return
 	}
-	u := unansweredOrder{Submit: o.Submit, started: o.started, expires: o.submittedAt.Add(lateOrderTimeout)}
+	u := UnansweredOrder{Kind: o.Kind, Model: o.Model, Adapter: o.Adapter, ExpectedAccepted: o.ExpectedAccepted, Started: o.started}
 	switch o.Kind {
 	case engine.OrderLoad:
-		u.sizeMB = spec.MemoryMB
+		u.SizeMB = spec.MemoryMB
 	case engine.OrderLoadAdapter:
-		u.sizeMB = spec.AdapterMB
+		u.SizeMB = spec.AdapterMB
 	default:
 		return
 	}
-	s.unanswered = append(s.unanswered, u)
+	s.unanswered = append(s.unanswered, expiringOrder{u, o.submittedAt.Add(lateOrderTimeout)})
+}
+
+// Unanswered returns the orders without an answer that may still be carried out.
+func (s *Scheduler) Unanswered(now time.Time) []UnansweredOrder {
+	s.expireUnanswered(now)
+	orders := make([]UnansweredOrder, len(s.unanswered))
+	for i := range s.unanswered {
+		orders[i] = s.unanswered[i].UnansweredOrder
+	}
+	return orders
+}
+
+// RecallUnanswered takes the orders that an earlier process left without an answer. How long ago
+// they were submitted is unknown.
+func (s *Scheduler) RecallUnanswered(now time.Time, orders []UnansweredOrder) {
+	for _, u := range orders {
+		s.unanswered = append(s.unanswered, expiringOrder{u, now.Add(lateOrderTimeout)})
+	}
+}
+
+func (s *Scheduler) expireUnanswered(now time.Time) {
+	s.unanswered = slices.DeleteFunc(s.unanswered, func(u expiringOrder) bool { return !now.Before(u.expires) })
 }
 
 // mayOverload reports whether the engine could be overloaded by an order from before its last
 // start, if it were carried out right after the given one.
 func (s *Scheduler) mayOverload(now time.Time, next *Submit) bool {
-	s.unanswered = slices.DeleteFunc(s.unanswered, func(u unansweredOrder) bool { return !now.Before(u.expires) })
-	return slices.ContainsFunc(s.unanswered, func(u unansweredOrder) bool {
-		return u.started != s.snap.Started && u.ExpectedAccepted == s.snap.Accepted+1 && !s.fitsAfter(next, &u)
+	s.expireUnanswered(now)
+	return slices.ContainsFunc(s.unanswered, func(u expiringOrder) bool {
+		return u.Started != s.snap.Started && u.ExpectedAccepted == s.snap.Accepted+1 && !s.fitsAfter(next, &u.UnansweredOrder)
 	})
 }
 
 // fitsAfter reports whether an order can be carried out within the limits of the engine after
 // another one.
-func (s *Scheduler) fitsAfter(next *Submit, u *unansweredOrder) bool {
+func (s *Scheduler) fitsAfter(next *Submit, u *UnansweredOrder) bool {
 	adapters, loaded := s.snap.Loaded[u.Model]
 	present := slices.Contains(adapters, u.Adapter)
 	usedMB, slots := s.usedMB(), s.usedAdapterSlots()
@@ -83,5 +114,5 @@
 	case u.Kind == engine.OrderLoadAdapter:
 		slots++
 	}
-	return usedMB+u.sizeMB <= s.spec.MemoryMB && slots <= s.spec.AdapterSlots
+	return usedMB+u.SizeMB <= s.spec.MemoryMB && slots <= s.spec.AdapterSlots
 }
--- a/residency/unanswered_order_test.go
+++ b/residency/unanswered_order_test.go
@@ -57,7 +57,8 @@
 }
 
 // Guards against the same for any orders: some get no answer, and are carried out up to twelve
-// seconds later or never, over restarts of the engine under its id.
+// seconds later or never, over restarts of the engine under its id and of the sidecar, which is
+// told what got no answer.
 func TestLateOrdersNeverOverloadTheEngine(t *testing.T) {
 	names := []ident.Model{"a", "b", "c", "d", "e"}
 	model, adapter := rapid.SampledFrom(names), rapid.SampledFrom([]ident.Adapter{"", "x", "y", "z"})
@@ -65,8 +66,8 @@
 		sim := newConfigSim(names)
 		sim.answered = func() bool { return rapid.IntRange(0, 2).Draw(rt, "answered") > 0 }
 		id := RequestID(0)
-		for range rapid.IntRange(10, 60).Draw(rt, "steps") {
-			switch rapid.IntRange(0, 8).Draw(rt, "step") {
+		for range rapid.IntRange(10, 80).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 9).Draw(rt, "step") {
 			case 0, 1, 2:
 				id++
 				sim.apply(sim.scheduler.Reserve(sim.now, Request{ID: id, Model: model.Draw(rt, "model"), Adapter: adapter.Draw(rt, "adapter"), MaxWait: 8 * time.Second, CacheTokens: 100}))
@@ -74,6 +75,11 @@
 				sim.release(id)
 			case 5:
 				sim.restart()
+			case 9:
+				sim.restartSidecar()
+				if rapid.Bool().Draw(rt, "engine too") {
+					sim.restart()
+				}
 			case 6:
 				if len(sim.late) > 0 {
 					sim.carryOut(rapid.IntRange(0, len(sim.late)-1).Draw(rt, "late"))
--- a/sidecar/engine_owner.go
+++ b/sidecar/engine_owner.go
@@ -101,8 +101,11 @@
 	recordSuperseded recordState = "superseded"
 )
 
-func ownerKey(engineAddress string) string {
-	return ownerKeyPrefix + strings.NewReplacer(":", "-", ".", "-").Replace(engineAddress)
+func ownerKey(engineAddress string) string { return ownerKeyPrefix + addressName(engineAddress) }
+
+// addressName returns an address as the name of an object in the store.
+func addressName(address string) string {
+	return strings.NewReplacer(":", "-", ".", "-").Replace(address)
 }
 
 // retryStore repeats an operation until it succeeds or ctx ends.
--- a/sidecar/orders.go
+++ b/sidecar/orders.go
@@ -89,5 +89,8 @@
 	s.mu.Lock()
 	s.scheduler.OrderAnswered(s.o.Now(), response)
 	s.mu.Unlock()
+	if response == residency.OrderUnanswered && (a.Kind == engine.OrderLoad || a.Kind == engine.OrderLoadAdapter) {
+		s.work.Go(s.saveLateOrders)
+	}
 	wait.Notify(s.readNow)
 }
--- a/sidecar/own_engine.go
+++ b/sidecar/own_engine.go
@@ -24,6 +24,10 @@
 		s.o.Logger.WithError(err).Warn("engine ownership not acquired")
 		return
 	}
+	if err := s.recallLateOrders(ctx); err != nil {
+		s.o.Logger.WithError(err).Warn("unanswered orders not recalled")
+		return
+	}
 	s.startOrders(ctx, o)
 	for wait.Sleep(ctx, s.o.ConfigInterval+time.Duration(rand.Float64()*float64(restoreSpread))) == nil {
 		now := s.o.Restores()
