ingress, upstreamhttp: the start of a plain server is shown by an older connection

Cause: the list of VMs is up to 1.2 s old, and a server without a sidecar states its start nowhere else, so that nobody looked.

A connection ends with the process at its other end. Requests whose version has to be known go over a connection that was established before the list began which has the server as chosen; after a new connection they wait for an early list.

--- a/e2e/hosted/resume_test.go
+++ b/e2e/hosted/resume_test.go
@@ -308,6 +308,43 @@
 	}
 }
 
+// Rule ORDER: guards against streams of a plain service that continue at another version: its servers
+// have started again under their ids, and the router's list is from before. Streams that begin at
+// them are known by their version.
+func TestStreamIsNotJoinedAtPlainServerThatStartedAgain(t *testing.T) {
+	t.Parallel()
+	r := newResumption(t, "v1", "v1")
+	r.killRouters(false)
+	r.adjust = func(o *ingress.Options) { o.PollInterval = time.Minute }
+	r.startRouter()
+	r.begin()
+	startAgain := func(version string) {
+		for _, u := range r.upstreams {
+			if err := u.StartAgain(version); err != nil {
+				t.Fatal(err)
+			}
+			u.Register(r.store, "ready")
+		}
+	}
+	startAgain("v2")
+	for i := range resumedStreams {
+		reply := r.call(platformtest.Call{ID: second(i), Path: "/outlook/a", Body: "x", Header: http.Header{"Last-Event-Id": {"3"}, "Resumes": {first(i)}}})
+		if ran := ranAt(r.upstreams, second(i)); len(ran) > 0 || reply.Status != http.StatusServiceUnavailable {
+			t.Errorf("%s continues at the other version: %+v", second(i), reply)
+		}
+	}
+	const id = "first-later"
+	r.eventually("a stream begins at the new version", func() bool {
+		r.call(platformtest.Call{ID: id, Path: "/outlook/a", Body: "x"})
+		return len(ranAt(r.upstreams, id)) > 0
+	})
+	startAgain("v1")
+	reply := r.call(platformtest.Call{ID: "second-later", Path: "/outlook/a", Body: "x", Header: http.Header{"Last-Event-Id": {"3"}, "Resumes": {id}}})
+	if ran := ranAt(r.upstreams, "second-later"); len(ran) > 0 {
+		t.Errorf("a stream of the new version continues at the old one: %+v", reply)
+	}
+}
+
 // unwritable is a store that accepts no writes.
 type unwritable struct{ metastore.Store }
 
--- a/fleet/tracker.go
+++ b/fleet/tracker.go
@@ -85,6 +85,13 @@
 // Get returns a VM, or nil.
 func (t *Tracker) Get(id ident.VM) *VM { return t.vms[id] }
 
+// ListedSince reports whether a listing began after a time, and if so, whether the newest one has
+// the same start of a VM at the same software version.
+func (t *Tracker) ListedSince(at time.Time, vm *VM) (listed, same bool) {
+	now := t.vms[vm.ID]
+	return t.listedAt.After(at), now != nil && !t.lacked(vm.ID) && now.SameInstance(vm) && now.Software == vm.Software
+}
+
 // NextRemoval returns the earliest time at which a listing removes a VM that the last one
 // lacks, or the zero time if it lacks none.
 func (t *Tracker) NextRemoval() time.Time {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -80,7 +80,7 @@
 
 // exchange sends the request and reads the response.
 func (d *delivery) exchange(ctx context.Context, begun time.Time) result {
-	response, err := d.s.client.Send(ctx, d.choice.VM.Address, d.request(begun))
+	response, err := d.send(ctx, begun)
 	if err != nil {
 		return d.failure(ctx, err)
 	}
@@ -102,6 +102,18 @@
 	return d.relayWhole(ctx, response, begun)
 }
 
+func (d *delivery) send(ctx context.Context, begun time.Time) (*upstreamhttp.Response, error) {
+	if err := d.connectError; err != nil {
+		d.connectError = nil
+		return nil, err
+	}
+	if c := d.connection; c != nil {
+		d.connection = nil
+		return d.s.client.SendOn(ctx, c, d.request(begun))
+	}
+	return d.s.client.Send(ctx, d.choice.VM.Address, d.request(begun))
+}
+
 // observeResponse takes what the upstream says of itself in the response to an attempt.
 func (d *delivery) observeResponse(info *serving.ResponseInfo, begun time.Time) {
 	d.endBypass(d.choice.VM.ID, true)
--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -377,6 +377,14 @@
 	return c.tracker.Drains(now, vm)
 }
 
+// listedSince reports whether a listing began after a time, and if so, whether the newest one has
+// the same start of a VM at the same software version.
+func (c *clusterState) listedSince(at time.Time, vm *fleet.VM) (listed, same bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.ListedSince(at, vm)
+}
+
 // usable reports whether a VM chosen earlier still accepts new requests.
 func (c *clusterState) usable(now time.Time, vm *fleet.VM) bool {
 	c.mu.Lock()
--- a/ingress/delivery.go
+++ b/ingress/delivery.go
@@ -10,6 +10,7 @@
 	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/placement"
 	"github.com/laureltally/laureltally/serving"
+	"github.com/laureltally/laureltally/upstreamhttp"
 )
 
 const (
@@ -86,6 +87,10 @@
 	// took.
 	choice placement.Choice
 	waited time.Duration
+	// connection, if set, is the one over which the next attempt has to be sent, and
+	// connectError the error with which it fails.
+	connection   *upstreamhttp.Connection
+	connectError error
 	// charge is what the request took from its tenant's allotment.
 	charge charge
 }
@@ -107,6 +112,7 @@
 	}
 	defer d.returnCharge()
 	defer d.streamOver()
+	defer d.releaseConnection()
 	d.avoidUnrecorded(ctx)
 	for {
 		if d.refusedByQuarantine() {
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -27,7 +27,11 @@
 		}
 		d.choice = choice
 		if d.requirements.Model == "" {
-			return nil, true
+			ok, ended := d.plainServer(ctx)
+			if ok || ended {
+				return nil, ok
+			}
+			continue
 		}
 		if !choice.AgentReachable {
 			if d.listedServer(ctx) {
--- a/upstreamhttp/client.go
+++ b/upstreamhttp/client.go
@@ -43,6 +43,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return c.send(ctx, cn, r)
+}
+
+func (c *Client) send(ctx context.Context, cn *conn, r *Request) (*Response, error) {
 	x := &exchange{client: c, conn: cn, ctx: ctx, request: r}
 	x.stop = context.AfterFunc(ctx, cn.abort)
 	return x.run()
@@ -51,11 +55,11 @@
 // Probe connects to an address and keeps the connection for reuse. It fails with a
 // *DialError.
 func (c *Client) Probe(ctx context.Context, address string) error {
-	raw, err := c.dialer.DialContext(ctx, "tcp4", address)
+	cn, err := c.dial(ctx, address)
 	if err != nil {
-		return &DialError{Address: address, Err: err}
+		return err
 	}
-	c.put(newConn(raw, address), c.opts.IdleTimeout)
+	c.put(cn, c.opts.IdleTimeout)
 	return nil
 }
 
@@ -81,21 +85,32 @@
 	if ctx.Err() != nil {
 		return nil, &DialError{Address: address, Err: context.Cause(ctx)}
 	}
+	if cn := c.takeReusable(func() *conn { return c.take(address) }); cn != nil {
+		return cn, nil
+	}
+	return c.dial(ctx, address)
+}
+
+// takeReusable returns the first of the idle connections that take returns which can be reused, and
+// closes those before. It returns nil if there is none.
+func (c *Client) takeReusable(take func() *conn) *conn {
 	for {
-		cn := c.take(address)
-		if cn == nil {
-			break
-		}
-		if c.opts.Now().Before(cn.reusableUntil) && cn.quiet() {
-			return cn, nil
+		cn := take()
+		if cn == nil || c.opts.Now().Before(cn.reusableUntil) && cn.quiet() {
+			return cn
 		}
 		cn.Close()
 	}
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
 	raw, err := c.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
-	return newConn(raw, address), nil
+	cn := newConn(raw, address)
+	cn.establishedAt = c.opts.Now()
+	return cn, nil
 }
 
 func (c *Client) take(address string) *conn {
--- a/upstreamhttp/conn.go
+++ b/upstreamhttp/conn.go
@@ -25,6 +25,8 @@
 	head    *headLimiter
 	// reusableUntil is the time until which an idle connection may be reused.
 	reusableUntil time.Time
+	// establishedAt is a time right after the connection was established.
+	establishedAt time.Time
 	// used is set once a request has been sent.
 	used bool
 }
