ingress, resume: running streams are told again only when a second version joins

Each list of the VMs made routers look at the homes of all running streams, which costs a hash for each agent and stream. Now only a change of the services with several versions does.

Servers without and past a silent sidecar share one path to the next VM. No change of behaviour beyond that; tests of resume, fleet, upstreamhttp, ingress and the streams of e2e/hosted pass.

--- a/fleet/removal.go
+++ b/fleet/removal.go
@@ -15,8 +15,8 @@
 	notBefore time.Time
 }
 
-// Drains reports whether the newest listing has a VM as leaving, which is given the time to complete its
-// responses: no removal is announced, or it lies ahead for certain.
+// Drains reports whether the newest listing has a VM as leaving, and the VM is given the time to
+// complete its responses: no removal is announced, or it lies ahead for certain.
 func (t *Tracker) Drains(now time.Time, vm *VM) bool {
 	listed := t.vms[vm.ID]
 	if listed == nil || t.lacked(vm.ID) || !listed.SameInstance(vm) || !listed.Leaving {
--- a/ingress/listed_server.go
+++ b/ingress/listed_server.go
@@ -7,6 +7,14 @@
 	"github.com/laureltally/laureltally/internal/wait"
 )
 
+// knownServer reports whether a request that needs no reservation may be sent to the chosen server.
+func (d *delivery) knownServer(ctx context.Context) bool {
+	if d.requirements.Model == "" {
+		return d.connectListed(ctx)
+	}
+	return d.listedServer(ctx)
+}
+
 // listedServer reports whether the server of the chosen VM is the start that the list has. It is
 // asked where no timely grant says so: the server may have started again under its id with
 // another software version. Only requests whose version has to be known need it.
--- a/ingress/origins.go
+++ b/ingress/origins.go
@@ -108,16 +108,19 @@
 }
 
 // tellHomes tells the homes of a stream that have not been told over their present
-// connection; a sidecar that restarted has a new one. The caller holds mu.
+// connection; a sidecar that restarted has a new one. While there are several versions, its
+// archiver is told too. The caller holds mu.
 func (o *origins) tellHomes(r *runningStream, agents []resume.Agent, conns map[ident.VM]*transport.Conn) {
 	homes := resume.RecordHomes(r.origin.request, agents)
-	archiver, archive := resume.Archiver(r.origin.request, agents)
-	archive = archive && o.s.software.several(r.origin.service)
-	if archive && !slices.Contains(homes, archiver) {
+	var archiver ident.VM
+	if o.s.software.several(r.origin.service) {
+		archiver = resume.Archiver(r.origin.request, agents)
+	}
+	if archiver != "" && !slices.Contains(homes, archiver) {
 		homes = append(homes, archiver)
 	}
 	for _, home := range homes {
-		t := telling{conns[home], archive && home == archiver}
+		t := telling{conns[home], home == archiver}
 		if told := r.told[home]; told.conn == t.conn && (told.archive || !t.archive) {
 			continue
 		}
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -26,15 +26,8 @@
 			return nil, false
 		}
 		d.choice = choice
-		if d.requirements.Model == "" {
-			ok, ended := d.plainServer(ctx)
-			if ok || ended {
-				return nil, ok
-			}
-			continue
-		}
-		if !choice.AgentReachable {
-			if d.listedServer(ctx) {
+		if d.requirements.Model == "" || !choice.AgentReachable {
+			if d.knownServer(ctx) {
 				return nil, true
 			}
 			if d.r.Context().Err() != nil {
--- a/ingress/software_versions.go
+++ b/ingress/software_versions.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,8 @@
 
 	mu      sync.Mutex
 	history *resume.History
+	// withSeveral holds the services that have several versions.
+	withSeveral []ident.Upstream
 	// changed is closed and replaced when the record was read or written.
 	changed chan struct{}
 	// reading is the newest read for callers, or nil.
@@ -55,10 +58,18 @@
 func (v *softwareVersions) observe(begun time.Time, l fleet.Listing) {
 	v.mu.Lock()
 	v.history.Listed(begun, l)
+	v.observeSeveral()
 	v.mu.Unlock()
 	wait.Notify(v.listed)
-	// Running streams are archived once there is another version.
-	wait.Notify(v.s.origins.homesChanged)
+}
+
+// observeSeveral has running streams archived once their service has another version. The caller
+// holds mu.
+func (v *softwareVersions) observeSeveral() {
+	if now := v.history.AllSeveral(); !slices.Equal(now, v.withSeveral) {
+		v.withSeveral = now
+		wait.Notify(v.s.origins.homesChanged)
+	}
 }
 
 // several reports whether streams of a service may run at more than one version.
@@ -159,6 +170,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.history.Stored(now, record, restores)
+	v.observeSeveral()
 	close(v.changed)
 	v.changed = make(chan struct{})
 	return v.history.Next(now, restores)
--- a/resume/archive.go
+++ b/resume/archive.go
@@ -23,16 +23,15 @@
 	return StreamKey(xxhash.Sum64String(string(service) + "\x00" + request))
 }
 
-// Archiver returns which agent of a router's region archives a stream, and false if there is
-// none.
-func Archiver(request string, agents []Agent) (ident.VM, bool) {
+// Archiver returns which agent of a router's region archives a stream, or "" if there is none.
+func Archiver(request string, agents []Agent) ident.VM {
 	vms := make([]ident.VM, len(agents))
 	for i, a := range agents {
 		vms[i] = a.VM
 	}
 	archivers := Homes(archiverKey, vms, (len(vms)+agentsPerArchiver-1)/agentsPerArchiver)
 	if len(archivers) == 0 {
-		return "", false
+		return ""
 	}
-	return Homes(request, archivers, 1)[0], true
+	return Homes(request, archivers, 1)[0]
 }
--- a/resume/archive_test.go
+++ b/resume/archive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/laureltally/laureltally/ident"
@@ -18,9 +19,8 @@
 		used := make(map[ident.VM]bool)
 		for i := range 1000 {
 			request := fmt.Sprint("request-", i)
-			one, _ := Archiver(request, agents)
-			two, ok := Archiver(request, reversed)
-			if !ok || one != two {
+			one, two := Archiver(request, agents), Archiver(request, reversed)
+			if one == "" || one != two {
 				t.Fatalf("%s is archived by %s and %s", request, one, two)
 			}
 			used[one] = true
@@ -29,7 +29,7 @@
 			t.Errorf("%d of %d agents archive", len(used), n)
 		}
 	}
-	if _, ok := Archiver("x", nil); ok {
+	if Archiver("x", nil) != "" {
 		t.Error("an archiver without agents")
 	}
 }
@@ -64,6 +64,9 @@
 			if got := h.Several(service); got != tc.want {
 				t.Errorf("several %v, want %v", got, tc.want)
 			}
+			if got := slices.Contains(h.AllSeveral(), service); got != tc.want {
+				t.Errorf("among all services: %v, want %v", got, tc.want)
+			}
 		})
 	}
 }
--- a/resume/history.go
+++ b/resume/history.go
@@ -1,6 +1,7 @@
 package resume
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -122,9 +123,25 @@
 // Record does not say which one began a stream.
 func (h *History) Several(service ident.Upstream) bool {
 	listed := h.listed[service]
-	return len(listed)+len(h.stored.Versions[service]) > 0 &&
-		(!h.stored.completeAt(h.restores) || len(h.stored.Versions[service]) != 1 || len(listed) > 1 ||
-			len(listed) == 1 && listed[0] != h.stored.Versions[service][0])
+	if len(listed) == 0 && len(h.stored.Versions[service]) == 0 {
+		return false
+	}
+	only, known := h.stored.Only(service, h.restores)
+	return !known || slices.ContainsFunc(listed, func(v string) bool { return v != only })
+}
+
+// AllSeveral returns the services for which Several is true, sorted by name.
+func (h *History) AllSeveral() []ident.Upstream {
+	services := maps.Clone(h.listed)
+	maps.Copy(services, h.stored.Versions)
+	var all []ident.Upstream
+	for service := range services {
+		if h.Several(service) {
+			all = append(all, service)
+		}
+	}
+	slices.Sort(all)
+	return all
 }
 
 // SyncNeeded reports whether the Record has to be read, and perhaps written.
