ingress, sidecar: requests wait for a list by a signal, one type of unanswered order

Requests that wait for a list newer than their connection looked for it every 10 ms under the lock of the cluster's state; now the next list wakes them. The sidecar stores residency.UnansweredOrder as it is in place of a copy of the type. Two tests of unmarked ends share their check.

--- a/e2e/hosted/unmarked_end_test.go
+++ b/e2e/hosted/unmarked_end_test.go
@@ -37,6 +37,14 @@
 	return resp, string(body), err
 }
 
+// wantOrder sends an order and fails the test unless its response is whole.
+func (in *installation) wantOrder(want string) {
+	in.t.Helper()
+	if resp, body, err := in.rawCall("/order/a", "HTTP/1.1"); resp.StatusCode != http.StatusOK || body != want || err != nil {
+		in.t.Errorf("status %d, body %q, error %v", resp.StatusCode, body, err)
+	}
+}
+
 const (
 	rawUnmarked = rawHead + "Content-Type: text/event-stream\r\n\r\n"
 	rawChunked  = rawHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -148,9 +156,7 @@
 			u.Close()
 		}
 	})
-	if resp, body, err := in.rawCall("/order/a", "HTTP/1.1"); resp.StatusCode != http.StatusOK || body != "the body" || err != nil {
-		t.Errorf("status %d, body %q, error %v", resp.StatusCode, body, err)
-	}
+	in.wantOrder("the body")
 }
 
 // Rules ORDER, MIXED: guards against a response that looks complete, as its server is known to leave:
@@ -223,9 +229,7 @@
 					}
 				}
 			})
-			if resp, body, err := in.rawCall("/order/a", "HTTP/1.1"); resp.StatusCode != http.StatusOK || body != "the body" || err != nil {
-				t.Errorf("status %d, body %q, error %v", resp.StatusCode, body, err)
-			}
+			in.wantOrder("the body")
 		})
 	}
 }
--- a/ingress/cluster_state.go
+++ b/ingress/cluster_state.go
@@ -32,11 +32,13 @@
 
 // clusterState is the server's state of VMs and services, guarded by one mutex.
 type clusterState struct {
-	mu       sync.Mutex
-	tracker  *fleet.Tracker
-	balancer *placement.Balancer
-	budgets  map[ident.Upstream]*retry.Budget
-	opts     retry.BudgetOptions
+	mu      sync.Mutex
+	tracker *fleet.Tracker
+	// listApplied is closed and replaced when a list was applied.
+	listApplied chan struct{}
+	balancer    *placement.Balancer
+	budgets     map[ident.Upstream]*retry.Budget
+	opts        retry.BudgetOptions
 	// retrySlack is the fixed part of the budget within retryWindow, over all routers.
 	retrySlack  float64
 	retryWindow time.Duration
@@ -57,6 +59,7 @@
 	}
 	return &clusterState{
 		tracker:          fleet.NewTracker(fleet.Options{OutageAfter: outageAfter(pollInterval)}),
+		listApplied:      make(chan struct{}),
 		balancer:         balancer,
 		budgets:          make(map[ident.Upstream]*retry.Budget),
 		slownessStatedAt: make(map[ident.Upstream]time.Time),
@@ -80,6 +83,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changes := c.tracker.Update(begun, l)
+	close(c.listApplied)
+	c.listApplied = make(chan struct{})
 	return changes, c.balancer.Apply(now, changes)
 }
 
@@ -378,11 +383,13 @@
 }
 
 // listedSince reports whether a listing began after a time, and if so, whether the newest one has
-// the same start of a VM at the same software version.
-func (c *clusterState) listedSince(at time.Time, vm *fleet.VM) (listed, same bool) {
+// the same start of a VM at the same software version. Next is closed when another one was
+// applied.
+func (c *clusterState) listedSince(at time.Time, vm *fleet.VM) (listed, same bool, next <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tracker.ListedSince(at, vm)
+	listed, same = c.tracker.ListedSince(at, vm)
+	return listed, same, c.listApplied
 }
 
 // usable reports whether a VM chosen earlier still accepts new requests.
--- a/ingress/listed_connection.go
+++ b/ingress/listed_connection.go
@@ -7,12 +7,9 @@
 	"github.com/laureltally/laureltally/internal/wait"
 )
 
-const (
-	// listWaitTimeout bounds the wait of a request for a list of the VMs that is newer than its
-	// connection, and listCheckInterval is how often it looks.
-	listWaitTimeout   = time.Second
-	listCheckInterval = 10 * time.Millisecond
-)
+// listWaitTimeout bounds the wait of a request for a list of the VMs that is newer than its
+// connection.
+const listWaitTimeout = time.Second
 
 // connectListed connects to the chosen server of a service without sidecars, if its software
 // version has to be known: the server may have started again under its id with another one.
@@ -35,18 +32,21 @@
 	ctx, cancel := context.WithTimeout(ctx, listWaitTimeout)
 	defer cancel()
 	for {
-		listed, same := d.s.clusterState.listedSince(connection.EstablishedAt(), vm)
+		listed, same, next := d.s.clusterState.listedSince(connection.EstablishedAt(), vm)
 		if listed && same {
 			return true
 		}
 		if !listed {
 			wait.Notify(d.s.listOutdated)
+			select {
+			case <-next:
+				continue
+			case <-ctx.Done():
+			}
 		}
-		if listed || wait.Sleep(ctx, listCheckInterval) != nil {
-			d.releaseConnection()
-			d.logEvent("server not known to be the listed one", ctx.Err())
-			return false
-		}
+		d.releaseConnection()
+		d.logEvent("server not known to be the listed one", ctx.Err())
+		return false
 	}
 }
 
--- a/residency/unanswered_order.go
+++ b/residency/unanswered_order.go
@@ -16,14 +16,14 @@
 // engine it can't overload it: it is valid only while no other order has been accepted. After a
 // restart the count of orders begins anew, and the order is valid again when the count is the same.
 type UnansweredOrder struct {
-	Kind             engine.OrderKind
-	Model            ident.Model
-	Adapter          ident.Adapter
-	ExpectedAccepted uint64
+	Kind             engine.OrderKind `json:"kind"`
+	Model            ident.Model      `json:"model"`
+	Adapter          ident.Adapter    `json:"adapter,omitempty"`
+	ExpectedAccepted uint64           `json:"after"`
 	// Started identifies the start of the engine for which it was submitted.
-	Started int64
+	Started int64 `json:"started"`
 	// SizeMB is the memory that it takes.
-	SizeMB float64
+	SizeMB float64 `json:"memory_mb"`
 }
 
 // expiringOrder is an UnansweredOrder that may still be carried out until it expires.
--- a/sidecar/late_orders.go
+++ b/sidecar/late_orders.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"time"
 
-	"github.com/laureltally/laureltally/engine"
-	"github.com/laureltally/laureltally/ident"
 	"github.com/laureltally/laureltally/metastore"
 	"github.com/laureltally/laureltally/residency"
 )
@@ -29,18 +27,8 @@
 // out after the sidecar has ended.
 type lateOrders struct {
 	// WrittenMS is the time of the write, in Unix milliseconds.
-	WrittenMS int64             `json:"written_ms"`
-	Orders    []lateOrderRecord `json:"orders"`
-}
-
-// lateOrderRecord is a residency.UnansweredOrder.
-type lateOrderRecord struct {
-	Kind     engine.OrderKind `json:"kind"`
-	Model    ident.Model      `json:"model"`
-	Adapter  ident.Adapter    `json:"adapter,omitempty"`
-	After    uint64           `json:"after"`
-	Started  int64            `json:"started"`
-	MemoryMB float64          `json:"memory_mb"`
+	WrittenMS int64                       `json:"written_ms"`
+	Orders    []residency.UnansweredOrder `json:"orders"`
 }
 
 // saveLateOrders stores the orders that have no answer, for a sidecar that starts within the time
@@ -59,11 +47,7 @@
 		s.mu.Lock()
 		orders := s.scheduler.Unanswered(s.o.Now())
 		s.mu.Unlock()
-		r := lateOrders{WrittenMS: time.Now().UnixMilli(), Orders: make([]lateOrderRecord, len(orders))}
-		for i, o := range orders {
-			r.Orders[i] = lateOrderRecord{Kind: o.Kind, Model: o.Model, Adapter: o.Adapter, After: o.ExpectedAccepted, Started: o.Started, MemoryMB: o.SizeMB}
-		}
-		value, err := json.Marshal(r)
+		value, err := json.Marshal(lateOrders{WrittenMS: time.Now().UnixMilli(), Orders: orders})
 		if err != nil {
 			return fmt.Errorf("encode unanswered orders: %w", err)
 		}
@@ -84,14 +68,10 @@
 		if err != nil || time.Since(time.UnixMilli(r.WrittenMS)) > maxLateOrdersAge || len(r.Orders) == 0 {
 			return err
 		}
-		orders := make([]residency.UnansweredOrder, len(r.Orders))
-		for i, o := range r.Orders {
-			orders[i] = residency.UnansweredOrder{Kind: o.Kind, Model: o.Model, Adapter: o.Adapter, ExpectedAccepted: o.After, Started: o.Started, SizeMB: o.MemoryMB}
-		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.scheduler.RecallUnanswered(s.o.Now(), orders)
-		s.o.Logger.WithField("orders", len(orders)).Info("unanswered orders of an earlier process recalled")
+		s.scheduler.RecallUnanswered(s.o.Now(), r.Orders)
+		s.o.Logger.WithField("orders", len(r.Orders)).Info("unanswered orders of an earlier process recalled")
 		return nil
 	})
 }
