--- a/resume/originstore/writer_test.go
+++ b/resume/originstore/writer_test.go
@@ -205,3 +205,32 @@
 		}
 	})
 }
+
+// Guards against streams that run and are left out for older ones, where more are stored than are
+// loaded.
+func TestNewestStreamsAreLoaded(t *testing.T) {
+	s, now := memstore.New(memstore.Options{}), time.Unix(1000, 0)
+	const chunks, each = 4, maxLoaded / 2
+	for i := range chunks {
+		streams := make(map[resume.StreamKey]string, each)
+		for n := range each {
+			streams[resume.StreamKey(i*each+n)] = "v1"
+		}
+		value, err := encodeChunk(streams, now.Add(time.Duration(i)*time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Put(t.Context(), fmt.Sprint(prefix, i), value, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	loaded, skipped, err := Load(t.Context(), s, now.Add(chunks*time.Second))
+	if err != nil || len(skipped) > 0 || len(loaded) != 2*each {
+		t.Fatalf("%d streams, skipped %v, error %v", len(loaded), skipped, err)
+	}
+	for key := range loaded {
+		if key < 2*each {
+			t.Fatalf("stream %d of %d is loaded", key, chunks*each)
+		}
+	}
+}
