--- a/ingress/poll.go
+++ b/ingress/poll.go
@@ -174,10 +174,14 @@
 		if c.Kind == fleet.Updated {
 			continue
 		}
-		s.o.Logger.WithFields(log.Fields{
+		f := log.Fields{
 			"vm": c.VM.ID, "service": c.VM.Service, "address": c.VM.Address, "zone": c.VM.Zone,
 			"change": c.Kind, "age_ms": now.Sub(begun).Milliseconds(),
-		}).Info("vm changed")
+		}
+		if c.VM.RemovalAnnounced {
+			f["removed_in_ms"] = ms(c.VM.RemovedIn)
+		}
+		s.o.Logger.WithFields(f).Info("vm changed")
 		if c.Kind != fleet.Leaving {
 			s.observeSignOfCrash()
 		}
