upstreamhttp: a reset during the upload is no end of the response

Callers got a part of a response as a complete one, with status 200. An upstream answered a long request at once with neither a length nor chunks, sent a part of the body and reset the connection while the request was still being written.

Cause: a reset leaves one error on the socket, and the system call that meets it first takes it. If that is the write of the request, the read gets zero bytes, which is the end of a body that only the connection marks. The upstream still accepted connections, so that the check of unmarked ends found nothing.

Change: upstream connections are resetconn.Conn. At the end of the stream its Read ends a write that is under way and looks at what the write got: if it took the socket's error, the read fails with that. Where no write has taken an error, the read would have got it, so that the end is the upstream's own. EPIPE does not count: the kernel reports it where the reset follows the end that the upstream has sent. So an upstream that answers early and ends its side still counts, whether it reads the rest of the body, leaves it, or closes.

--- a/upstreamhttp/conn.go
+++ b/upstreamhttp/conn.go
@@ -8,6 +8,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/laureltally/laureltally/internal/resetconn"
 )
 
 // readBufferBytes is enough for the header of a response and a few events.
@@ -19,7 +21,7 @@
 
 // conn is one connection to an upstream.
 type conn struct {
-	net.Conn
+	*resetconn.Conn
 	address string
 	in      *bufio.Reader
 	head    *headLimiter
@@ -32,14 +34,15 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	head := &headLimiter{in: c}
-	return &conn{Conn: c, address: address, in: bufio.NewReaderSize(head, readBufferBytes), head: head}
+	rc := resetconn.New(c)
+	head := &headLimiter{in: rc}
+	return &conn{Conn: rc, address: address, in: bufio.NewReaderSize(head, readBufferBytes), head: head}
 }
 
 // abort resets the connection and discards the data that the upstream has not received
 // yet, so that it can't execute an abandoned request later.
 func (c *conn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.NetConn().(*net.TCPConn); ok {
 		// SetLinger fails only on a closed connection.
 		_ = tcp.SetLinger(0)
 	}
@@ -67,7 +70,7 @@
 	if c.in.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
