httpclient: a reset during the upload is no end of the response

It has the same effect on every client of internal/httpclient: agent, object API, platform, engine's admin API.

Change: the transport's connections are resetconn.Conn, too.

--- a/agent/upstream_remains_test.go
+++ b/agent/upstream_remains_test.go
@@ -52,18 +52,24 @@
 			}
 			a.draining.Store(tc.draining)
 			d := &wire.Dispatch{Attempt: "attempt-1", Method: http.MethodPost, Path: "/a", NonIdempotent: true, Stream: tc.stream}
-			resp, err := a.send(t.Context(), d)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer resp.Body.Close()
-			w, err := a.responses.Begin(d.Attempt)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if got := a.copyResponse(t.Context(), d, w, resp, func() {}); got != tc.want {
-				t.Errorf("got %v, want %v", got, tc.want)
+			if got, err := respond(t, a, d); got != tc.want || err != nil {
+				t.Errorf("got %v and %v, want %v", got, err, tc.want)
 			}
 		})
 	}
 }
+
+// respond sends an attempt to the upstream and copies its response.
+func respond(t *testing.T, a *Agent, d *wire.Dispatch) (admission.Result, error) {
+	t.Helper()
+	resp, err := a.send(t.Context(), d)
+	if err != nil {
+		return admission.Failed, err
+	}
+	defer resp.Body.Close()
+	w, err := a.responses.Begin(d.Attempt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a.copyResponse(t.Context(), d, w, resp, func() {}), nil
+}
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 
 	"github.com/laureltally/laureltally/internal/headlimit"
+	"github.com/laureltally/laureltally/internal/resetconn"
 )
 
 // maxTLSHeadBytes bounds a head where headlimit does not, which is on connections with TLS. It is
@@ -33,7 +34,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return &conn{Conn: resetconn.New(c)}, nil
 	}
 	base.MaxResponseHeaderBytes = maxTLSHeadBytes
 	return &Transport{base: base}
