responsehead: a response with a malformed status line is none

Callers got a body that was not the upstream's answer: a response with status 000 (also 099 and 101) was skipped as an informational one, which has no body, and the response within its body was passed on with status 200. Answers with versions such as HTTP/9.9 were passed on. The agent passed all of them on as complete.

Cause: net/http's parser takes any number of three characters for a status, and upstreamhttp took each status under 200 for informational.

Change: responsehead.Scanner checks the bytes of a head as they arrive, before the parser gets them, for upstreamhttp and for the transport that agent, object API, platform and engine API share. A malformed head fails the attempt like any broken response, and its connection is closed. On connections with TLS the parsed status is checked. Statuses of 600 and more are failures to callers already and stay so.

--- /dev/null
+++ b/agent/malformed_head_test.go
@@ -0,0 +1,70 @@
+package agent
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/laureltally/laureltally/config"
+	"github.com/laureltally/laureltally/internal/responsehead"
+	"github.com/laureltally/laureltally/internal/responsehead/headtest"
+	"github.com/laureltally/laureltally/wire"
+)
+
+// respondOdd sends a request to an upstream whose response has the given text.
+func respondOdd(t *testing.T, text string, nonIdempotent bool) error {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, text)
+			}
+			conn.Close()
+		}
+	}()
+	a, err := New(Options{Settings: config.AgentSettings{UpstreamURL: "http://" + listener.Addr().String()}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = respond(t, a, &wire.Dispatch{Attempt: "attempt-1", Method: http.MethodPost, Path: "/a", NonIdempotent: nonIdempotent})
+	return err
+}
+
+// wantMalformed fails the test unless responses are refused for their heads.
+func wantMalformed(t *testing.T, responses []headtest.Response) {
+	t.Helper()
+	for _, r := range responses {
+		for _, nonIdempotent := range []bool{false, true} {
+			var syntax *responsehead.SyntaxError
+			if err := respondOdd(t, r.Text, nonIdempotent); !errors.As(err, &syntax) {
+				t.Errorf("%s, sent once %v: error %v", r.Name, nonIdempotent, err)
+			}
+		}
+	}
+}
+
+// Guards against a response with a malformed status line that the agent passes on.
+func TestMalformedStatusIsNoResponse(t *testing.T) {
+	wantMalformed(t, headtest.MalformedStatus())
+}
+
+// Guards against an odd head that the agent refuses though it is valid.
+func TestSoundHeadIsAResponse(t *testing.T) {
+	for _, r := range headtest.Sound() {
+		if err := respondOdd(t, r.Text, true); err != nil {
+			t.Errorf("%s: error %v", r.Name, err)
+		}
+	}
+}
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -5,14 +5,16 @@
 	"sync"
 
 	"github.com/laureltally/laureltally/internal/headlimit"
+	"github.com/laureltally/laureltally/internal/responsehead"
 )
 
-// conn is a connection whose reads are limited while the head of a response is expected.
+// conn is a connection whose reads are limited and checked while the head of a response is expected.
 type conn struct {
 	net.Conn
 
-	mu    sync.Mutex
-	limit headlimit.Limiter
+	mu     sync.Mutex
+	limit  headlimit.Limiter
+	syntax responsehead.Scanner
 	// heads counts the heads that have begun.
 	heads uint64
 }
@@ -23,6 +25,7 @@
 	defer c.mu.Unlock()
 	c.heads++
 	c.limit.Begin()
+	c.syntax.Begin()
 	return c.heads
 }
 
@@ -38,7 +41,8 @@
 	return c.limit.Exceeded()
 }
 
-// Read implements net.Conn. It fails with a *headlimit.SizeError at a limit of the head.
+// Read implements net.Conn. It fails with a *headlimit.SizeError at a limit of the head, and with a
+// *responsehead.SyntaxError in place of the bytes of a malformed one.
 func (c *conn) Read(b []byte) (int, error) {
 	c.mu.Lock()
 	allowed, err := c.limit.Allowed(len(b))
@@ -48,7 +52,10 @@
 	}
 	n, err := c.Conn.Read(b[:allowed])
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.limit.Add(b[:n])
-	c.mu.Unlock()
+	if err := c.syntax.Add(b[:n]); err != nil {
+		return 0, err
+	}
 	return n, err
 }
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -9,14 +9,16 @@
 
 	"github.com/laureltally/laureltally/internal/headlimit"
 	"github.com/laureltally/laureltally/internal/resetconn"
+	"github.com/laureltally/laureltally/internal/responsehead"
 )
 
 // maxTLSHeadBytes bounds a head where headlimit does not, which is on connections with TLS. It is
 // larger than headlimit.MaxBytes, because net/http's own error has no type.
 const maxTLSHeadBytes = headlimit.MaxBytes + 4<<10
 
-// Transport is an http.RoundTripper that bounds the heads of responses. A request fails with a
-// *headlimit.SizeError whose head exceeds the limits. It is safe for concurrent use.
+// Transport is an http.RoundTripper that bounds and checks the heads of responses. A request fails with
+// a *headlimit.SizeError if the head exceeds the limits, and with a *responsehead.SyntaxError if it is
+// malformed. It is safe for concurrent use.
 type Transport struct{ base *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -56,7 +58,14 @@
 	if c != nil && c.endHead(head) && err != nil {
 		return nil, fmt.Errorf("%w: %w", &headlimit.SizeError{}, err)
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	if err := responsehead.Check(resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // CloseIdleConnections closes the idle connections.
--- /dev/null
+++ b/internal/responsehead/check.go
@@ -0,0 +1,12 @@
+package responsehead
+
+import "net/http"
+
+// Check returns a *SyntaxError if the head of a response that was parsed is malformed. It sees less than
+// a Scanner, and is for connections whose bytes are encrypted.
+func Check(r *http.Response) error {
+	if r.StatusCode < http.StatusOK {
+		return &SyntaxError{Problem: "invalid status", Line: r.Status}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/responsehead/scanner.go
@@ -0,0 +1,67 @@
+package responsehead
+
+import (
+	"bytes"
+	"net/http"
+)
+
+// Scanner checks the bytes of a head as they arrive. It does no I/O; the zero value expects no head.
+// What it holds of a line is bounded by whoever bounds the head.
+type Scanner struct {
+	// expected is set until the head has ended.
+	expected bool
+	// line is the begin of a line that has not arrived whole.
+	line []byte
+	// status is the status of the current head, or zero before its first line.
+	status int
+	err    error
+}
+
+// Begin starts a head: the following bytes belong to it.
+func (s *Scanner) Begin() { *s = Scanner{expected: true} }
+
+// Add checks bytes that have arrived, of which those after the head are not looked at. It fails with a
+// *SyntaxError, also at all later calls, if they show that the head is malformed.
+func (s *Scanner) Add(b []byte) error {
+	for s.expected && s.err == nil {
+		text, rest, whole := bytes.Cut(b, []byte{'\n'})
+		if !whole {
+			s.line = append(s.line, b...)
+			return nil
+		}
+		if len(s.line) > 0 {
+			text = append(s.line, text...)
+			s.line = nil
+		}
+		s.endLine(bytes.TrimSuffix(text, []byte{'\r'}))
+		b = rest
+	}
+	return s.err
+}
+
+// endLine checks a whole line.
+func (s *Scanner) endLine(line []byte) {
+	switch {
+	case s.status == 0:
+		s.beginHead(line)
+	case len(line) > 0:
+	case s.status < http.StatusOK:
+		s.Begin()
+	default:
+		s.expected = false
+	}
+}
+
+// beginHead checks a status line.
+func (s *Scanner) beginHead(line []byte) {
+	status, problem := parseStatusLine(line)
+	if problem != "" {
+		s.fail(problem, line)
+		return
+	}
+	s.status = status
+}
+
+func (s *Scanner) fail(problem string, line []byte) {
+	s.err = &SyntaxError{Problem: problem, Line: string(line)}
+}
--- /dev/null
+++ b/internal/responsehead/status_line.go
@@ -0,0 +1,45 @@
+package responsehead
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// version is what the version of HTTP begins with; its last digit follows.
+const version = "HTTP/1."
+
+// parseStatusLine returns the status of a status line (RFC 9112, 4), or what is wrong with it. The
+// blank before an empty reason may be missing. No request asks for another protocol, so that 101 is
+// not valid. Statuses of 600 and more are failures to callers (RFC 9110, 15).
+func parseStatusLine(line []byte) (status int, problem string) {
+	rest, ok := strings.CutPrefix(string(line), version)
+	if !ok || len(rest) < len("1 200") || !isDigit(rest[0]) || rest[1] != ' ' {
+		return 0, "no status line of HTTP/1"
+	}
+	code, reason := rest[2:5], rest[5:]
+	if !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) || reason != "" && reason[0] != ' ' {
+		return 0, "status is no number of three digits"
+	}
+	status, err := strconv.Atoi(code)
+	switch {
+	case err != nil || status < http.StatusContinue || status == http.StatusSwitchingProtocols:
+		return 0, "invalid status"
+	case !validValue(reason):
+		return 0, "control byte in the reason"
+	}
+	return status, ""
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// validValue reports whether a text may be a field's value or a reason: it has no control bytes but
+// tabs.
+func validValue(text string) bool {
+	for i := range len(text) {
+		if c := text[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/responsehead/syntax_error.go
@@ -0,0 +1,18 @@
+package responsehead
+
+import "fmt"
+
+// maxQuotedBytes bounds the part of a malformed line in an error.
+const maxQuotedBytes = 64
+
+// SyntaxError reports a malformed head of a response.
+type SyntaxError struct {
+	// Problem says what is wrong with the line.
+	Problem string
+	Line    string
+}
+
+// Error implements error.
+func (e *SyntaxError) Error() string {
+	return fmt.Sprintf("malformed head of a response: %s: %q", e.Problem, e.Line[:min(len(e.Line), maxQuotedBytes)])
+}
--- a/upstreamhttp/conn.go
+++ b/upstreamhttp/conn.go
@@ -24,7 +24,7 @@
 	*resetconn.Conn
 	address string
 	in      *bufio.Reader
-	head    *headLimiter
+	head    *headReader
 	// reusableUntil is the time until which an idle connection may be reused.
 	reusableUntil time.Time
 	// establishedAt is a time right after the connection was established.
@@ -35,7 +35,7 @@
 
 func newConn(c net.Conn, address string) *conn {
 	rc := resetconn.New(c)
-	head := &headLimiter{in: rc}
+	head := &headReader{in: rc}
 	return &conn{Conn: rc, address: address, in: bufio.NewReaderSize(head, readBufferBytes), head: head}
 }
 
--- a/upstreamhttp/exchange.go
+++ b/upstreamhttp/exchange.go
@@ -96,7 +96,13 @@
 
 // header reads the next response header, skipping informational responses.
 func (x *exchange) header() (*http.Response, error) {
-	x.conn.head.begin()
+	buffered, err := x.conn.in.Peek(x.conn.in.Buffered())
+	if err == nil {
+		err = x.conn.head.begin(buffered)
+	}
+	if err != nil {
+		return nil, err
+	}
 	defer x.conn.head.end()
 	for {
 		resp, err := http.ReadResponse(x.conn.in, &http.Request{Method: x.request.Method})
