responsehead: a response with a malformed field is none

Callers got a response in whose head the name of a field held a blank, as status 200: with that line dropped, or, where the line was "Content-Length : 3" or "Transfer-Encoding : chunked", with a body that was not the upstream's (8 bytes of which 3 were meant, chunk sizes as text). The agent passed these on as complete.

Cause: net/http's parser refuses control bytes in names, but lets names with blanks through as other names, so that the field does not count.

Change: the Scanner checks each field line (RFC 9112, 5): the name is a token that the colon follows, the value has no control bytes. RFC 9112, 5.1, lets a proxy repair a blank before the colon; here the response is broken, since an upstream that sends it is in trouble. A folded line stays valid, its parts are joined as before. With TLS the parsed names are checked.

--- a/agent/malformed_head_test.go
+++ b/agent/malformed_head_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"testing"
 
+	"github.com/laureltally/laureltally/admission"
 	"github.com/laureltally/laureltally/config"
 	"github.com/laureltally/laureltally/internal/responsehead"
 	"github.com/laureltally/laureltally/internal/responsehead/headtest"
@@ -15,7 +16,7 @@
 )
 
 // respondOdd sends a request to an upstream whose response has the given text.
-func respondOdd(t *testing.T, text string, nonIdempotent bool) error {
+func respondOdd(t *testing.T, text string, nonIdempotent bool) (admission.Result, error) {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -38,8 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, err = respond(t, a, &wire.Dispatch{Attempt: "attempt-1", Method: http.MethodPost, Path: "/a", NonIdempotent: nonIdempotent})
-	return err
+	return respond(t, a, &wire.Dispatch{Attempt: "attempt-1", Method: http.MethodPost, Path: "/a", NonIdempotent: nonIdempotent})
 }
 
 // wantMalformed fails the test unless responses are refused for their heads.
@@ -48,7 +48,7 @@
 	for _, r := range responses {
 		for _, nonIdempotent := range []bool{false, true} {
 			var syntax *responsehead.SyntaxError
-			if err := respondOdd(t, r.Text, nonIdempotent); !errors.As(err, &syntax) {
+			if _, err := respondOdd(t, r.Text, nonIdempotent); !errors.As(err, &syntax) {
 				t.Errorf("%s, sent once %v: error %v", r.Name, nonIdempotent, err)
 			}
 		}
@@ -63,8 +63,23 @@
 // Guards against an odd head that the agent refuses though it is valid.
 func TestSoundHeadIsAResponse(t *testing.T) {
 	for _, r := range headtest.Sound() {
-		if err := respondOdd(t, r.Text, true); err != nil {
-			t.Errorf("%s: error %v", r.Name, err)
+		if got, err := respondOdd(t, r.Text, true); got != admission.Succeeded || err != nil {
+			t.Errorf("%s: %v, error %v", r.Name, got, err)
+		}
+	}
+}
+
+// Guards against a response with a malformed field that the agent passes on.
+func TestMalformedFieldIsNoResponse(t *testing.T) {
+	wantMalformed(t, headtest.MalformedFields())
+}
+
+// Guards against a response that the agent passes on as complete, though its fields do not tell where it
+// ends.
+func TestMalformedFramingIsNoResponse(t *testing.T) {
+	for _, r := range headtest.MalformedFraming() {
+		if got, err := respondOdd(t, r.Text, true); got != admission.Failed {
+			t.Errorf("%s: %v, error %v", r.Name, got, err)
 		}
 	}
 }
--- a/e2e/hosted/malformed_head_test.go
+++ b/e2e/hosted/malformed_head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -61,3 +62,15 @@
 		})
 	}
 }
+
+// Rule MIXED: guards against an answer with a malformed field in its head that reaches
+// the caller, with that line or without it, or with a body that is not the server's.
+func TestMalformedFieldIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for _, r := range slices.Concat(headtest.MalformedFields(), headtest.MalformedFraming()) {
+		t.Run(r.Name, func(t *testing.T) {
+			t.Parallel()
+			wantNoAnswer(t, r.Text)
+		})
+	}
+}
--- a/internal/httpclient/malformed_head_test.go
+++ b/internal/httpclient/malformed_head_test.go
@@ -76,3 +76,16 @@
 	}
 	checkMalformed(t, httptest.NewTLSServer, parsed)
 }
+
+// Guards against a response with a malformed field that any client of the control plane takes for one.
+func TestMalformedFieldIsNoResponse(t *testing.T) {
+	checkMalformed(t, httptest.NewServer, headtest.MalformedFields())
+	var parsed []headtest.Response
+	for _, r := range headtest.MalformedFields() {
+		// net/http passes these on with the blank in the name.
+		if strings.HasPrefix(r.Name, "blank") && !strings.Contains(r.Name, "of an informational") {
+			parsed = append(parsed, r)
+		}
+	}
+	checkMalformed(t, httptest.NewTLSServer, parsed)
+}
--- a/internal/responsehead/check.go
+++ b/internal/responsehead/check.go
@@ -8,5 +8,15 @@
 	if r.StatusCode < http.StatusOK {
 		return &SyntaxError{Problem: "invalid status", Line: r.Status}
 	}
+	return checkNames(r.Header)
+}
+
+// checkNames checks what the parser of net/http does not: it passes names with blanks on.
+func checkNames(h http.Header) error {
+	for name := range h {
+		if !validName(name) {
+			return &SyntaxError{Problem: "invalid name of a field", Line: name}
+		}
+	}
 	return nil
 }
--- /dev/null
+++ b/internal/responsehead/field_line.go
@@ -0,0 +1,35 @@
+package responsehead
+
+import (
+	"bytes"
+	"strings"
+)
+
+// checkFieldLine returns what is wrong with a field line (RFC 9112, 5), or "". A proxy may
+// remove blanks before the colon of a response, but they show a server in trouble.
+func checkFieldLine(line []byte) (problem string) {
+	name, value, ok := bytes.Cut(line, []byte{':'})
+	switch {
+	case !ok:
+		return "no colon"
+	case !validName(string(name)):
+		return "invalid name of a field"
+	case !validValue(string(value)):
+		return "control byte in a value"
+	}
+	return ""
+}
+
+// validName reports whether a text is a token, as names of fields are (RFC 9110, 5.6.2).
+func validName(name string) bool {
+	for i := range len(name) {
+		if !isTokenByte(name[i]) {
+			return false
+		}
+	}
+	return name != ""
+}
+
+func isTokenByte(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || isDigit(c) || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
--- a/internal/responsehead/headtest/responses.go
+++ b/internal/responsehead/headtest/responses.go
@@ -36,6 +36,40 @@
 	}
 }
 
+// MalformedFields returns responses with a valid status line and a malformed field.
+func MalformedFields() []Response {
+	line := func(l string) string { return ok + l + "\r\n" + length }
+	return []Response{
+		{"blank in a name", line("X Bad: 1")},
+		{"blank before a name's colon", line("X-Bad : 1")},
+		{"tab before a name's colon", line("X-Bad\t: 1")},
+		{"control byte in a name", line("X\x01Bad: 1")},
+		{"NUL in a name", line("X\x00Bad: 1")},
+		{"DEL in a name", line("X\x7fBad: 1")},
+		{"byte of no token in a name", line("X(Bad): 1")},
+		{"obsolete text in a name", line("X\xc5\x93: 1")},
+		{"no name", line(": 1")},
+		{"no colon", line("X-Bad")},
+		{"control byte in a value", line("X-Bad: \x01")},
+		{"carriage return in a value", line("X-Bad: a\rb")},
+		{"control byte in a folded line", line("X-Odd: a\r\n \x01")},
+		{"folded first line", "HTTP/1.1 200 OK\r\n " + fields + length},
+		{"blank before the colon of the length", ok + "Content-Length : 3\r\n\r\nthe body"},
+		{"blank before the colon of the coding", ok + "Transfer-Encoding : chunked\r\n\r\n8\r\nthe body\r\n0\r\n\r\n"},
+		{"blank in a name after an informational response", "HTTP/1.1 103 Early Hints\r\n\r\n" + line("X Bad: 1")},
+		{"blank in a name of an informational response", "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\n" + ok + length},
+	}
+}
+
+// MalformedFraming returns responses whose fields do not tell where the body ends.
+func MalformedFraming() []Response {
+	return []Response{
+		{"two lengths", ok + "Content-Length: 3\r\n" + length},
+		{"length with a sign", ok + "Content-Length: +8\r\n\r\nthe body"},
+		{"unknown coding", ok + "Transfer-Encoding: gzip\r\n\r\nthe body"},
+	}
+}
+
 // Sound returns responses that are valid and differ from the usual ones. All have the body "the
 // body".
 func Sound() []Response {
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -14,6 +14,8 @@
 	line []byte
 	// status is the status of the current head, or zero before its first line.
 	status int
+	// fields is the number of field lines of the current head.
+	fields int
 	err    error
 }
 
@@ -41,27 +43,31 @@
 
 // endLine checks a whole line.
 func (s *Scanner) endLine(line []byte) {
+	problem := ""
 	switch {
 	case s.status == 0:
-		s.beginHead(line)
+		s.status, problem = parseStatusLine(line)
 	case len(line) > 0:
+		problem = s.addField(line)
 	case s.status < http.StatusOK:
 		s.Begin()
 	default:
 		s.expected = false
 	}
-}
-
-// beginHead checks a status line.
-func (s *Scanner) beginHead(line []byte) {
-	status, problem := parseStatusLine(line)
 	if problem != "" {
-		s.fail(problem, line)
-		return
+		s.err = &SyntaxError{Problem: problem, Line: string(line)}
 	}
-	s.status = status
 }
 
-func (s *Scanner) fail(problem string, line []byte) {
-	s.err = &SyntaxError{Problem: problem, Line: string(line)}
+// addField checks a field line, or the continuation of one, and returns what is wrong with it, or "".
+func (s *Scanner) addField(line []byte) string {
+	folded := line[0] == ' ' || line[0] == '\t'
+	if folded && s.fields > 0 {
+		if !validValue(string(line)) {
+			return "control byte in a value"
+		}
+		return ""
+	}
+	s.fields++
+	return checkFieldLine(line)
 }
--- a/internal/responsehead/scanner_test.go
+++ b/internal/responsehead/scanner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 
 	"github.com/laureltally/laureltally/internal/responsehead"
@@ -21,7 +22,7 @@
 // Guards against a malformed head that is taken for a valid one, and against a valid one that is refused
 // or whose body is taken for a part of it, wherever the bytes are divided.
 func TestScanner(t *testing.T) {
-	for _, r := range headtest.MalformedStatus() {
+	for _, r := range slices.Concat(headtest.MalformedStatus(), headtest.MalformedFields()) {
 		for cut := range r.Text {
 			var syntax *responsehead.SyntaxError
 			if err := scan(r.Text, cut); !errors.As(err, &syntax) {
--- a/internal/responsehead/syntax_error.go
+++ b/internal/responsehead/syntax_error.go
@@ -14,5 +14,5 @@
 
 // Error implements error.
 func (e *SyntaxError) Error() string {
-	return fmt.Sprintf("malformed head of a response: %s: %q", e.Problem, e.Line[:min(len(e.Line), maxQuotedBytes)])
+	return fmt.Sprintf("malformed response: %s: %q", e.Problem, e.Line[:min(len(e.Line), maxQuotedBytes)])
 }
--- a/upstreamhttp/malformed_head_test.go
+++ b/upstreamhttp/malformed_head_test.go
@@ -99,3 +99,25 @@
 		}
 	})
 }
+
+// Guards against a response with a malformed field that counts as one: with that line dropped, or, where
+// the field states how the body ends, with another body.
+func TestMalformedFieldIsNoResponse(t *testing.T) {
+	checkHeads(t, headtest.MalformedFields(), wantMalformed)
+}
+
+// Guards against a response whose fields do not tell where its body ends.
+func TestMalformedFramingIsNoResponse(t *testing.T) {
+	checkHeads(t, headtest.MalformedFraming(), wantFailure(StageHeader))
+}
+
+// wantFailure fails the test unless a response failed at a stage.
+func wantFailure(stage Stage) func(*testing.T, string, error) {
+	return func(t *testing.T, text string, err error) {
+		t.Helper()
+		var failed *ConnectionError
+		if !errors.As(err, &failed) || failed.Stage != stage {
+			t.Errorf("response %q, error %v", text, err)
+		}
+	}
+}
