responsehead: fields that contradict each other are malformed

Callers got bodies that were not the upstream's: chunk sizes as text from a response of HTTP/1.0 with a transfer coding, also as a stream, and as the response what an informational one had in its stated body. A response with a length and chunks counted.

Cause: net/http's parser ignores one of the parts that contradict each other: the coding in HTTP/1.0, the length beside chunks, both in an informational response.

Change: the Scanner refuses them (RFC 9112, 6.1 and 6.3: the framing is faulty, ought to be handled as an error).

--- a/internal/responsehead/field_line.go
+++ b/internal/responsehead/field_line.go
@@ -5,19 +5,20 @@
 	"strings"
 )
 
-// checkFieldLine returns what is wrong with a field line (RFC 9112, 5), or "". A proxy may
+// parseFieldLine returns the name of a field line (RFC 9112, 5), or what is wrong with it. A proxy may
 // remove blanks before the colon of a response, but they show a server in trouble.
-func checkFieldLine(line []byte) (problem string) {
-	name, value, ok := bytes.Cut(line, []byte{':'})
+func parseFieldLine(line []byte) (name, problem string) {
+	before, value, ok := bytes.Cut(line, []byte{':'})
+	name = string(before)
 	switch {
 	case !ok:
-		return "no colon"
-	case !validName(string(name)):
-		return "invalid name of a field"
+		return "", "no colon"
+	case !validName(name):
+		return "", "invalid name of a field"
 	case !validValue(string(value)):
-		return "control byte in a value"
+		return "", "control byte in a value"
 	}
-	return ""
+	return name, ""
 }
 
 // validName reports whether a text is a token, as names of fields are (RFC 9110, 5.6.2).
--- a/internal/responsehead/headtest/responses.go
+++ b/internal/responsehead/headtest/responses.go
@@ -1,5 +1,7 @@
 package headtest
 
+import "strings"
+
 // Response is what an upstream sends. {id} stands for the id of the request.
 type Response struct{ Name, Text string }
 
@@ -36,7 +38,8 @@
 	}
 }
 
-// MalformedFields returns responses with a valid status line and a malformed field.
+// MalformedFields returns responses with a valid status line and a malformed field, or with fields
+// that contradict the status line or each other.
 func MalformedFields() []Response {
 	line := func(l string) string { return ok + l + "\r\n" + length }
 	return []Response{
@@ -58,6 +61,11 @@
 		{"blank before the colon of the coding", ok + "Transfer-Encoding : chunked\r\n\r\n8\r\nthe body\r\n0\r\n\r\n"},
 		{"blank in a name after an informational response", "HTTP/1.1 103 Early Hints\r\n\r\n" + line("X Bad: 1")},
 		{"blank in a name of an informational response", "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\n" + ok + length},
+		{"length of an informational response", "HTTP/1.1 103 Early Hints\r\nContent-Length: 95\r\n\r\n" + inner},
+		{"coding of an informational response", "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + inner},
+		{"length and chunks", ok + "Content-Length: 3\r\n" + chunked},
+		{"chunks and length", ok + "Transfer-Encoding: chunked\r\n" + length},
+		{"chunks of HTTP/1.0", strings.Replace(ok, "HTTP/1.1", "HTTP/1.0", 1) + chunked},
 	}
 }
 
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -12,8 +12,8 @@
 	expected bool
 	// line is the begin of a line that has not arrived whole.
 	line []byte
-	// status is the status of the current head, or zero before its first line.
-	status int
+	// framing is that of the current head; its status is zero before the first line.
+	framing framing
 	// fields is the number of field lines of the current head.
 	fields int
 	err    error
@@ -45,11 +45,11 @@
 func (s *Scanner) endLine(line []byte) {
 	problem := ""
 	switch {
-	case s.status == 0:
-		s.status, problem = parseStatusLine(line)
+	case s.framing.status == 0:
+		s.framing, problem = parseStatusLine(line)
 	case len(line) > 0:
 		problem = s.addField(line)
-	case s.status < http.StatusOK:
+	case s.framing.status < http.StatusOK:
 		s.Begin()
 	default:
 		s.expected = false
@@ -69,5 +69,9 @@
 		return ""
 	}
 	s.fields++
-	return checkFieldLine(line)
+	name, problem := parseFieldLine(line)
+	if problem != "" {
+		return problem
+	}
+	return s.framing.add(name)
 }
--- a/internal/responsehead/status_line.go
+++ b/internal/responsehead/status_line.go
@@ -9,26 +9,26 @@
 // version is what the version of HTTP begins with; its last digit follows.
 const version = "HTTP/1."
 
-// parseStatusLine returns the status of a status line (RFC 9112, 4), or what is wrong with it. The
+// parseStatusLine returns what a status line says (RFC 9112, 4), or what is wrong with it. The
 // blank before an empty reason may be missing. No request asks for another protocol, so that 101 is
 // not valid. Statuses of 600 and more are failures to callers (RFC 9110, 15).
-func parseStatusLine(line []byte) (status int, problem string) {
+func parseStatusLine(line []byte) (f framing, problem string) {
 	rest, ok := strings.CutPrefix(string(line), version)
 	if !ok || len(rest) < len("1 200") || !isDigit(rest[0]) || rest[1] != ' ' {
-		return 0, "no status line of HTTP/1"
+		return framing{}, "no status line of HTTP/1"
 	}
 	code, reason := rest[2:5], rest[5:]
 	if !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) || reason != "" && reason[0] != ' ' {
-		return 0, "status is no number of three digits"
+		return framing{}, "status is no number of three digits"
 	}
 	status, err := strconv.Atoi(code)
 	switch {
 	case err != nil || status < http.StatusContinue || status == http.StatusSwitchingProtocols:
-		return 0, "invalid status"
+		return framing{}, "invalid status"
 	case !validValue(reason):
-		return 0, "control byte in the reason"
+		return framing{}, "control byte in the reason"
 	}
-	return status, ""
+	return framing{status: status, minorVersion: rest[0]}, ""
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
