upstreamhttp, agent: a malformed trailer breaks the response

Callers got a response as complete, a stream among them, whose trailer had a name with a blank. net/http's parser refuses control bytes there and lets blanks through, as in heads.

Change: at the end of a body, the names of its trailer are checked like those of a head.

Evidence: of 5 malformed trailers the 2 with a blank were complete to the hosted router's callers before, whole and as streams, and to the agent; none now (TestMalformedFieldIsNoAnswer, TestStreamWithMalformedTrailerIsNotComplete, TestMalformedFramingIsNoResponse). The other 3 were refused before; a sound trailer counts (TestSoundHeadIsAnAnswer).

--- a/agent/execute.go
+++ b/agent/execute.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/admission"
+	"github.com/laureltally/laureltally/internal/responsehead"
 	"github.com/laureltally/laureltally/response"
 	"github.com/laureltally/laureltally/wire"
 )
@@ -134,6 +135,9 @@
 	if err == nil {
 		err = copyBody(ctx, w, resp.Body, onData)
 	}
+	if err == nil {
+		err = responsehead.CheckTrailer(resp)
+	}
 	marked := endMarked(d, resp)
 	if err == nil && !marked {
 		err = a.checkEnd(ctx, d)
--- a/agent/malformed_head_test.go
+++ b/agent/malformed_head_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 
 	"github.com/laureltally/laureltally/admission"
@@ -75,9 +76,9 @@
 }
 
 // Guards against a response that the agent passes on as complete, though its fields do not tell where it
-// ends.
+// ends, or its trailer has a malformed field.
 func TestMalformedFramingIsNoResponse(t *testing.T) {
-	for _, r := range headtest.MalformedFraming() {
+	for _, r := range slices.Concat(headtest.MalformedFraming(), headtest.MalformedTrailers()) {
 		if got, err := respondOdd(t, r.Text, true); got != admission.Failed {
 			t.Errorf("%s: %v, error %v", r.Name, got, err)
 		}
--- a/e2e/hosted/malformed_head_test.go
+++ b/e2e/hosted/malformed_head_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -63,14 +64,31 @@
 	}
 }
 
-// Rule MIXED: guards against an answer with a malformed field in its head that reaches
+// Rule MIXED: guards against an answer with a malformed field, in its head or its trailer, that reaches
 // the caller, with that line or without it, or with a body that is not the server's.
 func TestMalformedFieldIsNoAnswer(t *testing.T) {
 	t.Parallel()
-	for _, r := range slices.Concat(headtest.MalformedFields(), headtest.MalformedFraming()) {
+	for _, r := range slices.Concat(headtest.MalformedFields(), headtest.MalformedFraming(), headtest.MalformedTrailers()) {
 		t.Run(r.Name, func(t *testing.T) {
 			t.Parallel()
 			wantNoAnswer(t, r.Text)
 		})
 	}
 }
+
+// Rule ORDER: guards against a stream that is complete though its trailer is malformed.
+func TestStreamWithMalformedTrailerIsNotComplete(t *testing.T) {
+	t.Parallel()
+	for _, r := range headtest.MalformedTrailers() {
+		t.Run(r.Name, func(t *testing.T) {
+			t.Parallel()
+			in, upstreams := newPlainInstallation(t, platformtest.UpstreamOptions{})
+			for _, u := range upstreams {
+				u.SetBehavior(always(platformtest.Behavior{Raw: strings.Replace(r.Text, "8\r\nthe body", fmt.Sprintf("%x\r\n%s", len(rawEvent), rawEvent), 1)}))
+			}
+			if got := in.call(platformtest.Call{Path: "/draft/a", Body: "x"}); got.Complete || got.Body != rawEvent {
+				t.Errorf("complete %v, body %q", got.Complete, got.Body)
+			}
+		})
+	}
+}
--- a/internal/responsehead/check.go
+++ b/internal/responsehead/check.go
@@ -11,6 +11,10 @@
 	return checkNames(r.Header)
 }
 
+// CheckTrailer returns a *SyntaxError if the trailer of a response, whose body has been read to its end,
+// is malformed.
+func CheckTrailer(r *http.Response) error { return checkNames(r.Trailer) }
+
 // checkNames checks what the parser of net/http does not: it passes names with blanks on.
 func checkNames(h http.Header) error {
 	for name := range h {
--- a/internal/responsehead/headtest/responses.go
+++ b/internal/responsehead/headtest/responses.go
@@ -78,6 +78,20 @@
 	}
 }
 
+// MalformedTrailers returns responses whose trailer has a malformed field.
+func MalformedTrailers() []Response {
+	trailer := func(l string) string {
+		return ok + "Transfer-Encoding: chunked\r\n\r\n8\r\nthe body\r\n0\r\n" + l + "\r\n\r\n"
+	}
+	return []Response{
+		{"blank in a trailer's name", trailer("X Bad: 1")},
+		{"blank before the colon of a trailer's name", trailer("X-Bad : 1")},
+		{"control byte in a trailer's name", trailer("X\x01Bad: 1")},
+		{"no colon in a trailer", trailer("X-Bad")},
+		{"control byte in a trailer's value", trailer("X-Bad: \x01")},
+	}
+}
+
 // Sound returns responses that are valid and differ from the usual ones. All have the body "the
 // body".
 func Sound() []Response {
--- a/internal/responsehead/syntax_error.go
+++ b/internal/responsehead/syntax_error.go
@@ -5,7 +5,7 @@
 // maxQuotedBytes bounds the part of a malformed line in an error.
 const maxQuotedBytes = 64
 
-// SyntaxError reports a malformed head of a response.
+// SyntaxError reports a malformed head or trailer of a response.
 type SyntaxError struct {
 	// Problem says what is wrong with the line.
 	Problem string
--- a/upstreamhttp/malformed_head_test.go
+++ b/upstreamhttp/malformed_head_test.go
@@ -111,6 +111,11 @@
 	checkHeads(t, headtest.MalformedFraming(), wantFailure(StageHeader))
 }
 
+// Guards against a response that is whole though a field of its trailer is malformed.
+func TestMalformedTrailerIsABreak(t *testing.T) {
+	checkHeads(t, headtest.MalformedTrailers(), wantFailure(StageBody))
+}
+
 // wantFailure fails the test unless a response failed at a stage.
 func wantFailure(stage Stage) func(*testing.T, string, error) {
 	return func(t *testing.T, text string, err error) {
--- a/upstreamhttp/response.go
+++ b/upstreamhttp/response.go
@@ -1,9 +1,12 @@
 package upstreamhttp
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/laureltally/laureltally/internal/responsehead"
 )
 
 // Response is a response whose body has not been read yet. It is used by one
@@ -23,9 +26,12 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body, and a
-// *ConnectionError if the body is truncated.
+// *ConnectionError if the body is truncated or its trailer is malformed.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.resp.Body.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(responsehead.CheckTrailer(r.resp), err)
+	}
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
