router: a malformed head of an agent is a failure

Change: the router checks the head of an agent like one that was parsed. The attempt failed; it may have run.

Evidence: TestMalformedHeadOfAnAgentIsAFailure, 5 heads as whole answers and as streams: 10 of 10 cases fail before (4 answers with status 200, one with 101, 5 closed connections), none after: status 502.

--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := responsehead.Check(resp); err != nil {
+	if err := responsehead.Check(resp.StatusCode, resp.Header); err != nil {
 		resp.Body.Close()
 		return nil, err
 	}
--- a/internal/responsehead/check.go
+++ b/internal/responsehead/check.go
@@ -1,14 +1,17 @@
 package responsehead
 
-import "net/http"
+import (
+	"net/http"
+	"strconv"
+)
 
-// Check returns a *SyntaxError if the head of a response that was parsed is malformed. It sees less than
-// a Scanner, and is for connections whose bytes are encrypted.
-func Check(r *http.Response) error {
-	if r.StatusCode < http.StatusOK {
-		return &SyntaxError{Problem: "invalid status", Line: r.Status}
+// Check returns a *SyntaxError if the final head of a response that was parsed is malformed. It sees less
+// than a Scanner, and is for heads whose bytes cannot be seen.
+func Check(status int, h http.Header) error {
+	if status < http.StatusOK {
+		return &SyntaxError{Problem: "invalid status", Line: strconv.Itoa(status)}
 	}
-	return checkNames(r.Header)
+	return checkNames(h)
 }
 
 // CheckTrailer returns a *SyntaxError if the trailer of a response, whose body has been read to its end,
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/laureltally/laureltally/ident"
+	"github.com/laureltally/laureltally/internal/responsehead"
 	"github.com/laureltally/laureltally/response"
 	"github.com/laureltally/laureltally/transport"
 	"github.com/laureltally/laureltally/wire"
@@ -176,7 +177,7 @@
 	case p.Abort != nil:
 		return &Failure{Code: p.Abort.Code, Run: wire.RunStateUnknown, RetryAfter: noReplicaRetryAfter, Detail: p.Abort.Detail}, true
 	case p.Head != nil:
-		x.d.out.Head(p.Head.Status, p.Head.Header)
+		return x.forwardHead(p.Head)
 	case len(p.Data) > 0:
 		return x.forwardData(p.Data)
 	case p.Complete:
@@ -192,6 +193,17 @@
 	return nil, false
 }
 
+// forwardHead begins the response to the caller. An agent refuses malformed heads of its upstream, one of
+// an earlier version does not.
+func (x *exchange) forwardHead(h *wire.Head) (*Failure, bool) {
+	if err := responsehead.Check(h.Status, h.Header); err != nil {
+		x.cancelAttempt()
+		return &Failure{Code: wire.CodeUpstreamFailed, Run: wire.RunStateUnknown, RetryAfter: noReplicaRetryAfter, Detail: err.Error()}, true
+	}
+	x.d.out.Head(h.Status, h.Header)
+	return nil, false
+}
+
 func (x *exchange) forwardData(data []byte) (*Failure, bool) {
 	if x.d.req.Stream {
 		x.d.deadlineTimer.Reset(maxStreamDuration)
