--- a/internal/responsehead/framing.go
+++ b/internal/responsehead/framing.go
@@ -1,8 +1,14 @@
 package responsehead
 
 import (
+	"bytes"
 	"net/http"
-	"strings"
+)
+
+// Names of the fields that say where a body ends.
+var (
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
 )
 
 // framing is what a head says of where its body ends, as far as parts of it can contradict others.
@@ -14,8 +20,8 @@
 
 // add takes the name of a field and returns what is wrong with it, or "" (RFC 9112, 6.1 and 6.3). The
 // parser of net/http takes one of the contradicting parts and ignores the other.
-func (f *framing) add(name string) string {
-	length, coding := strings.EqualFold(name, "Content-Length"), strings.EqualFold(name, "Transfer-Encoding")
+func (f *framing) add(name []byte) string {
+	length, coding := bytes.EqualFold(name, contentLength), bytes.EqualFold(name, transferEncoding)
 	f.hasLength, f.coded = f.hasLength || length, f.coded || coding
 	switch {
 	case !length && !coding:
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -63,7 +63,7 @@
 func (s *Scanner) addField(line []byte) string {
 	folded := line[0] == ' ' || line[0] == '\t'
 	if folded && s.fields > 0 {
-		if !validValue(string(line)) {
+		if !validValue(line) {
 			return "control byte in a value"
 		}
 		return ""
--- a/internal/responsehead/status_line.go
+++ b/internal/responsehead/status_line.go
@@ -30,16 +30,3 @@
 	}
 	return framing{status: status, minorVersion: rest[0]}, ""
 }
-
-func isDigit(c byte) bool { return '0' <= c && c <= '9' }
-
-// validValue reports whether a text may be a field's value or a reason: it has no control bytes but
-// tabs.
-func validValue(text string) bool {
-	for i := range len(text) {
-		if c := text[i]; c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
