--- a/agent/malformed_head_test.go
+++ b/agent/malformed_head_test.go
@@ -1,11 +1,9 @@
 package agent
 
 import (
-	"bufio"
 	"errors"
-	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 
@@ -19,24 +17,9 @@
 // respondOdd sends a request to an upstream whose response has the given text.
 func respondOdd(t *testing.T, text string, nonIdempotent bool) (admission.Result, error) {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, text)
-			}
-			conn.Close()
-		}
-	}()
-	a, err := New(Options{Settings: config.AgentSettings{UpstreamURL: "http://" + listener.Addr().String()}})
+	server := httptest.NewServer(headtest.Handler(t, text))
+	defer server.Close()
+	a, err := New(Options{Settings: config.AgentSettings{UpstreamURL: server.URL}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/httpclient/malformed_head_test.go
+++ b/internal/httpclient/malformed_head_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,18 +15,10 @@
 // oddServer returns a server that writes a text in place of the response to /odd, and a client of it.
 func oddServer(t *testing.T, start func(http.Handler) *httptest.Server, text string) (*httptest.Server, *http.Client) {
 	t.Helper()
-	s := start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/odd" {
-			return
-		}
-		c, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		defer c.Close()
-		_, _ = io.WriteString(c, text)
-	}))
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) {})
+	mux.Handle("/odd", headtest.Handler(t, text))
+	s := start(mux)
 	t.Cleanup(s.Close)
 	base := &http.Transport{}
 	if s.TLS != nil {
--- a/internal/responsehead/headtest/doc.go
+++ b/internal/responsehead/headtest/doc.go
@@ -1,2 +1,3 @@
-// Package headtest has responses with odd heads, for tests of all that read responses.
+// Package headtest has responses with odd heads, and a server of them, for tests of all that read
+// responses.
 package headtest
