httpclient: a malformed head does not make net/http repeat the request

Agent, store and engine clients have it; the hosted router's connections never repeat.

Cause: the connection's first read failed in place of the malformed bytes. net/http takes a first read that fails on a reused connection for one that the server had closed while it was idle.

--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -55,12 +55,17 @@
 		}
 	}}
 	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	if c != nil && c.endHead(head) && err != nil {
-		return nil, fmt.Errorf("%w: %w", &headlimit.SizeError{}, err)
+	var headErr error
+	if c != nil {
+		headErr = c.endHead(head)
 	}
-	if err != nil {
+	switch {
+	case err != nil && headErr != nil:
+		return nil, fmt.Errorf("%w: %w", headErr, err)
+	case err != nil:
 		return nil, err
 	}
+	// The bytes of connections with TLS are not seen.
 	if err := responsehead.Check(resp.StatusCode, resp.Header); err != nil {
 		resp.Body.Close()
 		return nil, err
--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -41,6 +41,9 @@
 	return s.err
 }
 
+// Err returns the error of the last Add.
+func (s *Scanner) Err() error { return s.err }
+
 // endLine checks a whole line.
 func (s *Scanner) endLine(line []byte) {
 	problem := ""
